--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
@@ -0,0 +1,150 @@
+package org.acaciaport.decision;
+
+import org.acaciaport.config.Adjacency;
+import org.acaciaport.config.Profile;
+import org.acaciaport.request.Outcome;
+import org.acaciaport.request.Request;
+
+/**
+ * Takes requests in, or answers them as not run at once.
+ *
+ * <p>Confined to one decision.
+ */
+final class Admission {
+    private static final String PART = "admit";
+
+    private final Draft draft;
+
+    Admission(Draft draft) {
+        this.draft = draft;
+    }
+
+    void accept(Request request) {
+        if (draft.job(request.id()) != null) {
+            return;
+        }
+        Job job = Job.accepted(request, draft.takeSequence());
+        if (draft.now() >= request.queueDeadline()) {
+            refuse(job, "its queue deadline had passed on arrival; submit it again with a longer queue limit");
+            return;
+        }
+        if (!canEverRun(job)) {
+            refuse(job, neverReason(job.profile()));
+            return;
+        }
+        if (draft.queues().size(job.account()) >= draft.policy().maxQueued() && !shedLower(job)) {
+            refuse(job, "the account's queue is full; submit it again later");
+            return;
+        }
+        draft.put(job);
+        draft.timer(request.queueDeadline(), Timer.Kind.QUEUE, job.id(), 0);
+        draft.timer(draft.now() + draft.policy().patienceMillis(), Timer.Kind.PATIENCE, job.id(), 0);
+        boolean first = !draft.queues().waits(job.account(), job.profile().name());
+        boolean wanted = draft.takeDispatchWanted();
+        draft.enqueue(job);
+        draft.takeDispatchWanted();
+        if (first || wanted) {
+            draft.wantDispatch();
+        }
+    }
+
+    /** Takes up a request where an earlier leader left it. */
+    void recover(Event.Recovered recovered) {
+        if (recovered.intent().isEmpty()) {
+            accept(recovered.request());
+            return;
+        }
+        if (draft.job(recovered.request().id()) != null) {
+            return;
+        }
+        Job job = Job.accepted(recovered.request(), draft.takeSequence());
+        new Starts(draft).resumeFollowing(job, recovered.intent().get());
+        draft.note(
+                PART, job, "recovered attempt=" + recovered.intent().get().number() + " why=its intent is on the log");
+    }
+
+    /** Answers waiting requests that the present configuration can never run. */
+    void recheck() {
+        for (Job job : draft.jobs().values()) {
+            if (job.phase() instanceof Phase.Queued && !canEverRun(job)) {
+                refuse(job, neverReason(job.profile()));
+            }
+        }
+    }
+
+    /** Returns whether the job fits somewhere when nothing else runs. */
+    boolean canEverRun(Job job) {
+        Profile profile = job.profile();
+        int needed = profile.shape().targets();
+        if (profile.shape().adjacency() == Adjacency.SAME_RACK) {
+            return draft.fleet().racks().values().stream().anyMatch(rack -> fitting(job, rack, needed) >= needed);
+        }
+        int total = 0;
+        for (Iterable<String> rack : draft.fleet().racks().values()) {
+            total += fitting(job, rack, needed - total);
+            if (total >= needed) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private int fitting(Job job, Iterable<String> targets, int enough) {
+        int count = 0;
+        for (String id : targets) {
+            count += fitsEmpty(draft.fleet().target(id), job) ? 1 : 0;
+            if (count >= enough) {
+                break;
+            }
+        }
+        return count;
+    }
+
+    /** Returns whether a member of {@code job} fits on {@code target} when no other work runs there. */
+    static boolean fitsEmpty(TargetState target, Job job) {
+        int units = job.profile().unitsOn(target.target());
+        int kept = job.profile().revocable() ? 0 : target.ownedByOthers(job.account());
+        return !target.leaving() && target.capacity() - kept >= units;
+    }
+
+    private static String neverReason(Profile profile) {
+        return "no set of targets here can ever hold " + profile.shape() + " of profile " + profile.name()
+                + " beside the guarantees; choose a smaller profile or another data centre";
+    }
+
+    /** Makes room by answering the newest waiting request of a lower priority as not run. */
+    private boolean shedLower(Job job) {
+        Job lowest = null;
+        for (String head : draft.queues().heads(job.account())) {
+            Job other = draft.job(head);
+            boolean lower = other.profile().priority() < job.profile().priority();
+            if (lower
+                    && (lowest == null
+                            || other.profile().priority() < lowest.profile().priority())) {
+                lowest = other;
+            }
+        }
+        if (lowest == null) {
+            return false;
+        }
+        Job last = draft.job(draft.queues().last(job.account(), lowest.profile().name()));
+        if (!draft.rules().neverStarted(last)) {
+            return false;
+        }
+        refuse(last, "the account's queue is full of more urgent requests; submit it again later");
+        return true;
+    }
+
+    private void refuse(Job job, String reason) {
+        draft.note(PART, job, "refused profile=" + job.profile().name() + " why=" + reason);
+        draft.finish(job, notRun(job, reason));
+    }
+
+    /** Returns the truthful answer for a request that will not be started any more. */
+    private Outcome notRun(Job job, String reason) {
+        if (draft.rules().neverStarted(job)) {
+            return new Outcome.NotRun(reason);
+        }
+        return new Outcome.Failed("started before without finishing, and now " + reason);
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/CellState.java
@@ -0,0 +1,51 @@
+package org.acaciaport.decision;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.acaciaport.config.ActiveConfiguration;
+
+/**
+ * Everything that the decisions of one data centre depend on.
+ *
+ * <p>Immutable, so any thread may read it while the next one is made.
+ *
+ * @param dataCentre name of the data centre
+ * @param active the configuration in force
+ * @param fleet its targets
+ * @param work its unfinished requests
+ * @param gate whether work may start
+ */
+public record CellState(String dataCentre, ActiveConfiguration active, Fleet fleet, Workload work, Gate gate) {
+    private static final int EPOCH_SHIFT = 32;
+
+    /**
+     * Returns the state of a scheduler that has just begun to lead {@code dataCentre}.
+     *
+     * @param epoch number of its leadership; attempts of a later epoch have higher numbers
+     */
+    public static CellState initial(String dataCentre, long epoch) {
+        return new CellState(
+                dataCentre,
+                ActiveConfiguration.NONE,
+                Fleet.EMPTY,
+                Workload.startingAt(epoch << EPOCH_SHIFT),
+                Gate.CLOSED);
+    }
+
+    /** Returns the epoch in which the attempt called {@code attempt} was made. */
+    public static long epochOf(long attempt) {
+        return attempt >> EPOCH_SHIFT;
+    }
+
+    /** Returns the unfinished request called {@code id}. */
+    public Optional<Job> job(String id) {
+        return Optional.ofNullable(work.jobs().get(id));
+    }
+
+    /** Returns when something is next due, in milliseconds. */
+    public OptionalLong nextTimer() {
+        return work.timers().isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(work.timers().first().at());
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -0,0 +1,126 @@
+package org.acaciaport.decision;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Promises occupied places to a job and starts it once they are free.
+ *
+ * <p>Confined to one decision.
+ */
+final class Claims {
+    private static final String PART = "claim";
+
+    private final Draft draft;
+
+    Claims(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Claims places within the account's own share; whoever borrows them is taken off within the reclaim limit. */
+    void begin(Job job, List<Member> members) {
+        promise(job, members, false, draft.now() + draft.policy().reclaimMillis());
+    }
+
+    /** Sets places aside for a large job; irrevocable work on them runs to its end first. */
+    void setAside(Job job, List<Member> members, long deadline) {
+        draft.setDrain(Optional.of(job.id()));
+        promise(job, members, true, deadline);
+    }
+
+    private void promise(Job job, List<Member> members, boolean drain, long deadline) {
+        Attempt attempt = new Attempt(draft.takeAttempt(), members, 0);
+        draft.dequeue(job);
+        draft.claim(job, attempt);
+        Phase.Claiming claiming = new Phase.Claiming(attempt, drain, draft.now(), deadline);
+        Job claimed = job.with(claiming);
+        draft.put(claimed);
+        draft.note(
+                PART,
+                job,
+                "attempt=" + attempt.number() + " drain=" + drain + " deadline=" + deadline + " targets="
+                        + members.stream().map(Member::target).toList());
+        advance(claimed);
+    }
+
+    /** Starts the job if its places are free, else takes off whatever may be taken off now. */
+    void advance(Job job) {
+        if (!(job.phase() instanceof Phase.Claiming claiming)) {
+            return;
+        }
+        String lost = unusable(job, claiming);
+        if (lost != null) {
+            abandon(job, claiming, lost);
+            return;
+        }
+        if (ready(claiming)) {
+            if (draft.rules().mayStart(draft.state(), draft.gate(), draft.now())) {
+                convert(job, claiming);
+            }
+            return;
+        }
+        if (!claiming.drain() || clearable(job, claiming)) {
+            new Revoker(draft).clearFor(job, claiming.attempt(), claiming.drain());
+        }
+    }
+
+    /** Gives the promised places up and queues the job again. */
+    void abandon(Job job, Phase.Claiming claiming, String why) {
+        draft.note(PART, job, "abandoned attempt=" + claiming.attempt().number() + " why=" + why);
+        release(job, claiming);
+        draft.enqueue(job);
+    }
+
+    /** Gives the promised places up. */
+    void release(Job job, Phase.Claiming claiming) {
+        draft.unclaim(job, claiming.attempt());
+        if (claiming.drain()) {
+            draft.setDrain(Optional.empty());
+        }
+    }
+
+    private void convert(Job job, Phase.Claiming claiming) {
+        release(job, claiming);
+        new Starts(draft).begin(job, claiming.attempt());
+    }
+
+    /** Returns why a promised place cannot be used any more, or null. */
+    private String unusable(Job job, Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
+            TargetState target = draft.fleet().target(member.target());
+            if (target == null || !target.inUse() || target.health().probation()) {
+                return "target " + member.target() + " is out of use";
+            }
+            boolean fits = job.profile().revocable() || claiming.drain()
+                    ? Admission.fitsEmpty(target, job)
+                    : draft.rules().leavesOwned(target, job.account(), member.units());
+            if (!fits) {
+                return "target " + member.target() + " has other owners now";
+            }
+        }
+        return null;
+    }
+
+    /** Claims within shares come first; places set aside count only what all other claims leave. */
+    private boolean ready(Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
+            TargetState target = draft.fleet().target(member.target());
+            int idle = claiming.drain()
+                    ? target.free() + member.units()
+                    : target.capacity() - target.load().used();
+            if (idle < member.units()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean clearable(Job job, Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
+            if (!Victims.clearable(draft.fleet().target(member.target()), job, member.units())) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Decider.java
@@ -0,0 +1,78 @@
+package org.acaciaport.decision;
+
+/**
+ * Makes the decisions of one data centre: from a state, an event and the time to the next state and what to carry out.
+ *
+ * <p>Stateless and safe for use by several threads. The result depends on the arguments alone.
+ */
+public final class Decider {
+    private final Policy policy;
+    private final Rules rules;
+
+    Decider(Policy policy, Rules rules) {
+        this.policy = policy;
+        this.rules = rules;
+    }
+
+    /** Returns a decider that keeps to {@code policy}. */
+    public static Decider of(Policy policy) {
+        return new Decider(policy, new Rules());
+    }
+
+    /** Returns the limits that the decisions keep to. */
+    public Policy policy() {
+        return policy;
+    }
+
+    /**
+     * Decides what follows from {@code event}.
+     *
+     * @param state the state that the previous decision returned
+     * @param event what happened
+     * @param now the time in milliseconds; never earlier than in a previous decision
+     */
+    public Decision decide(CellState state, Event event, long now) {
+        Draft draft = new Draft(state, policy, rules, now);
+        new Deadlines(draft).run();
+        apply(draft, event);
+        new Dispatcher(draft).run();
+        return draft.decision();
+    }
+
+    private static void apply(Draft draft, Event event) {
+        switch (event) {
+            case Event.Tick tick -> {}
+            case Event.Submitted submitted -> new Admission(draft).accept(submitted.request());
+            case Event.Recovered recovered -> new Admission(draft).recover(recovered);
+            case Event.CancelAsked cancel -> new Deadlines(draft).cancel(cancel.request());
+            case Event.HandOverAnswered answer -> new Membership(draft).handOverAnswered(answer);
+            case Event.Configured configured -> new Membership(draft).configured(configured.active());
+            case Event.PermitRenewed permit -> renew(draft, permit.until());
+            case Event.LogChanged log -> {
+                draft.setGate(draft.gate().withLog(log.available()));
+                draft.wantDispatch();
+            }
+            case Event.LeavingListed leaving -> new Membership(draft).leavingListed(leaving.targets());
+            case Event.TargetReachable reachable -> new Membership(draft).reachable(reachable.target());
+            case Event.TargetLost lost -> new Membership(draft).lost(lost.target());
+            case Event.ReserveAnswered answer -> new Starts(draft).reserveAnswered(answer);
+            case Event.IntentAnswered answer -> new Starts(draft).intentAnswered(answer);
+            case Event.MemberChanged change ->
+                new Progress(draft).memberChanged(change.request(), change.attempt(), change.member(), change.state());
+        }
+    }
+
+    private static void renew(Draft draft, long until) {
+        boolean lapsed = draft.gate().permitUntil() <= draft.now();
+        draft.setGate(draft.gate().withPermit(until));
+        if (!lapsed) {
+            return;
+        }
+        draft.wantDispatch();
+        for (Job job : draft.jobs().values()) {
+            if (job.phase() instanceof Phase.Claiming) {
+                new Claims(draft).advance(draft.job(job.id()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Dispatcher.java
@@ -0,0 +1,173 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.acaciaport.config.Profile;
+
+/**
+ * Gives free places to waiting jobs: the account that uses least first, within an account the most urgent first.
+ *
+ * <p>Waiting raises urgency, except past a profile that takes strict precedence. Confined to one decision.
+ */
+final class Dispatcher {
+    private static final String PART = "place";
+
+    private final Draft draft;
+    private final Set<String> exhausted = new HashSet<>();
+
+    Dispatcher(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Looks at the queues as often as the decision asks for it. */
+    void run() {
+        while (draft.takeDispatchWanted()) {
+            exhausted.clear();
+            for (String target : draft.takeVacated()) {
+                serveTarget(target);
+            }
+            if (!draft.active().inService(draft.state().dataCentre())) {
+                new Membership(draft).handOverQueued();
+                return;
+            }
+            if (!mayStart()) {
+                return;
+            }
+            placeAll();
+            new Drains(draft).consider();
+        }
+    }
+
+    /** Serves the claims on a target in order of age, then resumes what is paused there. */
+    void serveTarget(String id) {
+        TargetState target = draft.fleet().target(id);
+        if (target == null) {
+            return;
+        }
+        List<Job> claiming = new ArrayList<>();
+        for (String jobId : target.load().jobs()) {
+            Job job = draft.job(jobId);
+            if (job != null && job.phase() instanceof Phase.Claiming) {
+                claiming.add(job);
+            }
+        }
+        claiming.sort(Comparator.comparingLong((Job j) -> ((Phase.Claiming) j.phase()).since())
+                .thenComparingLong(Job::sequence));
+        Claims claims = new Claims(draft);
+        for (Job job : claiming) {
+            claims.advance(draft.job(job.id()));
+        }
+        for (String parked : target.load().parked()) {
+            new Parking(draft).resume(draft.job(parked));
+        }
+    }
+
+    private boolean mayStart() {
+        return draft.rules().mayStart(draft.state(), draft.gate(), draft.now());
+    }
+
+    private void placeAll() {
+        boolean placed = true;
+        while (placed) {
+            placed = false;
+            for (String account : accountsByUse()) {
+                if (!draft.gate().allowsStart(draft.now(), draft.policy().rampStarts())) {
+                    draft.timer(draft.gate().nextSecond(draft.now()), Timer.Kind.RAMP, "", 0);
+                    return;
+                }
+                placed |= placeOne(account);
+            }
+        }
+    }
+
+    private List<String> accountsByUse() {
+        List<String> accounts = new ArrayList<>(draft.queues().accounts());
+        accounts.sort(Comparator.comparingInt(draft::unitsOf).thenComparing(Comparator.naturalOrder()));
+        return accounts;
+    }
+
+    private boolean placeOne(String account) {
+        for (Job job : heads(account)) {
+            String key = account + '/' + job.profile().name();
+            if (exhausted.contains(key) || waitsForOthers(job)) {
+                continue;
+            }
+            if (startable(job) && place(job)) {
+                return true;
+            }
+            exhausted.add(key);
+        }
+        return false;
+    }
+
+    private List<Job> heads(String account) {
+        List<Job> heads = new ArrayList<>();
+        for (String id : draft.queues().heads(account)) {
+            heads.add(draft.job(id));
+        }
+        heads.sort(Comparator.comparingLong(this::urgency).reversed().thenComparingLong(Job::sequence));
+        return heads;
+    }
+
+    private long urgency(Job job) {
+        long waited = draft.now() - job.request().acceptedAt();
+        return job.profile().priority() + waited / draft.policy().agingMillis();
+    }
+
+    private boolean waitsForOthers(Job job) {
+        Predicate<Profile> precedes = other -> draft.rules().waitsFor(job.profile(), other);
+        return draft.queues().heads(job.account()).stream()
+                .map(draft::job)
+                .filter(other -> other != job)
+                .map(Job::profile)
+                .anyMatch(precedes);
+    }
+
+    /** Work whose intent must be recorded cannot start while the log is unavailable. */
+    private boolean startable(Job job) {
+        return draft.gate().logAvailable() || !draft.rules().recordsIntent(job.profile());
+    }
+
+    private boolean place(Job job) {
+        Placement placement = new Placement(draft, job);
+        Optional<List<Member>> free = placement.freeNow();
+        if (free.isPresent()) {
+            start(job, free.get(), "free", "-");
+            return true;
+        }
+        Optional<List<Member>> claim = draft.rules().reclaims() ? placement.byClaim() : Optional.empty();
+        if (claim.isPresent()) {
+            new Claims(draft).begin(job, claim.get());
+            return true;
+        }
+        List<Member> lent = new Drains(draft).lend(job);
+        if (!lent.isEmpty()) {
+            start(job, lent, "lent", "free places");
+            return true;
+        }
+        if (job.request().acceptedAt() == draft.now()) {
+            draft.note(
+                    PART,
+                    job,
+                    "waits profile=" + job.profile().name()
+                            + " why=no place rejected=free places,own share,lent places");
+        }
+        return false;
+    }
+
+    private void start(Job job, List<Member> members, String why, String rejected) {
+        Attempt attempt = new Attempt(draft.takeAttempt(), members, 0);
+        draft.note(
+                PART,
+                job,
+                "attempt=" + attempt.number() + " targets="
+                        + members.stream().map(Member::target).toList() + " units="
+                        + members.getFirst().units() + " why=" + why + " rejected=" + rejected);
+        new Starts(draft).begin(job, attempt);
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -0,0 +1,164 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.OptionalLong;
+import org.acaciaport.config.Adjacency;
+
+/**
+ * Sets places aside for the large job that has waited longest, one at a time, and lends them out meanwhile.
+ *
+ * <p>The places chosen are those whose irrevocable work ends first. Since every run has a limit, the wait of the job
+ * whose turn it is has a bound.
+ *
+ * <p>Confined to one decision.
+ */
+final class Drains {
+    private static final String PART = "drain";
+
+    private final Draft draft;
+
+    Drains(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Gives the next large job its turn if none has it. */
+    void consider() {
+        if (!draft.rules().setsAside() || draft.drain().isPresent()) {
+            return;
+        }
+        Job oldest = null;
+        for (String account : draft.queues().accounts()) {
+            for (String id : draft.queues().heads(account)) {
+                Job job = draft.job(id);
+                if (due(job) && (oldest == null || job.sequence() < oldest.sequence())) {
+                    oldest = job;
+                }
+            }
+        }
+        if (oldest != null) {
+            plan(oldest);
+        }
+    }
+
+    /** Returns places that are set aside but idle, which {@code job} may use without delaying their owner. */
+    List<Member> lend(Job job) {
+        Job owner = draft.drain().map(draft::job).orElse(null);
+        if (owner == null || job.profile().gang() || !(owner.phase() instanceof Phase.Claiming claiming)) {
+            return List.of();
+        }
+        if (!endsBefore(job, claiming.deadline())) {
+            return List.of();
+        }
+        for (Member member : claiming.attempt().members()) {
+            TargetState target = draft.fleet().target(member.target());
+            int units = job.profile().unitsOn(target.target());
+            int idle = target.free() + member.units();
+            boolean fits = job.profile().revocable() || draft.rules().leavesOwned(target, job.account(), units);
+            boolean allowed = draft.rules().accepts(target)
+                    && !job.failedOn().contains(target.id())
+                    && target.health().suspects().isEmpty();
+            if (fits && allowed && idle >= units) {
+                return List.of(new Member(0, target.id(), units));
+            }
+        }
+        return List.of();
+    }
+
+    /** Trusts observed run times, and for irrevocable work the run limit besides. */
+    private boolean endsBefore(Job job, long deadline) {
+        OptionalLong high = draft.runTimes(job.profile().name()).high();
+        boolean likely = high.isEmpty() || draft.now() + high.getAsLong() <= deadline;
+        return job.profile().revocable() ? likely : likely && endBy(job) <= deadline;
+    }
+
+    private boolean due(Job job) {
+        long waited = draft.now() - job.request().acceptedAt();
+        return waited >= draft.policy().patienceMillis() && large(job);
+    }
+
+    private boolean large(Job job) {
+        return job.profile().gang()
+                || draft.fleet().largestFree() < job.profile().shape().acceleratorsPerTarget();
+    }
+
+    private void plan(Job job) {
+        int needed = job.profile().shape().targets();
+        Plan best = null;
+        if (job.profile().shape().adjacency() == Adjacency.SAME_RACK) {
+            for (List<String> rack : draft.fleet().racks().values()) {
+                best = earlier(best, cheapest(job, rack, needed));
+            }
+        } else {
+            List<String> all = new ArrayList<>(draft.fleet().targets().keySet());
+            best = cheapest(job, all, needed);
+        }
+        if (best == null) {
+            return;
+        }
+        long deadline = best.clearAt() + 2 * draft.policy().reclaimMillis();
+        draft.note(
+                PART,
+                job,
+                "places set aside clearAt=" + best.clearAt() + " waited="
+                        + (draft.now() - job.request().acceptedAt()));
+        List<Member> members = new Placement(draft, job).members(best.targets());
+        new Claims(draft).setAside(job, members, deadline);
+    }
+
+    /** Targets for one large job and the time by which their irrevocable work has ended. */
+    private record Plan(List<TargetState> targets, long clearAt) {}
+
+    private static Plan earlier(Plan left, Plan right) {
+        if (left == null || right == null) {
+            return left == null ? right : left;
+        }
+        return right.clearAt() < left.clearAt() ? right : left;
+    }
+
+    private Plan cheapest(Job job, List<String> targets, int needed) {
+        List<Clearing> clearings = new ArrayList<>();
+        for (String id : targets) {
+            TargetState target = draft.fleet().target(id);
+            boolean usable = target.inUse()
+                    && !target.health().probation()
+                    && !target.health().probed();
+            if (usable && !job.failedOn().contains(id) && Admission.fitsEmpty(target, job)) {
+                clearings.add(new Clearing(target, clearAt(target)));
+            }
+        }
+        if (clearings.size() < needed) {
+            return null;
+        }
+        clearings.sort(Comparator.comparingLong(Clearing::at)
+                .thenComparingInt(c -> -c.target().free())
+                .thenComparing(c -> c.target().id()));
+        List<TargetState> chosen =
+                clearings.subList(0, needed).stream().map(Clearing::target).toList();
+        return new Plan(chosen, clearings.get(needed - 1).at());
+    }
+
+    /** A target and the time by which its irrevocable work has ended. */
+    private record Clearing(TargetState target, long at) {}
+
+    private long clearAt(TargetState target) {
+        long latest = draft.now();
+        for (String id : target.load().jobs()) {
+            Job job = draft.job(id);
+            if (job != null && !job.profile().revocable()) {
+                latest = Math.max(latest, endBy(job));
+            }
+        }
+        return latest;
+    }
+
+    private long endBy(Job job) {
+        long runs = job.phase() instanceof Phase.Running running
+                ? running.runDeadline()
+                : draft.now()
+                        + job.profile().runLimitMillis()
+                        + 2 * draft.policy().reserveMillis();
+        return runs + draft.policy().stopMillis();
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -0,0 +1,71 @@
+package org.acaciaport.decision;
+
+import org.acaciaport.config.Profile;
+import org.acaciaport.request.Request;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+/**
+ * An unfinished request and its progress.
+ *
+ * <p>Immutable.
+ *
+ * @param request the request
+ * @param sequence arrival order within the data centre; kept when the request is queued again
+ * @param phase where it stands
+ * @param failures attempts that ran and failed
+ * @param failedOn identifiers of targets on which it failed
+ * @param everStarted whether any member may have run
+ * @param checkpointed whether a saved state exists from which it resumes
+ * @param cancelAsked whether the caller wants it no more
+ */
+public record Job(
+        Request request,
+        long sequence,
+        Phase phase,
+        int failures,
+        PSet<String> failedOn,
+        boolean everStarted,
+        boolean checkpointed,
+        boolean cancelAsked) {
+    /** Returns a job that has just been accepted. */
+    static Job accepted(Request request, long sequence) {
+        return new Job(request, sequence, new Phase.Queued(0), 0, HashTreePSet.empty(), false, false, false);
+    }
+
+    /** Returns the request's identifier. */
+    public String id() {
+        return request.id();
+    }
+
+    /** Returns the request's account. */
+    public String account() {
+        return request.account();
+    }
+
+    /** Returns the request's profile. */
+    public Profile profile() {
+        return request.profile();
+    }
+
+    Job with(Phase next) {
+        return new Job(request, sequence, next, failures, failedOn, everStarted, checkpointed, cancelAsked);
+    }
+
+    Job withFailure(String target) {
+        return new Job(
+                request, sequence, phase, failures + 1, failedOn.plus(target), everStarted, checkpointed, cancelAsked);
+    }
+
+    Job withStart() {
+        return new Job(request, sequence, phase, failures, failedOn, true, checkpointed, cancelAsked);
+    }
+
+    Job withCheckpoint(boolean saved) {
+        return new Job(request, sequence, phase, failures, failedOn, everStarted, saved, cancelAsked);
+    }
+
+    Job withCancelAsked() {
+        return new Job(request, sequence, phase, failures, failedOn, everStarted, checkpointed, true);
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Load.java
@@ -0,0 +1,93 @@
+package org.acaciaport.decision;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+
+/**
+ * The work on one target.
+ *
+ * <p>Immutable. {@code used} and {@code claimed} are the sums of {@code use} and {@code claims}; {@code revoking} is at
+ * most {@code used}.
+ *
+ * @param use accelerators occupied, by account
+ * @param used accelerators occupied by all accounts
+ * @param claims accelerators promised to claims that wait for them, by account
+ * @param claimed accelerators promised to all accounts
+ * @param revoking accelerators occupied by work that is being taken off
+ * @param jobs identifiers of requests that occupy accelerators here or wait for promised ones
+ * @param parked identifiers of requests paused here
+ */
+public record Load(
+        PMap<String, Use> use,
+        int used,
+        PMap<String, Integer> claims,
+        int claimed,
+        int revoking,
+        PSet<String> jobs,
+        PSet<String> parked) {
+    /** No work. */
+    static final Load NONE =
+            new Load(HashTreePMap.empty(), 0, HashTreePMap.empty(), 0, 0, HashTreePSet.empty(), HashTreePSet.empty());
+
+    /** Returns what {@code account} occupies. */
+    public Use of(String account) {
+        return use.getOrDefault(account, Use.NONE);
+    }
+
+    /** Returns the accelerators promised to {@code account}. */
+    public int claimedBy(String account) {
+        return claims.getOrDefault(account, 0);
+    }
+
+    /** Returns the accelerators occupied by irrevocable work, by account. */
+    public Map<String, Integer> irrevocable() {
+        Map<String, Integer> result = new HashMap<>();
+        for (Map.Entry<String, Use> entry : use.entrySet()) {
+            if (entry.getValue().irrevocable() > 0) {
+                result.put(entry.getKey(), entry.getValue().irrevocable());
+            }
+        }
+        return result;
+    }
+
+    /** Returns the accelerators occupied by irrevocable work of all accounts. */
+    public int irrevocableUnits() {
+        return use.values().stream().mapToInt(Use::irrevocable).sum();
+    }
+
+    Load withUse(String account, int units, boolean revocable) {
+        Use changed = of(account).plus(units, revocable);
+        PMap<String, Use> next = changed.total() == 0 ? use.minus(account) : use.plus(account, changed);
+        return new Load(next, used + units, claims, claimed, revoking, jobs, parked);
+    }
+
+    Load withClaim(String account, int units) {
+        int changed = claimedBy(account) + units;
+        PMap<String, Integer> next = changed == 0 ? claims.minus(account) : claims.plus(account, changed);
+        return new Load(use, used, next, claimed + units, revoking, jobs, parked);
+    }
+
+    Load withRevoking(int units) {
+        return new Load(use, used, claims, claimed, revoking + units, jobs, parked);
+    }
+
+    Load withJob(String job) {
+        return new Load(use, used, claims, claimed, revoking, jobs.plus(job), parked);
+    }
+
+    Load withoutJob(String job) {
+        return new Load(use, used, claims, claimed, revoking, jobs.minus(job), parked);
+    }
+
+    Load withParked(String job) {
+        return new Load(use, used, claims, claimed, revoking, jobs, parked.plus(job));
+    }
+
+    Load withoutParked(String job) {
+        return new Load(use, used, claims, claimed, revoking, jobs, parked.minus(job));
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Member.java
@@ -0,0 +1,12 @@
+package org.acaciaport.decision;
+
+/**
+ * The place of one member of an attempt.
+ *
+ * <p>Immutable.
+ *
+ * @param index index within the gang, from 0
+ * @param target identifier of its target
+ * @param units accelerators that it occupies there
+ */
+public record Member(int index, String target, int units) {}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -0,0 +1,255 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.acaciaport.config.ActiveConfiguration;
+import org.acaciaport.config.Shares;
+import org.acaciaport.config.Target;
+
+/**
+ * Follows targets and the data centre itself in and out of service, and keeps the guarantees assigned to what is left.
+ *
+ * <p>Confined to one decision.
+ */
+final class Membership {
+    private static final String PART = "fleet";
+
+    private final Draft draft;
+
+    Membership(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Applies a newer revision; an older one or the same changes nothing. */
+    void configured(ActiveConfiguration next) {
+        ActiveConfiguration previous = draft.active();
+        if (next.revision() <= previous.revision()) {
+            draft.note(PART, "ignored revision=" + next.revision() + " in force=" + previous.revision());
+            return;
+        }
+        String here = draft.state().dataCentre();
+        boolean was = previous.inService(here);
+        draft.setActive(next);
+        if (!next.configuration().equals(previous.configuration())) {
+            replaceTargets(next.configuration().targetsOf(here));
+            new Admission(draft).recheck();
+        }
+        draft.note(PART, "revision=" + next.revision() + " in force, in service=" + next.inService(here));
+        if (was && !next.inService(here)) {
+            evacuate();
+        }
+        if (!was && next.inService(here)) {
+            draft.setGate(draft.gate().withReturn(draft.now()));
+            requeueWaiting();
+        }
+        draft.wantDispatch();
+    }
+
+    private void replaceTargets(List<Target> targets) {
+        Fleet fleet = draft.fleet();
+        Set<String> present = new HashSet<>();
+        for (Target target : targets) {
+            present.add(target.id());
+            TargetState state = fleet.target(target.id());
+            if (state == null) {
+                fleet = fleet.with(TargetState.empty(target).withReachable(false));
+            } else if (state.load().jobs().isEmpty() || target.accelerators() >= state.capacity()) {
+                fleet = fleet.with(state.with(target).withLeaving(false));
+            } else {
+                draft.note(PART, "target=" + target.id() + " keeps its size until it is empty");
+            }
+        }
+        for (String id : new ArrayList<>(fleet.targets().keySet())) {
+            if (present.contains(id)) {
+                continue;
+            }
+            boolean empty = fleet.target(id).load().jobs().isEmpty()
+                    && fleet.target(id).load().parked().isEmpty();
+            fleet = empty ? fleet.without(id) : fleet.with(fleet.target(id).withLeaving(true));
+        }
+        draft.setFleet(fleet.withRacks());
+        reassign();
+    }
+
+    /** Marks exactly the targets in {@code listed} as leaving, and takes off what may be taken off them. */
+    void leavingListed(Set<String> listed) {
+        for (TargetState target : draft.fleet().targets().values()) {
+            boolean leaving = listed.contains(target.id());
+            if (leaving == target.leaving()) {
+                continue;
+            }
+            draft.changeTarget(target.id(), t -> t.withLeaving(leaving));
+            draft.note(PART, "target=" + target.id() + " leaving=" + leaving);
+            if (leaving) {
+                takeOff(target.id());
+            }
+        }
+        reassign();
+        draft.wantDispatch();
+    }
+
+    void reachable(String id) {
+        TargetState target = draft.fleet().target(id);
+        if (target == null || target.reachable()) {
+            return;
+        }
+        draft.changeTarget(id, t -> t.withReachable(true));
+        draft.note(PART, "target=" + id + " reachable");
+        reassign();
+        draft.wantDispatch();
+    }
+
+    /** Ends all work on a target whose lease has lapsed. */
+    void lost(String id) {
+        TargetState target = draft.fleet().target(id);
+        if (target == null || !target.reachable()) {
+            return;
+        }
+        draft.changeTarget(id, t -> t.withReachable(false));
+        draft.note(PART, "target=" + id + " lost why=its lease lapsed");
+        for (String job : target.load().parked()) {
+            if (draft.job(job).phase() instanceof Phase.Parked parked) {
+                new Parking(draft).evict(draft.job(job), parked, "target " + id + " was lost");
+            }
+        }
+        for (String job : target.load().jobs()) {
+            loseMembers(draft.job(job), id);
+        }
+        reassign();
+        draft.wantDispatch();
+    }
+
+    private void loseMembers(Job job, String target) {
+        switch (job.phase()) {
+            case Phase.Claiming claiming -> new Claims(draft).abandon(job, claiming, "target " + target + " was lost");
+            case Phase.Reserving reserving ->
+                new Starts(draft).giveUp(job, reserving.attempt(), "target " + target + " was lost");
+            case Phase.Running running -> {
+                for (Member member : running.attempt().members()) {
+                    if (member.target().equals(target)) {
+                        new Progress(draft)
+                                .memberChanged(
+                                        job.id(),
+                                        running.attempt().number(),
+                                        member.index(),
+                                        MemberState.of(MemberState.Status.LOST));
+                    }
+                }
+            }
+            case Phase.Committing committing -> {}
+            case Phase.Queued queued -> {}
+            case Phase.Parked parked -> {}
+            case Phase.HandingOver handingOver -> {}
+        }
+    }
+
+    /** Assigns the guarantees anew wherever the present targets no longer carry them. */
+    void reassign() {
+        List<Shares.Place> places = new ArrayList<>();
+        for (TargetState target : new TreeMap<>(draft.fleet().targets()).values()) {
+            if (target.inUse()
+                    && !target.health().probation()
+                    && !target.health().probed()) {
+                places.add(new Shares.Place(
+                        target.id(),
+                        target.target().rack(),
+                        target.capacity(),
+                        target.load().irrevocable()));
+            }
+        }
+        Shares previous = draft.fleet().shares();
+        Shares next =
+                Shares.assign(draft.active().configuration(), draft.state().dataCentre(), places, previous);
+        draft.setFleet(draft.fleet().with(next));
+        if (next.owed() != previous.owed()) {
+            draft.note(PART, "guaranteed slices owed=" + next.owed() + " why=the targets in use cannot hold them now");
+        }
+        draft.wantDispatch();
+    }
+
+    /** Takes revocable work off everywhere and gives up whatever has not started. */
+    private void evacuate() {
+        draft.setGate(draft.gate().withoutPermit());
+        for (Job job : draft.jobs().values()) {
+            switch (job.phase()) {
+                case Phase.Claiming claiming ->
+                    new Claims(draft).abandon(job, claiming, "the data centre goes out of service");
+                case Phase.Reserving reserving ->
+                    new Starts(draft).giveUp(job, reserving.attempt(), "the data centre goes out of service");
+                case Phase.Running running -> depart(job, running);
+                case Phase.Parked parked ->
+                    new Parking(draft).evict(job, parked, "the data centre goes out of service");
+                case Phase.Queued queued -> {}
+                case Phase.Committing committing -> {}
+                case Phase.HandingOver handingOver -> {}
+            }
+        }
+    }
+
+    private void takeOff(String target) {
+        TargetState state = draft.fleet().target(target);
+        for (String id : state.load().jobs()) {
+            Job job = draft.job(id);
+            switch (job.phase()) {
+                case Phase.Claiming claiming -> new Claims(draft).abandon(job, claiming, "target leaves");
+                case Phase.Reserving reserving -> new Starts(draft).giveUp(job, reserving.attempt(), "target leaves");
+                case Phase.Running running -> depart(job, running);
+                case Phase.Queued queued -> {}
+                case Phase.Committing committing -> {}
+                case Phase.Parked parked -> {}
+                case Phase.HandingOver handingOver -> {}
+            }
+        }
+        for (String id : state.load().parked()) {
+            if (draft.job(id).phase() instanceof Phase.Parked parked) {
+                new Parking(draft).evict(draft.job(id), parked, "target leaves");
+            }
+        }
+    }
+
+    private void depart(Job job, Phase.Running running) {
+        if (job.profile().revocable() && running.revocation().isEmpty()) {
+            new Revoker(draft).gently(job, Revocation.Purpose.DEPARTURE, "out of service");
+        }
+    }
+
+    /** Passes waiting jobs on while another data centre is in service. */
+    void handOverQueued() {
+        boolean elsewhere = draft.active().configuration().dataCentres().stream()
+                .anyMatch(d -> draft.active().inService(d.name()));
+        if (!elsewhere) {
+            return;
+        }
+        for (Job job : draft.jobs().values()) {
+            if (job.phase() instanceof Phase.Queued) {
+                draft.dequeue(job);
+                draft.put(job.with(new Phase.HandingOver()));
+                draft.command(new Command.HandOver(job.request()));
+                draft.note(PART, job, "handed over why=the data centre is out of service");
+            }
+        }
+    }
+
+    void handOverAnswered(Event.HandOverAnswered answer) {
+        Job job = draft.job(answer.request());
+        if (job == null || !(job.phase() instanceof Phase.HandingOver)) {
+            return;
+        }
+        if (answer.recorded()) {
+            draft.remove(job);
+        } else {
+            draft.enqueue(job);
+        }
+    }
+
+    private void requeueWaiting() {
+        for (Job job : draft.jobs().values()) {
+            if (job.phase() instanceof Phase.Queued) {
+                draft.enqueue(job);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
@@ -0,0 +1,168 @@
+package org.acaciaport.decision;
+
+import com.google.common.collect.Iterables;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.acaciaport.config.Adjacency;
+import org.acaciaport.config.Profile;
+import org.acaciaport.config.Slice;
+
+/**
+ * Finds places for the members of a job. Changes nothing.
+ *
+ * <p>Confined to one decision. A single member costs logarithmic time in the number of targets; a gang in one rack costs
+ * time in the number of racks, and a spread gang in its own size.
+ */
+final class Placement {
+    private final Draft draft;
+    private final Job job;
+    private final Profile profile;
+
+    Placement(Draft draft, Job job) {
+        this.draft = draft;
+        this.job = job;
+        this.profile = job.profile();
+    }
+
+    /** Returns places that are free now, own ones first, then those that leave the least behind. */
+    Optional<List<Member>> freeNow() {
+        int needed = profile.shape().targets();
+        if (needed == 1) {
+            return single().map(this::members);
+        }
+        return switch (profile.shape().adjacency()) {
+            case SAME_TARGET -> Optional.empty();
+            case SAME_RACK -> inOneRack(needed);
+            case SAME_DATA_CENTRE -> anywhere(needed);
+        };
+    }
+
+    /** Returns places among the account's own slices, whoever occupies them now. */
+    Optional<List<Member>> byClaim() {
+        int needed = profile.shape().targets();
+        List<TargetState> own = new ArrayList<>();
+        for (Slice slice : draft.fleet().shares().of(job.account())) {
+            TargetState target = draft.fleet().target(slice.target());
+            if (target != null && claimable(target)) {
+                own.add(target);
+            }
+        }
+        own.sort(Comparator.comparingInt((TargetState t) -> -Math.min(t.free(), units(t)))
+                .thenComparing(TargetState::id));
+        if (profile.shape().adjacency() != Adjacency.SAME_RACK) {
+            return own.size() < needed ? Optional.empty() : Optional.of(members(own.subList(0, needed)));
+        }
+        for (TargetState first : own) {
+            List<TargetState> rack = own.stream()
+                    .filter(t -> t.target().rack().equals(first.target().rack()))
+                    .toList();
+            if (rack.size() >= needed) {
+                return Optional.of(members(rack.subList(0, needed)));
+            }
+        }
+        return Optional.empty();
+    }
+
+    List<Member> members(List<TargetState> targets) {
+        List<Member> members = new ArrayList<>(targets.size());
+        for (TargetState target : targets) {
+            members.add(new Member(members.size(), target.id(), units(target)));
+        }
+        return members;
+    }
+
+    int units(TargetState target) {
+        return profile.unitsOn(target.target());
+    }
+
+    private boolean claimable(TargetState target) {
+        int owned = target.owned().getOrDefault(job.account(), 0);
+        int kept = target.load().of(job.account()).total() - Victims.ownLower(draft, target, job);
+        return draft.rules().accepts(target)
+                && !job.failedOn().contains(target.id())
+                && owned - kept - target.load().claimedBy(job.account()) >= units(target);
+    }
+
+    private boolean fitsNow(TargetState target) {
+        int units = units(target);
+        boolean trusted = target.health().suspects().isEmpty() || profile.idempotent() && !profile.gang();
+        return draft.rules().accepts(target)
+                && trusted
+                && !job.failedOn().contains(target.id())
+                && target.free() >= units
+                && (profile.revocable() || draft.rules().leavesOwned(target, job.account(), units));
+    }
+
+    private Optional<List<TargetState>> single() {
+        TargetState best = null;
+        for (Slice slice : draft.fleet().shares().of(job.account())) {
+            TargetState target = draft.fleet().target(slice.target());
+            boolean own = target != null && target.entitled(job.account()) >= units(target);
+            if (own && fitsNow(target) && (best == null || target.free() < best.free())) {
+                best = target;
+            }
+        }
+        if (best != null) {
+            return Optional.of(List.of(best));
+        }
+        for (CapacityIndex.Entry entry : index().atLeast(profile.shape().acceleratorsPerTarget())) {
+            TargetState target = draft.fleet().target(entry.target());
+            if (fitsNow(target)) {
+                return Optional.of(List.of(target));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Optional<List<Member>> inOneRack(int needed) {
+        int least = profile.shape().acceleratorsPerTarget();
+        List<TargetState> best = null;
+        int bestLeft = Integer.MAX_VALUE;
+        for (String rack : draft.fleet().racks().keySet()) {
+            if (draft.fleet().free().inRack(rack, least) < needed) {
+                continue;
+            }
+            List<TargetState> chosen =
+                    choose(Iterables.transform(draft.fleet().racks().get(rack), draft.fleet()::target), needed);
+            int left = chosen.stream().mapToInt(t -> t.free() - units(t)).sum();
+            if (chosen.size() == needed && left < bestLeft) {
+                best = chosen;
+                bestLeft = left;
+            }
+        }
+        return Optional.ofNullable(best).map(this::members);
+    }
+
+    private Optional<List<Member>> anywhere(int needed) {
+        List<TargetState> chosen = new ArrayList<>(needed);
+        for (CapacityIndex.Entry entry :
+                draft.fleet().free().atLeast(profile.shape().acceleratorsPerTarget())) {
+            TargetState target = draft.fleet().target(entry.target());
+            if (fitsNow(target)) {
+                chosen.add(target);
+            }
+            if (chosen.size() == needed) {
+                return Optional.of(members(chosen));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private List<TargetState> choose(Iterable<TargetState> targets, int needed) {
+        List<TargetState> fitting = new ArrayList<>();
+        for (TargetState target : targets) {
+            if (fitsNow(target)) {
+                fitting.add(target);
+            }
+        }
+        fitting.sort(
+                Comparator.comparingInt((TargetState t) -> t.free() - units(t)).thenComparing(TargetState::id));
+        return fitting.subList(0, Math.min(needed, fitting.size()));
+    }
+
+    private CapacityIndex index() {
+        return profile.revocable() ? draft.fleet().free() : draft.fleet().unowned();
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -0,0 +1,227 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.acaciaport.request.MemberAnswer;
+import org.acaciaport.request.Outcome;
+
+/**
+ * Follows started members to their end and decides what becomes of the request.
+ *
+ * <p>Confined to one decision.
+ */
+final class Progress {
+    private static final String PART = "progress";
+    private static final int MOST_DOUBLINGS = 6;
+
+    private final Draft draft;
+
+    Progress(Draft draft) {
+        this.draft = draft;
+    }
+
+    void memberChanged(String request, long attempt, int member, MemberState state) {
+        Job job = draft.job(request);
+        if (job == null
+                || !(job.phase() instanceof Phase.Running running)
+                || running.attempt().number() != attempt
+                || !running.members().containsKey(member)
+                || !running.members().get(member).occupies()) {
+            draft.note(PART, "dropped a late or doubled report, request=" + request + " attempt=" + attempt);
+            return;
+        }
+        Job changed = state.status() == MemberState.Status.NOT_STARTED ? job : job.withStart();
+        Phase.Running next = running.with(member, state);
+        Member place = running.attempt().members().get(member);
+        changed = changed.with(next);
+        draft.put(changed);
+        if (state.occupies()) {
+            return;
+        }
+        boolean revoking = running.revocation().isPresent();
+        draft.vacate(changed, place, revoking);
+        judgeTarget(changed, next, place, state);
+        changed = draft.job(request);
+        if (!next.occupies()) {
+            settle(changed, next);
+        } else if (!revoking) {
+            endRest(changed, state, place);
+        }
+    }
+
+    private void judgeTarget(Job job, Phase.Running running, Member place, MemberState state) {
+        Probation probation = new Probation(draft);
+        if (state.status() == MemberState.Status.ENDED) {
+            draft.addRunTime(job.profile().name(), draft.now() - running.startedAt());
+            probation.succeeded(place.target());
+        }
+        if (state.status() == MemberState.Status.FAILED) {
+            draft.put(job.withFailure(place.target()));
+            probation.failed(place.target(), job);
+        }
+    }
+
+    /** Takes the rest of a gang off once one member is gone. */
+    private void endRest(Job job, MemberState state, Member gone) {
+        if (!draft.rules().endsBrokenGangs()) {
+            return;
+        }
+        Revoker revoker = new Revoker(draft);
+        switch (state.status()) {
+            case FAILED ->
+                revoker.stop(
+                        job,
+                        Revocation.Purpose.MEMBER_FAILED,
+                        "member failed on " + gone.target() + ": " + state.output());
+            case NOT_STARTED ->
+                revoker.stop(job, Revocation.Purpose.MEMBER_REFUSED, gone.target() + " refused to start a member");
+            case LOST, STOPPED, CHECKPOINTED, THROTTLED ->
+                revoker.stop(job, Revocation.Purpose.MEMBER_LOST, "member lost on " + gone.target());
+            case STARTING, RUNNING, ENDED -> {}
+        }
+    }
+
+    /** Decides what follows once no member occupies accelerators any more. */
+    private void settle(Job job, Phase.Running running) {
+        if (all(running, MemberState.Status.ENDED)) {
+            draft.finish(job, new Outcome.Done(answers(running)));
+            return;
+        }
+        if (all(running, MemberState.Status.NOT_STARTED)) {
+            settleNotStarted(job, running);
+            return;
+        }
+        Revocation.Purpose purpose =
+                running.revocation().map(Revocation::purpose).orElse(purposeOf(running));
+        String reason = running.revocation().map(Revocation::reason).orElse("member state " + states(running));
+        if (job.cancelAsked()) {
+            draft.finish(job, new Outcome.Cancelled(true));
+            return;
+        }
+        if (all(running, MemberState.Status.THROTTLED)) {
+            park(job, running);
+            return;
+        }
+        switch (purpose) {
+            case RECLAIM, DEPARTURE -> settleRevoked(job, running, reason);
+            case CANCEL -> draft.finish(job, new Outcome.Cancelled(true));
+            case RUN_LIMIT ->
+                draft.finish(
+                        job, new Outcome.Failed("stopped at its run limit; raise run-limit-millis of the profile"));
+            case MEMBER_FAILED -> settleFailed(job, reason);
+            case MEMBER_REFUSED -> settleRefused(job, reason);
+            case MEMBER_LOST -> settleLost(job, reason);
+        }
+    }
+
+    private void settleNotStarted(Job job, Phase.Running running) {
+        if (draft.rules().recordsIntent(job.profile())) {
+            draft.command(new Command.RecordVoid(job.id(), running.attempt().number()));
+        }
+        if (job.cancelAsked()) {
+            draft.finish(job, new Outcome.Cancelled(job.everStarted()));
+            return;
+        }
+        draft.note(PART, job, "no member was started, queued again");
+        draft.defer(job, draft.now() + draft.policy().retryMillis());
+    }
+
+    private void settleRevoked(Job job, Phase.Running running, String reason) {
+        if (all(running, MemberState.Status.CHECKPOINTED)) {
+            draft.note(PART, job, "checkpointed and queued again");
+            draft.enqueue(job.withCheckpoint(true));
+            return;
+        }
+        if (draft.rules().mayRunAgain(job)) {
+            draft.note(PART, job, "taken off and queued again");
+            draft.enqueue(job);
+            return;
+        }
+        String all = "taken off before it could be checkpointed: " + reason;
+        draft.finish(job, has(running, MemberState.Status.LOST) ? new Outcome.Unknown(all) : new Outcome.Failed(all));
+    }
+
+    private void settleFailed(Job job, String reason) {
+        String profile = job.profile().name();
+        boolean again = draft.rules().mayRunAgain(job)
+                && job.failures() < draft.policy().maxFailures();
+        if (!again) {
+            new Probation(draft).excuse(job);
+            draft.finish(job, new Outcome.Failed(reason));
+            return;
+        }
+        if (!draft.budget(profile).allows()) {
+            draft.finish(
+                    job,
+                    new Outcome.Failed(reason + "; too many retries of profile " + profile
+                            + " at present, submit it again later"));
+            return;
+        }
+        draft.setBudget(profile, draft.budget(profile).spend());
+        long pause = draft.policy().retryMillis() << Math.min(job.failures(), MOST_DOUBLINGS);
+        draft.note(PART, job, "failed and retried after ms=" + pause + " why=" + reason);
+        draft.defer(job, draft.now() + pause);
+    }
+
+    private void settleRefused(Job job, String reason) {
+        if (draft.rules().mayRunAgain(job) || !job.everStarted()) {
+            draft.defer(job, draft.now() + draft.policy().retryMillis());
+        } else {
+            draft.finish(job, new Outcome.Failed("stopped because " + reason));
+        }
+    }
+
+    private void settleLost(Job job, String reason) {
+        if (draft.rules().mayRunAgain(job)) {
+            draft.note(PART, job, "queued again why=" + reason);
+            draft.enqueue(job);
+        } else {
+            draft.finish(job, new Outcome.Unknown(reason + "; it may have run and is not run again"));
+        }
+    }
+
+    private void park(Job job, Phase.Running running) {
+        Member only = running.attempt().members().getFirst();
+        long remaining = Math.max(0, running.runDeadline() - draft.now());
+        draft.put(job.with(new Phase.Parked(running.attempt(), remaining)));
+        draft.changeTarget(only.target(), t -> t.with(t.load().withParked(job.id())));
+        draft.note(PART, job, "paused on target=" + only.target());
+    }
+
+    private static Revocation.Purpose purposeOf(Phase.Running running) {
+        if (has(running, MemberState.Status.FAILED)) {
+            return Revocation.Purpose.MEMBER_FAILED;
+        }
+        return has(running, MemberState.Status.NOT_STARTED)
+                        && !has(running, MemberState.Status.LOST)
+                        && !has(running, MemberState.Status.STOPPED)
+                ? Revocation.Purpose.MEMBER_REFUSED
+                : Revocation.Purpose.MEMBER_LOST;
+    }
+
+    private static String states(Phase.Running running) {
+        return running.members().values().stream()
+                .map(m -> m.status() + (m.output().isEmpty() ? "" : " " + m.output()))
+                .distinct()
+                .sorted()
+                .toList()
+                .toString();
+    }
+
+    private static List<MemberAnswer> answers(Phase.Running running) {
+        List<MemberAnswer> answers = new ArrayList<>();
+        for (Member member : running.attempt().members()) {
+            String output = running.members().get(member.index()).output();
+            answers.add(new MemberAnswer(member.index(), member.target(), output));
+        }
+        return answers;
+    }
+
+    private static boolean all(Phase.Running running, MemberState.Status status) {
+        return running.members().values().stream().allMatch(m -> m.status() == status);
+    }
+
+    private static boolean has(Phase.Running running, MemberState.Status status) {
+        return running.members().values().stream().anyMatch(m -> m.status() == status);
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
@@ -0,0 +1,120 @@
+package org.acaciaport.decision;
+
+import java.util.Optional;
+import org.acaciaport.config.Treatment;
+
+/**
+ * Takes running work off its targets: checkpoint, then throttle, then stop, each with a deadline.
+ *
+ * <p>Confined to one decision.
+ */
+final class Revoker {
+    private static final String PART = "revoke";
+
+    private final Draft draft;
+
+    Revoker(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Takes work off for {@code claimant} wherever its promised accelerators are not yet free. */
+    void clearFor(Job claimant, Attempt attempt, boolean drain) {
+        if (!draft.rules().reclaims()) {
+            return;
+        }
+        for (Member member : attempt.members()) {
+            TargetState target = draft.fleet().target(member.target());
+            for (Job victim : Victims.choose(draft, target, claimant, drain)) {
+                gently(victim, Revocation.Purpose.RECLAIM, "accelerators claimed by request " + claimant.id());
+            }
+        }
+    }
+
+    /** Begins with the first treatment that the profile allows. */
+    void gently(Job job, Revocation.Purpose purpose, String reason) {
+        Treatment first = job.profile().treatmentAfter(Optional.empty()).orElse(Treatment.STOP);
+        begin(job, purpose, usable(job, first), reason);
+    }
+
+    /** Stops the work at once. */
+    void stop(Job job, Revocation.Purpose purpose, String reason) {
+        begin(job, purpose, Treatment.STOP, reason);
+    }
+
+    /** Goes on to the next treatment once the present one has passed its deadline. */
+    void overdue(Job job, Phase.Running running) {
+        Revocation revocation = running.revocation().orElseThrow();
+        if (draft.now() < revocation.deadline()) {
+            return;
+        }
+        Optional<Treatment> next = job.profile().treatmentAfter(Optional.of(revocation.stage()));
+        if (next.isEmpty()) {
+            loseRest(job, running);
+            return;
+        }
+        treat(
+                job,
+                running,
+                new Revocation(revocation.purpose(), next.get(), deadline(next.get()), revocation.reason()));
+    }
+
+    private void begin(Job job, Revocation.Purpose purpose, Treatment stage, String reason) {
+        Phase.Running running = (Phase.Running) job.phase();
+        if (running.revocation().isEmpty()) {
+            for (Member member : running.attempt().members()) {
+                if (running.members().get(member.index()).occupies()) {
+                    draft.changeTarget(member.target(), t -> t.with(t.load().withRevoking(member.units())));
+                }
+            }
+        }
+        draft.note(PART, job, "treatment=" + stage + " why=" + reason);
+        treat(job, running, new Revocation(purpose, stage, deadline(stage), reason));
+    }
+
+    private void treat(Job job, Phase.Running running, Revocation revocation) {
+        draft.put(job.with(running.with(revocation)));
+        draft.timer(
+                revocation.deadline(),
+                Timer.Kind.REVOCATION,
+                job.id(),
+                running.attempt().number());
+        for (Member member : running.attempt().members()) {
+            if (running.members().get(member.index()).occupies()) {
+                draft.command(new Command.Treat(
+                        job.id(), running.attempt().number(), member, revocation.stage(), revocation.deadline()));
+            }
+        }
+    }
+
+    /** A target that neither confirms a stop nor reports in time no longer renews the member's lease. */
+    private void loseRest(Job job, Phase.Running running) {
+        Progress progress = new Progress(draft);
+        for (Member member : running.attempt().members()) {
+            if (running.members().get(member.index()).occupies()) {
+                progress.memberChanged(
+                        job.id(), running.attempt().number(), member.index(), MemberState.of(MemberState.Status.LOST));
+            }
+        }
+    }
+
+    /** A paused member keeps its memory, so only a single member is paused, and one at a time on a target. */
+    private Treatment usable(Job job, Treatment first) {
+        return first == Treatment.THROTTLE && !mayThrottle(job) ? Treatment.STOP : first;
+    }
+
+    private boolean mayThrottle(Job job) {
+        Attempt attempt = job.phase().current().orElseThrow();
+        Member only = attempt.members().getFirst();
+        return attempt.members().size() == 1
+                && draft.fleet().target(only.target()).load().parked().isEmpty();
+    }
+
+    private long deadline(Treatment treatment) {
+        return draft.now()
+                + switch (treatment) {
+                    case CHECKPOINT -> draft.policy().checkpointMillis();
+                    case THROTTLE -> draft.policy().throttleMillis();
+                    case STOP -> draft.policy().stopMillis();
+                };
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -0,0 +1,190 @@
+package org.acaciaport.decision;
+
+import java.util.Optional;
+import org.acaciaport.request.Outcome;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+
+/**
+ * Takes a placed job to its start: hold every place, record the intent, start every member. All members start or none.
+ *
+ * <p>Confined to one decision.
+ */
+final class Starts {
+    private static final String PART = "start";
+
+    private final Draft draft;
+
+    Starts(Draft draft) {
+        this.draft = draft;
+    }
+
+    /** Occupies the places of {@code attempt} and takes the first step. */
+    void begin(Job job, Attempt attempt) {
+        draft.dequeue(job);
+        draft.occupy(job, attempt);
+        if (!draft.rules().reservesFirst(job.profile())) {
+            commit(job, attempt);
+            return;
+        }
+        long deadline = draft.now() + draft.policy().reserveMillis();
+        draft.put(job.with(new Phase.Reserving(attempt, HashTreePSet.empty())));
+        draft.timer(deadline, Timer.Kind.STEP, job.id(), attempt.number());
+        for (Member member : attempt.members()) {
+            draft.command(new Command.Reserve(job.id(), attempt.number(), member, deadline));
+        }
+    }
+
+    void reserveAnswered(Event.ReserveAnswered answer) {
+        Job job = draft.job(answer.request());
+        if (job == null
+                || !(job.phase() instanceof Phase.Reserving reserving)
+                || reserving.attempt().number() != answer.attempt()) {
+            draft.note(PART, "dropped a late answer to a reservation, request=" + answer.request());
+            return;
+        }
+        if (!answer.granted()) {
+            giveUp(job, reserving.attempt(), "a target refused to hold a place");
+            return;
+        }
+        Phase.Reserving next =
+                new Phase.Reserving(reserving.attempt(), reserving.granted().plus(answer.member()));
+        if (next.granted().size() == next.attempt().members().size()) {
+            commit(job, next.attempt());
+        } else {
+            draft.put(job.with(next));
+        }
+    }
+
+    void intentAnswered(Event.IntentAnswered answer) {
+        Job job = draft.job(answer.request());
+        if (job == null
+                || !(job.phase() instanceof Phase.Committing committing)
+                || committing.attempt().number() != answer.attempt()) {
+            return;
+        }
+        if (answer.recorded() && !job.cancelAsked()) {
+            start(job, committing.attempt(), true);
+            return;
+        }
+        if (answer.recorded()) {
+            draft.command(new Command.RecordVoid(job.id(), answer.attempt()));
+        }
+        giveUp(job, committing.attempt(), job.cancelAsked() ? "cancelled" : "the log did not record the intent");
+    }
+
+    /** Handles a step that took too long. */
+    void overdue(Job job, long attempt) {
+        switch (job.phase()) {
+            case Phase.Reserving reserving -> {
+                if (reserving.attempt().number() == attempt) {
+                    giveUp(job, reserving.attempt(), "a target did not answer in time");
+                }
+            }
+            case Phase.Running running -> {
+                if (running.attempt().number() == attempt) {
+                    loseSilent(job, running);
+                }
+            }
+            case Phase.Queued queued -> {}
+            case Phase.Claiming claiming -> {}
+            case Phase.Committing committing -> {}
+            case Phase.Parked parked -> {}
+            case Phase.HandingOver handingOver -> {}
+        }
+    }
+
+    /** Gives the places back and queues the job again; no member was told to start. */
+    void giveUp(Job job, Attempt attempt, String why) {
+        draft.note(PART, job, "gave up attempt=" + attempt.number() + " why=" + why);
+        for (Member member : attempt.members()) {
+            draft.command(new Command.Release(job.id(), attempt.number(), member));
+            draft.vacate(job, member, false);
+        }
+        if (job.cancelAsked()) {
+            draft.finish(job, new Outcome.Cancelled(job.everStarted()));
+        } else {
+            draft.defer(job, draft.now() + draft.policy().retryMillis());
+        }
+    }
+
+    private void commit(Job job, Attempt attempt) {
+        if (!draft.rules().recordsIntent(job.profile())) {
+            start(job, attempt, false);
+            return;
+        }
+        draft.put(job.with(new Phase.Committing(attempt)));
+        draft.command(new Command.RecordIntent(job.request(), attempt));
+    }
+
+    private void start(Job job, Attempt attempt, boolean intended) {
+        String barred = barred(attempt);
+        if (barred != null) {
+            if (intended) {
+                draft.command(new Command.RecordVoid(job.id(), attempt.number()));
+            }
+            giveUp(job, attempt, barred);
+            return;
+        }
+        long window = draft.now() + draft.policy().startWindowMillis();
+        Attempt timed = attempt.withStartBefore(Math.min(window, draft.gate().permitUntil()));
+        PMap<Integer, MemberState> members = HashTreePMap.empty();
+        for (Member member : timed.members()) {
+            members = members.plus(member.index(), MemberState.of(MemberState.Status.STARTING));
+            draft.command(new Command.Start(job.request(), timed, member, job.checkpointed()));
+        }
+        long runDeadline = draft.now() + job.profile().runLimitMillis();
+        draft.put(job.with(new Phase.Running(timed, members, draft.now(), runDeadline, java.util.Optional.empty())));
+        draft.setGate(draft.gate().withStart(draft.now()));
+        draft.setBudget(
+                job.profile().name(),
+                draft.budget(job.profile().name()).earn(draft.policy().retryPercent()));
+        follow(job, timed);
+    }
+
+    /** Returns why the attempt must not start any more, or null. */
+    private String barred(Attempt attempt) {
+        if (!draft.rules().mayStart(draft.state(), draft.gate(), draft.now())) {
+            return "the permit to start lapsed";
+        }
+        for (Member member : attempt.members()) {
+            TargetState target = draft.fleet().target(member.target());
+            if (target == null || !target.inUse()) {
+                return "target " + member.target() + " is out of use";
+            }
+        }
+        return null;
+    }
+
+    private void follow(Job job, Attempt attempt) {
+        PMap<Integer, MemberState> members = HashTreePMap.empty();
+        for (Member member : attempt.members()) {
+            members = members.plus(member.index(), MemberState.of(MemberState.Status.STARTING));
+        }
+        long runDeadline = draft.now() + job.profile().runLimitMillis();
+        draft.put(job.with(new Phase.Running(attempt, members, draft.now(), runDeadline, Optional.empty())));
+        draft.timer(runDeadline, Timer.Kind.RUN, job.id(), attempt.number());
+        long silentAt = draft.now()
+                + draft.policy().startWindowMillis()
+                + draft.policy().stopMillis();
+        draft.timer(silentAt, Timer.Kind.STEP, job.id(), attempt.number());
+    }
+
+    /** Follows an attempt whose starts an earlier leader may have sent; its targets say what became of it. */
+    void resumeFollowing(Job job, Attempt attempt) {
+        draft.put(job);
+        draft.occupy(job, attempt);
+        follow(job, attempt);
+    }
+
+    private void loseSilent(Job job, Phase.Running running) {
+        Progress progress = new Progress(draft);
+        for (Member member : running.attempt().members()) {
+            if (running.members().get(member.index()).status() == MemberState.Status.STARTING) {
+                progress.memberChanged(
+                        job.id(), running.attempt().number(), member.index(), MemberState.of(MemberState.Status.LOST));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
@@ -0,0 +1,109 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Chooses which running work is taken off a target for a claim. Changes nothing.
+ *
+ * <p>Stateless.
+ */
+final class Victims {
+    private static final Comparator<Job> LEAST_URGENT_THEN_YOUNGEST = Comparator.comparingInt(
+                    (Job j) -> j.profile().priority())
+            .thenComparing(Comparator.comparingLong(Victims::startedAt).reversed())
+            .thenComparing(Job::id);
+
+    private Victims() {}
+
+    /** Returns the accelerators on {@code target} of the claimant's own revocable work of a lower priority. */
+    static int ownLower(Draft draft, TargetState target, Job claimant) {
+        if (target.load().of(claimant.account()).revocable() == 0) {
+            return 0;
+        }
+        int units = 0;
+        for (String id : target.load().jobs()) {
+            Job job = draft.job(id);
+            if (job != null && job.account().equals(claimant.account()) && lower(job, claimant)) {
+                units += unitsOn(job, target);
+            }
+        }
+        return units;
+    }
+
+    /**
+     * Returns work to take off {@code target} so that the claimant's promised accelerators become free: what other
+     * accounts borrow there, then the claimant's own work of a lower priority, or all of its own if {@code drain}.
+     */
+    static List<Job> choose(Draft draft, TargetState target, Job claimant, boolean drain) {
+        int missing = -target.free() - target.load().revoking();
+        if (missing <= 0) {
+            return List.of();
+        }
+        List<Job> candidates = new ArrayList<>();
+        for (String id : target.load().jobs()) {
+            Job job = draft.job(id);
+            if (job != null && mayTake(job, target, claimant, drain)) {
+                candidates.add(job);
+            }
+        }
+        candidates.sort(LEAST_URGENT_THEN_YOUNGEST);
+        List<Job> chosen = new ArrayList<>();
+        for (Job job : candidates) {
+            if (missing <= 0) {
+                break;
+            }
+            chosen.add(job);
+            missing -= unitsOn(job, target);
+        }
+        return chosen;
+    }
+
+    /** Returns whether enough of {@code target} is free or can be taken off for the claimant's {@code units}. */
+    static boolean clearable(TargetState target, Job claimant, int units) {
+        int kept = 0;
+        for (Map.Entry<String, Use> entry : target.load().use().entrySet()) {
+            Use use = entry.getValue();
+            boolean own = entry.getKey().equals(claimant.account());
+            int owned = own ? 0 : target.owned().getOrDefault(entry.getKey(), 0);
+            kept += Math.max(use.irrevocable(), Math.min(owned, use.total()));
+        }
+        int othersClaims = target.load().claimed() - units;
+        return target.capacity() - kept - othersClaims >= units;
+    }
+
+    /** Returns the accelerators that {@code job} occupies on {@code target}. */
+    static int unitsOn(Job job, TargetState target) {
+        if (job.phase() instanceof Phase.Claiming) {
+            return 0;
+        }
+        return job.phase().current().stream()
+                .flatMap(a -> a.members().stream())
+                .filter(m -> m.target().equals(target.id()))
+                .mapToInt(Member::units)
+                .sum();
+    }
+
+    private static boolean mayTake(Job job, TargetState target, Job claimant, boolean drain) {
+        boolean running =
+                job.phase() instanceof Phase.Running phase && phase.revocation().isEmpty();
+        if (!running || !job.profile().revocable()) {
+            return false;
+        }
+        if (job.account().equals(claimant.account())) {
+            return drain || lower(job, claimant);
+        }
+        return target.borrowed(job.account()) > 0;
+    }
+
+    private static boolean lower(Job job, Job claimant) {
+        return job.profile().revocable()
+                && job.profile().priority() < claimant.profile().priority();
+    }
+
+    private static long startedAt(Job job) {
+        return job.phase() instanceof Phase.Running running ? running.startedAt() : 0;
+    }
+}
