--- a/acacia-core/src/main/java/org/acaciaport/config/Shares.java
+++ b/acacia-core/src/main/java/org/acaciaport/config/Shares.java
@@ -186,7 +186,7 @@
             owned.computeIfAbsent(target, t -> new HashMap<>()).put(account, shape.acceleratorsPerTarget());
         }
 
-        /** Returns the accelerators left unowned on {@code place} once {@code account} owns a slice; negative if none. */
+        /** Returns the accelerators left on {@code place} once {@code account} owns a slice; negative if none. */
         private int room(String account, Place place) {
             if (place == null) {
                 return -1;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
@@ -12,8 +12,8 @@
 /**
  * Finds places for the members of a job. Changes nothing.
  *
- * <p>Confined to one decision. A single member costs logarithmic time in the number of targets; a gang in one rack costs
- * time in the number of racks, and a spread gang in its own size.
+ * <p>Confined to one decision. A single member costs logarithmic time in the number of targets; a gang in one rack
+ * costs time in the number of racks, and a spread gang in its own size.
  */
 final class Placement {
     private final Draft draft;
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/http/HttpPlatform.java
@@ -0,0 +1,82 @@
+package org.acaciaport.http;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.acaciaport.platform.PlatformException;
+import org.acaciaport.platform.PlatformLog;
+import org.acaciaport.platform.VmList;
+import org.acaciaport.record.LogEntry;
+import org.acaciaport.record.LogRecord;
+
+/**
+ * The platform's log and VM list over HTTP.
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class HttpPlatform implements PlatformLog, VmList {
+    private static final long CALL_MILLIS = 2_000;
+
+    private final JsonClient client;
+    private final String base;
+
+    /** Creates an adapter to the platform at {@code base}, such as {@code http://10.0.0.1:7000}. */
+    public HttpPlatform(JsonClient client, String base) {
+        this.client = client;
+        this.base = base;
+    }
+
+    /**
+     * Body of an append.
+     *
+     * @param writer unique name of the process
+     * @param sequence number of the first record
+     * @param records the records
+     */
+    public record Append(String writer, long sequence, List<LogRecord> records) {}
+
+    /** Answer to an append: the offset of its first record. */
+    public record Appended(long offset) {}
+
+    /**
+     * Answer to a read.
+     *
+     * @param entries entries in order
+     * @param first lowest offset kept
+     * @param end offset after the newest entry
+     */
+    public record Entries(List<LogEntry> entries, long first, long end) {}
+
+    /**
+     * One VM on the list.
+     *
+     * @param id its identifier
+     * @param state {@code live} or {@code leaving}
+     */
+    public record Vm(String id, String state) {}
+
+    /** Answer to a read of the list. */
+    public record Vms(List<Vm> vms) {}
+
+    @Override
+    public void append(String writer, long sequence, List<LogRecord> records) throws PlatformException {
+        client.post(base + "/log/append", new Append(writer, sequence, records), Appended.class, CALL_MILLIS);
+    }
+
+    @Override
+    public Page read(long from, int most, long waitMillis) throws PlatformException {
+        String uri = base + "/log/read?from=" + from + "&most=" + most + "&wait=" + waitMillis;
+        Entries entries =
+                JsonClient.check(uri, client.get(uri, CALL_MILLIS + waitMillis)).read(Entries.class);
+        return new Page(entries.entries(), entries.first(), entries.end());
+    }
+
+    @Override
+    public Set<String> leaving() throws PlatformException {
+        String uri = base + "/vms";
+        return JsonClient.check(uri, client.get(uri, CALL_MILLIS)).read(Vms.class).vms().stream()
+                .filter(vm -> vm.state().equals("leaving"))
+                .map(Vm::id)
+                .collect(Collectors.toSet());
+    }
+}
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -0,0 +1,165 @@
+package org.acaciaport.http;
+
+import java.io.IOException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.acaciaport.platform.PlatformException;
+import org.acaciaport.wire.Codecs;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * Sends JSON over HTTP and waits for the answer, with a deadline on every call.
+ *
+ * <p>Safe for use by several threads. Opens at most {@value #MAX_CONNECTIONS} connections to one address; a connection
+ * on which a call timed out is closed, so the next call uses another one.
+ */
+public final class JsonClient implements AutoCloseable {
+    private static final int MAX_CONNECTIONS = 64;
+    private static final int MAX_WAITING = 1_024;
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+    private static final int MAX_THREADS = 8;
+    private static final long CONNECT_MILLIS = 1_000;
+    private static final long IDLE_MILLIS = 60_000;
+    private static final int OK_LIMIT = 300;
+    private static final int CONFLICT = 409;
+    private static final int GONE = 410;
+    private static final int SERVER_ERROR = 500;
+
+    private final HttpClient client = new HttpClient();
+
+    private JsonClient() {
+        client.setExecutor(new QueuedThreadPool(MAX_THREADS, 2));
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.setMaxRequestsQueuedPerDestination(MAX_WAITING);
+        client.setConnectTimeout(CONNECT_MILLIS);
+        client.setIdleTimeout(IDLE_MILLIS);
+        client.setFollowRedirects(false);
+    }
+
+    /**
+     * Returns a started client.
+     *
+     * @throws HttpStartException if it cannot start
+     */
+    public static JsonClient start() throws HttpStartException {
+        JsonClient client = new JsonClient();
+        try {
+            client.client.start();
+        } catch (Exception e) {
+            throw new HttpStartException("cannot start the HTTP client (" + e.getMessage() + ")", e);
+        }
+        return client;
+    }
+
+    /**
+     * An answer of any status.
+     *
+     * @param status the HTTP status
+     * @param body the whole body
+     */
+    public record Answer(int status, byte[] body) {
+        /**
+         * Reads the body as JSON.
+         *
+         * @throws PlatformException if it has another shape
+         */
+        public <T> T read(Class<T> type) throws PlatformException {
+            try {
+                return Codecs.json().readValue(body, type);
+            } catch (IOException e) {
+                throw new PlatformException(
+                        PlatformException.Kind.UNCERTAIN,
+                        "answer not understood (" + JsonProblems.describe(e) + "); check the peer's version",
+                        e);
+            }
+        }
+    }
+
+    /**
+     * Sends a GET and returns the answer, whatever its status.
+     *
+     * @throws PlatformException if no answer came within {@code millis} milliseconds
+     */
+    public Answer get(String uri, long millis) throws PlatformException {
+        return send(client.newRequest(uri).method(HttpMethod.GET), millis);
+    }
+
+    /**
+     * Sends {@code body} with {@code method} and returns the answer, whatever its status.
+     *
+     * @throws PlatformException if no answer came within {@code millis} milliseconds
+     */
+    public Answer send(String method, String uri, Object body, long millis) throws PlatformException {
+        try {
+            byte[] bytes = Codecs.json().writeValueAsBytes(body);
+            BytesRequestContent content = new BytesRequestContent("application/json", bytes);
+            return send(client.newRequest(uri).method(method).body(content), millis);
+        } catch (IOException e) {
+            throw new PlatformException(
+                    PlatformException.Kind.NOT_DONE, "cannot encode the request (" + e.getMessage() + ")", e);
+        }
+    }
+
+    /**
+     * Posts {@code body} and reads the answer.
+     *
+     * @throws PlatformException if no answer came in time or it was an error
+     */
+    public <T> T post(String uri, Object body, Class<T> type, long millis) throws PlatformException {
+        return check(uri, send("POST", uri, body, millis)).read(type);
+    }
+
+    /**
+     * Returns {@code answer} if it was a success.
+     *
+     * @throws PlatformException if it was an error; 409 and 410 mean that nothing was done
+     */
+    public static Answer check(String uri, Answer answer) throws PlatformException {
+        if (answer.status() < OK_LIMIT) {
+            return answer;
+        }
+        String text = "answer " + answer.status() + " from " + uri + ": " + new String(answer.body());
+        throw new PlatformException(kindOf(answer.status()), text, null);
+    }
+
+    private static PlatformException.Kind kindOf(int status) {
+        if (status == GONE) {
+            return PlatformException.Kind.STALE_EPOCH;
+        }
+        boolean done = status != CONFLICT && status >= SERVER_ERROR;
+        return done ? PlatformException.Kind.UNCERTAIN : PlatformException.Kind.NOT_DONE;
+    }
+
+    private Answer send(Request request, long millis) throws PlatformException {
+        request.timeout(millis, TimeUnit.MILLISECONDS);
+        try {
+            ContentResponse response = new CompletableResponseListener(request, MAX_ANSWER_BYTES)
+                    .send()
+                    .get();
+            return new Answer(response.getStatus(), response.getContent());
+        } catch (ExecutionException e) {
+            boolean refused = e.getCause() instanceof java.net.ConnectException;
+            PlatformException.Kind kind = refused ? PlatformException.Kind.NOT_DONE : PlatformException.Kind.UNCERTAIN;
+            throw new PlatformException(
+                    kind, "no answer from " + request.getURI() + " (" + e.getCause() + "); try again", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PlatformException(PlatformException.Kind.UNCERTAIN, "interrupted; try again", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            client.stop();
+        } catch (Exception e) {
+            // The process is ending.
+        }
+    }
+}
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonServer.java
@@ -0,0 +1,177 @@
+package org.acaciaport.http;
+
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.acaciaport.wire.Codecs;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.jboss.logging.Logger;
+
+/**
+ * An HTTP server that answers with JSON.
+ *
+ * <p>Safe for use by several threads. Bodies over {@value #MAX_BODY_BYTES} bytes are refused; at most
+ * {@value #MAX_CALLS} requests are in work, more are refused at once.
+ */
+public final class JsonServer {
+    /** Longest request body, in bytes. */
+    public static final int MAX_BODY_BYTES = 1 << 20;
+
+    private static final Logger LOG = Logger.getLogger(JsonServer.class);
+    private static final int MAX_CALLS = 4_096;
+    private static final int MAX_THREADS = 16;
+    private static final long IDLE_MILLIS = 75_000;
+    private static final long DRAIN_STEP_MILLIS = 20;
+
+    private final Server server;
+    private final ServerConnector connector;
+    private final AtomicInteger working = new AtomicInteger();
+
+    private JsonServer(InetSocketAddress address, HttpService service) {
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        server = new Server(threads);
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+        connector.setHost(address.getAddress().getHostAddress());
+        connector.setPort(address.getPort());
+        connector.setIdleTimeout(IDLE_MILLIS);
+        server.addConnector(connector);
+        server.setHandler(new JsonHandler(service));
+    }
+
+    /**
+     * Starts listening on {@code address}.
+     *
+     * @throws HttpStartException if the address cannot be bound
+     */
+    public static JsonServer start(InetSocketAddress address, HttpService service) throws HttpStartException {
+        JsonServer server = new JsonServer(address, service);
+        try {
+            server.server.start();
+        } catch (Exception e) {
+            throw new HttpStartException(
+                    "cannot listen on " + address + " (" + e.getMessage() + "); choose a free address", e);
+        }
+        return server;
+    }
+
+    /** Returns the port it listens on. */
+    public int port() {
+        return connector.getLocalPort();
+    }
+
+    /** Waits up to {@code millis} milliseconds for requests in work while still accepting, then stops. */
+    public void drain(long millis) throws InterruptedException {
+        long deadline = System.nanoTime() + millis * 1_000_000;
+        while (working.get() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(DRAIN_STEP_MILLIS);
+        }
+        stop();
+    }
+
+    /** Stops at once. */
+    public void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            LOG.warnf("http: server did not stop cleanly, %s", e);
+        }
+    }
+
+    private final class JsonHandler extends Handler.Abstract {
+        private final HttpService service;
+
+        JsonHandler(HttpService service) {
+            this.service = service;
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) {
+            boolean full = working.incrementAndGet() > MAX_CALLS;
+            HttpReply reply;
+            try {
+                reply = full ? problem(busy()) : answer(request);
+            } finally {
+                working.decrementAndGet();
+            }
+            send(response, reply, callback);
+            return true;
+        }
+
+        private HttpReply answer(Request request) {
+            try {
+                return service.answer(call(request));
+            } catch (HttpProblem e) {
+                return problem(e);
+            } catch (Exception e) {
+                LOG.errorf(e, "http: request failed, path=%s", Request.getPathInContext(request));
+                return problem(new HttpProblem(
+                        500, "internal", "the program failed on this request", "report it with the log line"));
+            }
+        }
+
+        private HttpCall call(Request request) throws Exception {
+            List<String> path = new ArrayList<>();
+            for (String segment : Request.getPathInContext(request).split("/")) {
+                if (!segment.isEmpty()) {
+                    path.add(segment);
+                }
+            }
+            Map<String, String> query = new LinkedHashMap<>();
+            for (Fields.Field field : Request.extractQueryParameters(request)) {
+                query.put(field.getName(), field.getValue());
+            }
+            return new HttpCall(request.getMethod(), path, query, body(request));
+        }
+
+        private byte[] body(Request request) throws Exception {
+            try (InputStream in = Content.Source.asInputStream(request)) {
+                byte[] body = in.readNBytes(MAX_BODY_BYTES + 1);
+                if (body.length > MAX_BODY_BYTES) {
+                    throw new HttpProblem(
+                            413, "too-large", "the body is over " + MAX_BODY_BYTES + " bytes", "send a smaller body");
+                }
+                return body;
+            }
+        }
+
+        private void send(Response response, HttpReply reply, Callback callback) {
+            try {
+                byte[] body = Codecs.json().writeValueAsBytes(reply.body());
+                response.setStatus(reply.status());
+                response.getHeaders().put(new HttpField(HttpHeader.CONTENT_TYPE, "application/json"));
+                response.write(true, ByteBuffer.wrap(body), callback);
+            } catch (Exception e) {
+                callback.failed(e);
+            }
+        }
+    }
+
+    private static HttpReply problem(HttpProblem problem) {
+        return new HttpReply(problem.status(), problem.body());
+    }
+
+    private static HttpProblem busy() {
+        return new HttpProblem(503, "busy", "too many requests are in work", "send it again later");
+    }
+}
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
@@ -0,0 +1,101 @@
+package org.acaciaport.platform;
+
+import java.util.List;
+import org.acaciaport.config.Target;
+import org.acaciaport.config.Treatment;
+
+/**
+ * The task interface of targets. Every call carries the caller's epoch, and a target that has seen a later one refuses.
+ * Implementations are safe for use by several threads.
+ */
+public interface TargetClient {
+    /**
+     * Renews the lease at a target and reads what changed there, waiting up to {@code waitMillis} for a change.
+     *
+     * @param since version of the last report read; 0 for everything
+     * @param leaseMillis how long the target keeps running work without another call
+     * @throws PlatformException if the target did not answer
+     */
+    Report poll(Target target, long epoch, long since, long waitMillis, long leaseMillis) throws PlatformException;
+
+    /**
+     * Asks the target to hold a place.
+     *
+     * @throws PlatformException if the target refused or did not answer
+     */
+    void reserve(Target target, Place place, long holdMillis) throws PlatformException;
+
+    /**
+     * Gives up a held place.
+     *
+     * @throws PlatformException if the target did not answer
+     */
+    void release(Target target, Place place) throws PlatformException;
+
+    /**
+     * Tells the target to start a task; saying it again for the same place has no further effect.
+     *
+     * @param startBefore latest time of the start, on the target's clock, in milliseconds
+     * @throws PlatformException with kind NOT_DONE if the target certainly never starts it
+     */
+    void start(Target target, Place place, Work work, long startBefore) throws PlatformException;
+
+    /**
+     * Tells the target to checkpoint, throttle or stop a task; the report says when that is done.
+     *
+     * @throws PlatformException if the target did not answer
+     */
+    void treat(Target target, Place place, Treatment treatment) throws PlatformException;
+
+    /**
+     * Tells the target to go on with a throttled task.
+     *
+     * @throws PlatformException if the target did not answer
+     */
+    void resume(Target target, Place place) throws PlatformException;
+
+    /**
+     * Names a member's place at a target.
+     *
+     * @param epoch epoch of the caller
+     * @param request identifier of the request
+     * @param attempt number of the attempt
+     * @param member index of the member
+     * @param units accelerators
+     */
+    record Place(long epoch, String request, long attempt, int member, int units) {}
+
+    /**
+     * What a task is given.
+     *
+     * @param profile name of the profile
+     * @param payload opaque input
+     * @param resume whether to go on from a saved state
+     */
+    record Work(String profile, String payload, boolean resume) {}
+
+    /**
+     * What a target reports.
+     *
+     * @param clock reading of the target's clock, in milliseconds
+     * @param version version to name in the next poll
+     * @param tasks tasks that changed since the version asked for
+     */
+    record Report(long clock, long version, List<Task> tasks) {
+        /** Copies the list. */
+        public Report {
+            tasks = List.copyOf(tasks);
+        }
+    }
+
+    /**
+     * One task at a target.
+     *
+     * @param request identifier of the request
+     * @param attempt number of the attempt
+     * @param member index of the member
+     * @param state one word: running, ended, failed, checkpointed, throttled or stopped
+     * @param output its output so far, whole once ended
+     */
+    record Task(String request, long attempt, int member, String state, String output) {}
+}
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/program/Settings.java
@@ -0,0 +1,93 @@
+package org.acaciaport.program;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.acaciaport.http.JsonProblems;
+import org.acaciaport.wire.Codecs;
+
+/**
+ * Reads TOML files into records. Unknown keys, wrong types, missing keys and values out of range are errors.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class Settings {
+    private static final ObjectMapper TOML =
+            Codecs.configure(TomlMapper.builder()).build();
+
+    private Settings() {}
+
+    /** A record of settings that knows which values are allowed. */
+    public interface Checked {
+        /** Adds every problem with the values. */
+        void check(SettingsCheck check);
+    }
+
+    /**
+     * Reads and checks {@code file}.
+     *
+     * @throws SettingsException if it cannot be used
+     */
+    public static <T extends Checked> T load(Path file, Class<T> type) throws SettingsException {
+        T settings = read(file, type);
+        SettingsCheck check = new SettingsCheck();
+        settings.check(check);
+        List<String> problems = check.problems();
+        if (!problems.isEmpty()) {
+            throw new SettingsException(file + ": " + String.join("; ", problems));
+        }
+        return settings;
+    }
+
+    /**
+     * Reads {@code file} without a check of values.
+     *
+     * @throws SettingsException if it has another shape
+     */
+    public static <T> T read(Path file, Class<T> type) throws SettingsException {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw new SettingsException(file + ": cannot be read (" + e + "); check the path and its permissions");
+        }
+        try {
+            return TOML.readValue(text, type);
+        } catch (JsonProcessingException e) {
+            throw new SettingsException(file + ": " + describe(text, e));
+        }
+    }
+
+    private static String describe(String text, JsonProcessingException error) {
+        if (error instanceof UnrecognizedPropertyException unknown) {
+            return "unknown key '" + JsonProblems.path(unknown) + "'; remove it or correct its name ("
+                    + JsonProblems.describe(unknown) + ")";
+        }
+        if (error instanceof JsonMappingException mapping) {
+            String path = JsonProblems.path(mapping);
+            return "key '" + path + "' = " + valueAt(text, path) + ": " + firstLine(mapping.getOriginalMessage())
+                    + "; see the sample settings for its type";
+        }
+        return JsonProblems.describe(error) + "; correct the syntax";
+    }
+
+    private static String valueAt(String text, String path) {
+        try {
+            JsonNode node = TOML.readTree(text).at("/" + path.replace('.', '/'));
+            return node.isMissingNode() ? "(missing)" : node.toString();
+        } catch (IOException e) {
+            return "(unreadable)";
+        }
+    }
+
+    private static String firstLine(String text) {
+        return text.lines().findFirst().orElse("");
+    }
+}
--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/program/SettingsCheck.java
@@ -0,0 +1,71 @@
+package org.acaciaport.program;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Collects problems with the values of settings.
+ *
+ * <p>Not thread-safe; used while a program starts.
+ */
+public final class SettingsCheck {
+    private static final Pattern ADDRESS = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]{1,5})");
+    private static final int MAX_PORT = 65_535;
+
+    private final List<String> problems = new ArrayList<>();
+
+    /** Requires {@code low <= value <= high}. */
+    public void between(String key, long value, long low, long high) {
+        if (value < low || value > high) {
+            problems.add("key '" + key + "' = " + value + " is out of range; use " + low + " to " + high);
+        }
+    }
+
+    /** Requires a name of lower-case letters, digits, dots and dashes. */
+    public void name(String key, String value) {
+        matches(key, value, "[a-z0-9][a-z0-9.-]{0,62}", "lower-case letters, digits, '.' and '-', at most 63");
+    }
+
+    /** Requires {@code value} to match {@code pattern}. */
+    public void matches(String key, String value, String pattern, String remedy) {
+        if (!value.matches(pattern)) {
+            problems.add("key '" + key + "' = \"" + value + "\" is not allowed; use " + remedy);
+        }
+    }
+
+    /** Requires an address of the form IP:PORT. */
+    public void address(String key, String value) {
+        if (parse(value) == null) {
+            problems.add("key '" + key + "' = \"" + value + "\" is not IP:PORT; use an IP number and a port");
+        }
+    }
+
+    /** Requires a URI of the form http://IP:PORT. */
+    public void uri(String key, String value) {
+        matches(key, value, "http://[0-9.]+:[0-9]+(/.*)?", "http://IP:PORT with an IP number");
+    }
+
+    /** Returns the problems found so far. */
+    public List<String> problems() {
+        return List.copyOf(problems);
+    }
+
+    /** Returns the socket address that {@code text} names as IP:PORT, or null. */
+    public static InetSocketAddress parse(String text) {
+        Matcher matcher = ADDRESS.matcher(text);
+        if (!matcher.matches()) {
+            return null;
+        }
+        int port = Integer.parseInt(matcher.group(2));
+        try {
+            return port > MAX_PORT ? null : new InetSocketAddress(InetAddress.getByName(matcher.group(1)), port);
+        } catch (UnknownHostException e) {
+            return null;
+        }
+    }
+}
