Scheduler program and invariants

The scheduler follows the log, stands for leadership by epoch, makes the decisions of its data centre on one thread and carries them out at the targets. Every decision is checked by the invariants.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
@@ -54,13 +54,21 @@
             accept(recovered.request());
             return;
         }
-        if (draft.job(recovered.request().id()) != null) {
+        Attempt intent = recovered.intent().get();
+        Job known = draft.job(recovered.request().id());
+        if (known != null && !(known.phase() instanceof Phase.Queued)) {
             return;
         }
-        Job job = Job.accepted(recovered.request(), draft.takeSequence());
-        new Starts(draft).resumeFollowing(job, recovered.intent().get());
-        draft.note(
-                PART, job, "recovered attempt=" + recovered.intent().get().number() + " why=its intent is on the log");
+        Job job = known != null ? known : Job.accepted(recovered.request(), draft.takeSequence());
+        draft.put(job);
+        draft.dequeue(job);
+        boolean present = intent.members().stream().allMatch(m -> draft.fleet().target(m.target()) != null);
+        if (!present) {
+            draft.finish(job, new Outcome.Unknown("it may have started on a target that is no longer configured"));
+            return;
+        }
+        draft.note(PART, job, "recovered attempt=" + intent.number() + " why=an earlier leader may have started it");
+        new Starts(draft).resumeFollowing(job, intent);
     }
 
     /** Answers waiting requests that the present configuration can never run. */
--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
@@ -0,0 +1,312 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.acaciaport.config.Profile;
+import org.acaciaport.config.Shares;
+import org.acaciaport.decision.Violation.Invariant;
+import org.acaciaport.request.Outcome;
+
+/**
+ * Checks every decision against what the system promises.
+ *
+ * <p>Not thread-safe; belongs to the thread that decides. The checks read commands, events and states and share no code
+ * with the parts that decide. One check costs time in the number of targets and commands that the decision touched;
+ * {@link #audit} costs time in the size of the state.
+ */
+public final class Invariants {
+    private final StartLedger ledger = new StartLedger();
+    private final Policy policy;
+    private final List<Violation> found = new ArrayList<>();
+    private long checks;
+
+    /** Creates a check for decisions that keep to {@code policy}. */
+    public Invariants(Policy policy) {
+        this.policy = policy;
+    }
+
+    /** Returns how many checks were made. */
+    public long checks() {
+        return checks;
+    }
+
+    /** Checks one decision and returns what it broke. */
+    public List<Violation> check(CellState before, Event event, Decision decision, long now) {
+        found.clear();
+        note(event);
+        CellState after = decision.state();
+        require(
+                Invariant.REVISION,
+                after.active().revision() >= before.active().revision(),
+                () -> "revision " + before.active().revision() + " became "
+                        + after.active().revision());
+        for (String id : decision.touched()) {
+            TargetState target = after.fleet().target(id);
+            if (target != null) {
+                target(after, target, now);
+            }
+        }
+        for (Command command : decision.commands()) {
+            command(before, after, command, now);
+        }
+        precedence(before, decision);
+        return List.copyOf(found);
+    }
+
+    private void note(Event event) {
+        switch (event) {
+            case Event.ReserveAnswered answer -> {
+                if (answer.granted()) {
+                    ledger.granted(answer.attempt(), answer.member());
+                }
+            }
+            case Event.IntentAnswered answer -> {
+                if (answer.recorded()) {
+                    ledger.intended(answer.attempt());
+                }
+            }
+            case Event.MemberChanged change -> {
+                MemberState.Status status = change.state().status();
+                if (status == MemberState.Status.NOT_STARTED || status == MemberState.Status.CHECKPOINTED) {
+                    ledger.withdrawn(change.request(), change.attempt(), change.member());
+                }
+            }
+            case Event.Recovered recovered ->
+                recovered.intent().ifPresent(intent -> intent.members()
+                        .forEach(m -> ledger.started(recovered.request().id(), intent.number(), m.index())));
+            case Event.Tick tick -> {}
+            case Event.Submitted submitted -> {}
+            case Event.CancelAsked cancel -> {}
+            case Event.HandOverAnswered answer -> {}
+            case Event.Configured configured -> {}
+            case Event.PermitRenewed permit -> {}
+            case Event.LogChanged log -> {}
+            case Event.LeavingListed leaving -> {}
+            case Event.TargetReachable reachable -> {}
+            case Event.TargetLost lost -> {}
+        }
+    }
+
+    private void target(CellState after, TargetState target, long now) {
+        Load load = target.load();
+        require(
+                Invariant.CAPACITY,
+                load.used() <= target.capacity(),
+                () -> target.id() + " holds " + load.used() + " of " + target.capacity());
+        require(
+                Invariant.GUARANTEE,
+                !target.inUse() || Shares.committed(target.owned(), load.irrevocable()) <= target.capacity(),
+                () -> target.id() + " owned=" + target.owned() + " irrevocable=" + load.irrevocable());
+        for (String id : load.jobs()) {
+            Job job = after.work().jobs().get(id);
+            require(Invariant.BOOKKEEPING, job != null, () -> target.id() + " lists unknown request " + id);
+            if (job != null) {
+                job(after, job, now);
+            }
+        }
+    }
+
+    private void job(CellState after, Job job, long now) {
+        if (job.phase() instanceof Phase.Running running) {
+            boolean gone = running.members().values().stream()
+                    .anyMatch(m -> !m.occupies() && m.status() != MemberState.Status.ENDED);
+            require(
+                    Invariant.GANG_WHOLE,
+                    !gone || !running.occupies() || running.revocation().isPresent(),
+                    () -> job.id() + " goes on without a member, members=" + running.members());
+        }
+        if (job.phase() instanceof Phase.Claiming claiming && now > claiming.deadline()) {
+            Invariant bound = claiming.drain() ? Invariant.LARGE_JOB_BOUND : Invariant.RECLAIM_BOUND;
+            require(
+                    bound,
+                    placesFree(after, claiming),
+                    () -> job.id() + " claimed at " + claiming.since() + ", deadline " + claiming.deadline()
+                            + ", places still in use at " + now);
+        }
+    }
+
+    private static boolean placesFree(CellState after, Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
+            TargetState target = after.fleet().target(member.target());
+            if (target.capacity() - target.load().used() < member.units()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void command(CellState before, CellState after, Command command, long now) {
+        switch (command) {
+            case Command.Start start -> start(after, start, now);
+            case Command.Answer answer -> answer(answer);
+            case Command.RecordVoid recordVoid -> ledger.forget(recordVoid.attempt());
+            case Command.Reserve reserve -> {}
+            case Command.Release release -> {}
+            case Command.RecordIntent recordIntent -> {}
+            case Command.Treat treat -> {}
+            case Command.Resume resume ->
+                require(
+                        Invariant.PERMIT,
+                        after.active().inService(after.dataCentre()),
+                        () -> "resumed " + resume.request() + " out of service");
+            case Command.HandOver handOver ->
+                require(
+                        Invariant.BOOKKEEPING,
+                        !ledger.anyMayHaveRun(handOver.request().id())
+                                || handOver.request().profile().idempotent(),
+                        () -> "handed over after a start: " + handOver.request().id());
+        }
+    }
+
+    private void start(CellState after, Command.Start start, long now) {
+        String id = start.request().id();
+        Attempt attempt = start.attempt();
+        Profile profile = start.request().profile();
+        require(
+                Invariant.PERMIT,
+                after.active().inService(after.dataCentre())
+                        && now < attempt.startBefore()
+                        && attempt.startBefore() <= after.gate().permitUntil(),
+                () -> id + " started at " + now + " with startBefore=" + attempt.startBefore() + " permit until "
+                        + after.gate().permitUntil());
+        TargetState target = after.fleet().target(start.member().target());
+        require(
+                Invariant.LEAVING,
+                target != null && target.inUse(),
+                () -> id + " started on " + start.member().target() + ", which is leaving or lost");
+        if (profile.gang()) {
+            require(
+                    Invariant.GANG_WHOLE,
+                    ledger.heldBy(attempt.number()) == attempt.members().size(),
+                    () -> id + " started with " + ledger.heldBy(attempt.number()) + " of "
+                            + attempt.members().size() + " places held");
+        }
+        if (!profile.idempotent()) {
+            require(
+                    Invariant.AT_MOST_ONCE,
+                    !ledger.otherMayHaveRun(id, attempt.number()),
+                    () -> id + " started again as attempt " + attempt.number());
+            require(
+                    Invariant.AT_MOST_ONCE,
+                    ledger.isIntended(attempt.number()),
+                    () -> id + " started without an intent on the log");
+        }
+        ledger.started(id, attempt.number(), start.member().index());
+    }
+
+    private void answer(Command.Answer answer) {
+        String id = answer.request().id();
+        if (answer.outcome() instanceof Outcome.NotRun) {
+            require(Invariant.NOT_RUN_TRUE, !ledger.anyMayHaveRun(id), () -> id + " answered as not run after a start");
+        }
+        require(Invariant.ONE_ANSWER, ledger.answer(id), () -> id + " answered twice");
+    }
+
+    private void precedence(CellState before, Decision decision) {
+        for (Note note : decision.notes()) {
+            boolean placed = note.part().equals("place") && note.text().contains("attempt=");
+            Job job = placed ? before.work().jobs().get(note.request()) : null;
+            if (job == null || !(job.phase() instanceof Phase.Queued)) {
+                continue;
+            }
+            for (String head : decision.state().work().queues().heads(job.account())) {
+                Job waiting = decision.state().work().jobs().get(head);
+                Job earlier = before.work().jobs().get(head);
+                boolean waited = earlier != null && before.work().queues().isHead(earlier);
+                require(
+                        Invariant.PRECEDENCE,
+                        !waited
+                                || !waiting.profile()
+                                        .precedes()
+                                        .contains(job.profile().name()),
+                        () -> job.id() + " placed while " + head + " waits");
+            }
+        }
+    }
+
+    /** Checks the whole state and returns what is broken. */
+    public List<Violation> audit(CellState state, long now) {
+        found.clear();
+        Map<String, Integer> used = new HashMap<>();
+        Map<String, Integer> claimed = new HashMap<>();
+        Map<String, Integer> units = new HashMap<>();
+        int queued = 0;
+        for (Job job : state.work().jobs().values()) {
+            tally(job, used, claimed, units);
+            boolean waiting = job.phase() instanceof Phase.Queued;
+            queued += waiting
+                            && state.work()
+                                    .queues()
+                                    .waits(job.account(), job.profile().name())
+                    ? 1
+                    : 0;
+            job(state, job, now);
+        }
+        int waits = queued;
+        require(
+                Invariant.BOOKKEEPING,
+                state.work().queues().size() <= waits,
+                () -> "queues hold " + state.work().queues().size() + " but " + waits + " wait");
+        for (TargetState target : state.fleet().targets().values()) {
+            int uses = used.getOrDefault(target.id(), 0);
+            int claims = claimed.getOrDefault(target.id(), 0);
+            require(
+                    Invariant.BOOKKEEPING,
+                    target.load().used() == uses && target.load().claimed() == claims,
+                    () -> target.id() + " counts " + target.load() + " but jobs hold " + uses + " and claim " + claims);
+            target(state, target, now);
+        }
+        units.forEach((account, sum) -> require(
+                Invariant.BOOKKEEPING,
+                state.work().units().getOrDefault(account, 0).equals(sum),
+                () -> account + " counts " + state.work().units().get(account) + " but holds " + sum));
+        return List.copyOf(found);
+    }
+
+    private static void tally(
+            Job job, Map<String, Integer> used, Map<String, Integer> claimed, Map<String, Integer> units) {
+        switch (job.phase()) {
+            case Phase.Claiming claiming ->
+                claiming.attempt().members().forEach(m -> claimed.merge(m.target(), m.units(), Integer::sum));
+            case Phase.Reserving reserving -> occupied(job, reserving.attempt(), used, units);
+            case Phase.Committing committing -> occupied(job, committing.attempt(), used, units);
+            case Phase.Running running -> {
+                for (Member member : running.attempt().members()) {
+                    if (running.members().get(member.index()).occupies()) {
+                        used.merge(member.target(), member.units(), Integer::sum);
+                        units.merge(job.account(), member.units(), Integer::sum);
+                    }
+                }
+            }
+            case Phase.Queued queued -> {}
+            case Phase.Parked parked -> {}
+            case Phase.HandingOver handingOver -> {}
+        }
+    }
+
+    private static void occupied(Job job, Attempt attempt, Map<String, Integer> used, Map<String, Integer> units) {
+        for (Member member : attempt.members()) {
+            used.merge(member.target(), member.units(), Integer::sum);
+            units.merge(job.account(), member.units(), Integer::sum);
+        }
+    }
+
+    /** Words for a violation, made only when needed. */
+    private interface Detail {
+        String text();
+    }
+
+    private void require(Invariant invariant, boolean holds, Detail detail) {
+        checks++;
+        if (!holds) {
+            found.add(new Violation(invariant, detail.text()));
+        }
+    }
+
+    /** Returns the limits that the checked decisions keep to. */
+    public Policy policy() {
+        return policy;
+    }
+}
--- a/acacia-core/src/main/java/org/acaciaport/directory/Directory.java
+++ b/acacia-core/src/main/java/org/acaciaport/directory/Directory.java
@@ -105,6 +105,7 @@
             case LogRecord.Published published -> seen.publish(entry.offset(), published);
             case LogRecord.ServiceChanged change -> seen.changeService(entry.offset(), change);
             case LogRecord.Led led -> seen.lead(entry.offset(), led);
+            case LogRecord.Resigned resigned -> seen.resign(resigned);
             case LogRecord.Accepted accepted -> seen.accept(accepted);
             case LogRecord.Intended intended -> seen.intend(intended);
             case LogRecord.Voided voided -> seen.voidAttempt(voided);
@@ -144,14 +145,24 @@
         Leader leader = leaders.get(led.dataCentre());
         long epoch = leader == null ? 0 : leader.epoch();
         boolean begins = led.epoch() == epoch + 1;
-        boolean goesOn = leader != null && led.epoch() == epoch && led.holder().equals(leader.holder());
+        boolean goesOn =
+                leader != null && led.epoch() == epoch && led.holder().equals(leader.holder()) && !leader.resigned();
         if (!begins && !goesOn) {
             return refuse("epoch " + epoch + " is held by " + leader.holder() + "; wait for its lease to end");
         }
-        Leader next = new Leader(led.epoch(), led.holder(), led.address(), offset);
+        Leader next = new Leader(led.epoch(), led.holder(), led.address(), offset, false);
         return applied(withLeaders(leaders.plus(led.dataCentre(), next)));
     }
 
+    private Step resign(LogRecord.Resigned resigned) {
+        Leader leader = leaders.get(resigned.dataCentre());
+        if (leader == null || leader.epoch() != resigned.epoch() || leader.resigned()) {
+            return refuse("that epoch is over");
+        }
+        Leader next = new Leader(leader.epoch(), leader.holder(), leader.address(), leader.offset(), true);
+        return applied(withLeaders(leaders.plus(resigned.dataCentre(), next)));
+    }
+
     private Step accept(LogRecord.Accepted accepted) {
         Request request = accepted.request();
         String key = keyOf(request.account(), request.key());
--- a/acacia-core/src/main/java/org/acaciaport/directory/Leader.java
+++ b/acacia-core/src/main/java/org/acaciaport/directory/Leader.java
@@ -9,5 +9,6 @@
  * @param holder unique name of the scheduler process
  * @param address where other processes reach it, as IP:PORT
  * @param offset log offset of its newest record
+ * @param resigned whether it gave the leadership up
  */
-public record Leader(long epoch, String holder, String address, long offset) {}
+public record Leader(long epoch, String holder, String address, long offset, boolean resigned) {}
--- a/acacia-core/src/main/java/org/acaciaport/record/LogRecord.java
+++ b/acacia-core/src/main/java/org/acaciaport/record/LogRecord.java
@@ -39,6 +39,14 @@
      */
     record Led(String dataCentre, long epoch, String holder, String address) implements LogRecord {}
 
+    /**
+     * A scheduler stops leading, so that another one need not wait for its lease to end.
+     *
+     * @param dataCentre name of the data centre
+     * @param epoch the epoch that ends
+     */
+    record Resigned(String dataCentre, long epoch) implements LogRecord {}
+
     /**
      * A request is taken in. Void if its account used the key before.
      *
--- a/acacia-platform/src/main/java/org/acaciaport/http/HttpTargets.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/HttpTargets.java
@@ -43,9 +43,10 @@
      *
      * @param place the place
      * @param work what to run
+     * @param incarnation incarnation of the target that is meant
      * @param startBefore latest time of the start on the target's clock
      */
-    public record Start(Place place, Work work, long startBefore) {}
+    public record Start(Place place, Work work, String incarnation, long startBefore) {}
 
     /**
      * Body of a treatment.
@@ -76,8 +77,9 @@
     }
 
     @Override
-    public void start(Target target, Place place, Work work, long startBefore) throws PlatformException {
-        call(target, "/start", new Start(place, work, startBefore));
+    public void start(Target target, Place place, Work work, String incarnation, long startBefore)
+            throws PlatformException {
+        call(target, "/start", new Start(place, work, incarnation, startBefore));
     }
 
     @Override
--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -29,6 +29,7 @@
     private static final int OK_LIMIT = 300;
     private static final int CONFLICT = 409;
     private static final int GONE = 410;
+    private static final int PRECONDITION_FAILED = 412;
     private static final int SERVER_ERROR = 500;
 
     private final HttpClient client = new HttpClient();
@@ -118,7 +119,7 @@
     /**
      * Returns {@code answer} if it was a success.
      *
-     * @throws PlatformException if it was an error; 409 and 410 mean that nothing was done
+     * @throws PlatformException if it was an error; 409, 410 and 412 mean that nothing was done
      */
     public static Answer check(String uri, Answer answer) throws PlatformException {
         if (answer.status() < OK_LIMIT) {
@@ -132,6 +133,9 @@
         if (status == GONE) {
             return PlatformException.Kind.STALE_EPOCH;
         }
+        if (status == PRECONDITION_FAILED) {
+            return PlatformException.Kind.EXPIRED;
+        }
         boolean done = status != CONFLICT && status >= SERVER_ERROR;
         return done ? PlatformException.Kind.UNCERTAIN : PlatformException.Kind.NOT_DONE;
     }
--- a/acacia-platform/src/main/java/org/acaciaport/platform/PlatformException.java
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/PlatformException.java
@@ -10,6 +10,8 @@
         NOT_DONE,
         /** It may have happened. */
         UNCERTAIN,
+        /** The deadline had passed: neither this call nor an earlier copy of it takes effect any more. */
+        EXPIRED,
         /** The other side refused because a later epoch rules. */
         STALE_EPOCH
     }
--- a/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
@@ -35,10 +35,11 @@
     /**
      * Tells the target to start a task; saying it again for the same place has no further effect.
      *
+     * @param incarnation incarnation of the target that is meant; another one refuses
      * @param startBefore latest time of the start, on the target's clock, in milliseconds
-     * @throws PlatformException with kind NOT_DONE if the target certainly never starts it
+     * @throws PlatformException with kind EXPIRED if the target certainly never starts it
      */
-    void start(Target target, Place place, Work work, long startBefore) throws PlatformException;
+    void start(Target target, Place place, Work work, String incarnation, long startBefore) throws PlatformException;
 
     /**
      * Tells the target to checkpoint, throttle or stop a task; the report says when that is done.
@@ -77,11 +78,12 @@
     /**
      * What a target reports.
      *
+     * @param incarnation name that the target took when it started; tasks of an earlier one are gone
      * @param clock reading of the target's clock, in milliseconds
      * @param version version to name in the next poll
      * @param tasks tasks that changed since the version asked for
      */
-    record Report(long clock, long version, List<Task> tasks) {
+    record Report(String incarnation, long clock, long version, List<Task> tasks) {
         /** Copies the list. */
         public Report {
             tasks = List.copyOf(tasks);
@@ -94,8 +96,9 @@
      * @param request identifier of the request
      * @param attempt number of the attempt
      * @param member index of the member
+     * @param units accelerators that it was given
      * @param state one word: running, ended, failed, checkpointed, throttled or stopped
      * @param output its output so far, whole once ended
      */
-    record Task(String request, long attempt, int member, String state, String output) {}
+    record Task(String request, long attempt, int member, int units, String state, String output) {}
 }
--- /dev/null
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LogReplica.java
@@ -0,0 +1,214 @@
+package org.acaciaport.scheduler;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.acaciaport.directory.Directory;
+import org.acaciaport.directory.Verdict;
+import org.acaciaport.platform.PlatformException;
+import org.acaciaport.platform.PlatformLog;
+import org.acaciaport.record.LogEntry;
+import org.acaciaport.record.LogRecord;
+import org.jboss.logging.Logger;
+
+/**
+ * Follows the platform's log and appends to it.
+ *
+ * <p>One thread reads and applies entries in order, one appends in batches. An append that was not confirmed is repeated
+ * under the same sequence numbers until it is; replay counts it once. Safe for use by several threads; readers of the
+ * directory never wait.
+ */
+final class LogReplica implements AutoCloseable {
+    private static final Logger LOG = Logger.getLogger(LogReplica.class);
+    private static final int READ_MOST = 1_000;
+    private static final long READ_WAIT_MILLIS = 500;
+    private static final int BATCH_MOST = 200;
+    private static final int QUEUE_MOST = 20_000;
+    private static final long BACKOFF_MILLIS = 50;
+    private static final long BACKOFF_MOST_MILLIS = 2_000;
+
+    /** Hears of every applied entry, in order, on the reading thread. */
+    interface Listener {
+        /** Called after {@code entry} was applied with {@code verdict}. */
+        void applied(LogEntry entry, Verdict verdict, Directory directory);
+
+        /** Called when everything up to the end of the log, as of {@code sentAt}, has been applied. */
+        void caughtUp(long sentAt);
+
+        /** Called when the log begins or ceases to answer. */
+        void available(boolean now);
+    }
+
+    /** A record that waits to be appended, with the future of its verdict. */
+    private record Pending(LogRecord record, CompletableFuture<Verdict> verdict) {}
+
+    private final PlatformLog log;
+    private final Clock clock;
+    private final String writer;
+    private final Counter appended;
+    private final Counter batches;
+    private final AtomicReference<Directory> directory = new AtomicReference<>(Directory.EMPTY);
+    private final BlockingQueue<Pending> queue = new LinkedBlockingQueue<>(QUEUE_MOST);
+    private final Map<Long, CompletableFuture<Verdict>> verdicts = new ConcurrentHashMap<>();
+    private volatile boolean readable;
+    private volatile boolean appendable = true;
+    private volatile boolean open = true;
+
+    LogReplica(PlatformLog log, Clock clock, String writer, MetricRegistry metrics) {
+        this.log = log;
+        this.clock = clock;
+        this.writer = writer;
+        appended = metrics.counter("log.appended");
+        batches = metrics.counter("log.batches");
+        metrics.gauge("log.queue", () -> queue::size);
+    }
+
+    void start(Listener listener) {
+        Thread.ofPlatform().name("log-reader").daemon().start(() -> read(listener));
+        Thread.ofPlatform().name("log-writer").daemon().start(this::write);
+    }
+
+    /** Returns the state as of the newest entry applied. */
+    Directory directory() {
+        return directory.get();
+    }
+
+    /** Returns whether the log lately answered both reads and appends. */
+    boolean available() {
+        return readable && appendable;
+    }
+
+    /** Appends {@code record} and returns what became of it once it was replayed. */
+    CompletableFuture<Verdict> append(LogRecord record) {
+        CompletableFuture<Verdict> verdict = new CompletableFuture<>();
+        if (!queue.offer(new Pending(record, verdict))) {
+            verdict.completeExceptionally(new PlatformException(
+                    PlatformException.Kind.NOT_DONE, "too many records wait for the log; try again later", null));
+        }
+        return verdict;
+    }
+
+    @Override
+    public void close() {
+        open = false;
+    }
+
+    private void write() {
+        long sequence = 1;
+        while (open) {
+            try {
+                List<Pending> batch = takeBatch();
+                if (batch.isEmpty()) {
+                    continue;
+                }
+                for (int i = 0; i < batch.size(); i++) {
+                    verdicts.put(sequence + i, batch.get(i).verdict());
+                }
+                appendUntilConfirmed(
+                        sequence, batch.stream().map(Pending::record).toList());
+                sequence += batch.size();
+                appended.inc(batch.size());
+                batches.inc();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private List<Pending> takeBatch() throws InterruptedException {
+        List<Pending> batch = new ArrayList<>();
+        Pending first = queue.poll(READ_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        if (first != null) {
+            batch.add(first);
+            queue.drainTo(batch, BATCH_MOST - 1);
+        }
+        return batch;
+    }
+
+    private void appendUntilConfirmed(long sequence, List<LogRecord> records) throws InterruptedException {
+        for (int tries = 0; open; tries++) {
+            try {
+                log.append(writer, sequence, records);
+                appendable = true;
+                return;
+            } catch (PlatformException e) {
+                appendable = false;
+                LOG.warnf(
+                        "log: append failed, sequence=%d records=%d tries=%d, %s",
+                        sequence, records.size(), tries, e.getMessage());
+                pause(tries);
+                if (!verdicts.containsKey(sequence + records.size() - 1)) {
+                    appendable = true;
+                    return;
+                }
+            }
+        }
+    }
+
+    private void read(Listener listener) {
+        int failures = 0;
+        while (open) {
+            long sentAt = clock.millis();
+            try {
+                PlatformLog.Page page = log.read(directory.get().next(), READ_MOST, READ_WAIT_MILLIS);
+                for (LogEntry entry : page.entries()) {
+                    apply(entry, listener);
+                }
+                failures = 0;
+                setReadable(true, listener);
+                if (directory.get().next() >= page.end()) {
+                    listener.caughtUp(sentAt);
+                }
+            } catch (PlatformException e) {
+                LOG.warnf("log: read failed, next=%d, %s", directory.get().next(), e.getMessage());
+                setReadable(false, listener);
+                failures++;
+                pauseQuietly(failures);
+            }
+        }
+    }
+
+    private void apply(LogEntry entry, Listener listener) {
+        Directory.Step step = directory.get().apply(entry);
+        directory.set(step.directory());
+        listener.applied(entry, step.verdict(), step.directory());
+        if (entry.writer().equals(writer)) {
+            CompletableFuture<Verdict> waiting = verdicts.remove(entry.sequence());
+            if (waiting != null) {
+                waiting.complete(step.verdict());
+            }
+        }
+    }
+
+    private void setReadable(boolean now, Listener listener) {
+        boolean before = available();
+        readable = now;
+        if (available() != before) {
+            listener.available(available());
+        }
+    }
+
+    private void pauseQuietly(int tries) {
+        try {
+            pause(tries);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            open = false;
+        }
+    }
+
+    private static void pause(int tries) throws InterruptedException {
+        long most = Math.min(BACKOFF_MOST_MILLIS, BACKOFF_MILLIS << Math.min(tries, 6));
+        Thread.sleep(most / 2 + ThreadLocalRandom.current().nextLong(most / 2 + 1));
+    }
+}
--- /dev/null
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
@@ -0,0 +1,334 @@
+package org.acaciaport.scheduler;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.acaciaport.config.ActiveConfiguration;
+import org.acaciaport.config.DataCentre;
+import org.acaciaport.config.Target;
+import org.acaciaport.config.Treatment;
+import org.acaciaport.decision.Attempt;
+import org.acaciaport.decision.CellState;
+import org.acaciaport.decision.Command;
+import org.acaciaport.decision.Decider;
+import org.acaciaport.decision.Decision;
+import org.acaciaport.decision.Event;
+import org.acaciaport.decision.Invariants;
+import org.acaciaport.decision.Job;
+import org.acaciaport.decision.Member;
+import org.acaciaport.decision.MemberState;
+import org.acaciaport.decision.Note;
+import org.acaciaport.decision.Phase;
+import org.acaciaport.decision.Violation;
+import org.acaciaport.directory.Directory;
+import org.acaciaport.directory.RequestEntry;
+import org.acaciaport.platform.TargetClient;
+import org.acaciaport.record.LogRecord;
+import org.acaciaport.request.Request;
+import org.jboss.logging.Logger;
+
+/**
+ * One epoch in which this process leads its data centre: makes the decisions, checks them and carries them out.
+ *
+ * <p>One thread decides; its queue is the order of events. Other threads read the published state without waiting. The
+ * state is published before the commands that follow from it are carried out.
+ */
+final class Reign implements AutoCloseable, TargetLink.Listener {
+    private static final Logger LOG = Logger.getLogger(Reign.class);
+    private static final Logger INVARIANTS = Logger.getLogger(Invariants.class);
+    private static final long IDLE_MILLIS = 1_000;
+
+    private final long epoch;
+    private final SchedulerSettings settings;
+    private final Decider decider;
+    private final Invariants invariants;
+    private final LogReplica replica;
+    private final TargetClient targets;
+    private final Clock clock;
+    private final Answers answers;
+    private final Explanations explanations;
+    private final MetricRegistry metrics;
+    private final Timer decisions;
+    private final Runnable onDeposed;
+    private final BlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+    private final Map<String, TargetLink> links = new HashMap<>();
+    private final Map<String, Target> linked = new HashMap<>();
+    private volatile CellState state;
+    private volatile boolean open = true;
+
+    Reign(
+            long epoch,
+            SchedulerSettings settings,
+            Decider decider,
+            LogReplica replica,
+            TargetClient targets,
+            Clock clock,
+            Answers answers,
+            Explanations explanations,
+            MetricRegistry metrics,
+            Runnable onDeposed) {
+        this.epoch = epoch;
+        this.settings = settings;
+        this.decider = decider;
+        this.invariants = new Invariants(decider.policy());
+        this.replica = replica;
+        this.targets = targets;
+        this.clock = clock;
+        this.answers = answers;
+        this.explanations = explanations;
+        this.metrics = metrics;
+        this.decisions = metrics.timer("decide.time");
+        this.onDeposed = onDeposed;
+        state = CellState.initial(settings.vm().dataCentre(), epoch);
+    }
+
+    /** Takes up what the log says and begins to decide. */
+    void begin(Directory directory) {
+        event(new Event.Configured(directory.active()));
+        for (RequestEntry entry : directory.requests()) {
+            if (entry.outcome() == null && entry.home().equals(settings.vm().dataCentre())) {
+                event(new Event.Recovered(entry.request(), intentOf(entry)));
+            }
+        }
+        LOG.infof("lead: leading data-centre=%s epoch=%d", settings.vm().dataCentre(), epoch);
+        Thread.ofPlatform().name("decider-" + epoch).daemon().start(this::run);
+    }
+
+    private static Optional<Attempt> intentOf(RequestEntry entry) {
+        return Optional.ofNullable(entry.intent()).map(i -> new Attempt(i.attempt(), i.members(), 0));
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    /** Returns the state after the latest decision. */
+    CellState state() {
+        return state;
+    }
+
+    @Override
+    public void event(Event event) {
+        queue.add(() -> decide(event));
+    }
+
+    @Override
+    public void deposed() {
+        onDeposed.run();
+    }
+
+    @Override
+    public void task(Target target, TargetClient.Task task) {
+        queue.add(() -> report(target, task));
+    }
+
+    @Override
+    public void close() {
+        open = false;
+        queue.add(() -> links.values().forEach(TargetLink::close));
+    }
+
+    private void run() {
+        while (open || !queue.isEmpty()) {
+            try {
+                long next = state.nextTimer().orElse(Long.MAX_VALUE);
+                long wait = Math.max(0, Math.min(IDLE_MILLIS, next - clock.millis()));
+                Runnable step = queue.poll(wait, TimeUnit.MILLISECONDS);
+                if (step != null) {
+                    step.run();
+                } else if (next <= clock.millis()) {
+                    decide(new Event.Tick());
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                LOG.errorf(e, "decide: an event failed and was passed over");
+                metrics.counter("decide.failed").inc();
+            }
+        }
+    }
+
+    private void decide(Event event) {
+        if (!open) {
+            return;
+        }
+        CellState before = state;
+        long now = clock.millis();
+        Decision decision;
+        try (Timer.Context timing = decisions.time()) {
+            decision = decider.decide(before, event, now);
+        }
+        for (Violation violation : invariants.check(before, event, decision, now)) {
+            INVARIANTS.errorf("invariant: broken %s, %s", violation.invariant(), violation.detail());
+            metrics.counter("invariant.broken").inc();
+        }
+        state = decision.state();
+        for (Note note : decision.notes()) {
+            LOG.info(note.toString());
+            explanations.add(note);
+        }
+        if (event instanceof Event.Configured configured) {
+            link(configured.active());
+        }
+        decision.commands().forEach(this::carryOut);
+    }
+
+    private void link(ActiveConfiguration active) {
+        for (Target target : active.configuration().targetsOf(settings.vm().dataCentre())) {
+            if (target.equals(linked.get(target.id()))) {
+                continue;
+            }
+            TargetLink previous = links.remove(target.id());
+            if (previous != null) {
+                previous.close();
+            }
+            TargetLink link = new TargetLink(target, epoch, settings.leases().targetMillis(), targets, clock, this);
+            links.put(target.id(), link);
+            linked.put(target.id(), target);
+            link.start();
+        }
+    }
+
+    private void carryOut(Command command) {
+        metrics.counter("command." + command.getClass().getSimpleName()).inc();
+        switch (command) {
+            case Command.Reserve reserve -> send(reserve.member(), reserve, () -> true);
+            case Command.Release release -> send(release.member(), release, () -> true);
+            case Command.Start start ->
+                send(
+                        start.member(),
+                        start,
+                        () -> occupies(start.request().id(), start.attempt().number(), start.member()));
+            case Command.Treat treat ->
+                send(treat.member(), treat, () -> occupies(treat.request(), treat.attempt(), treat.member()));
+            case Command.Resume resume -> send(resume.member(), resume, () -> true);
+            case Command.RecordIntent intent -> recordIntent(intent);
+            case Command.RecordVoid recordVoid ->
+                replica.append(new LogRecord.Voided(recordVoid.request(), recordVoid.attempt()));
+            case Command.Answer answer -> {
+                metrics.counter("answer." + answer.outcome().word()).inc();
+                answers.give(answer.request().id(), answer.outcome());
+                replica.append(new LogRecord.Finished(answer.request().id(), answer.outcome()));
+            }
+            case Command.HandOver handOver -> handOver(handOver.request());
+        }
+    }
+
+    private void send(Member member, Command command, Supplier<Boolean> wanted) {
+        TargetLink link = links.get(member.target());
+        if (link != null) {
+            link.send(wanted, command);
+        }
+    }
+
+    private boolean occupies(String request, long attempt, Member member) {
+        return state.job(request)
+                .filter(job -> job.phase() instanceof Phase.Running running
+                        && running.attempt().number() == attempt
+                        && running.members().get(member.index()).occupies())
+                .isPresent();
+    }
+
+    private void recordIntent(Command.RecordIntent intent) {
+        String request = intent.request().id();
+        long attempt = intent.attempt().number();
+        LogRecord.Intended record = new LogRecord.Intended(
+                settings.vm().dataCentre(),
+                request,
+                attempt,
+                epoch,
+                intent.attempt().members());
+        replica.append(record)
+                .whenComplete((verdict, error) ->
+                        event(new Event.IntentAnswered(request, attempt, error == null && verdict.applied())));
+    }
+
+    private void handOver(Request request) {
+        String here = settings.vm().dataCentre();
+        String to = null;
+        long best = Long.MIN_VALUE;
+        for (DataCentre candidate : state.active().configuration().dataCentres()) {
+            long score = Hashing.murmur3_128()
+                    .hashString(request.id() + '/' + candidate.name(), StandardCharsets.UTF_8)
+                    .asLong();
+            if (state.active().inService(candidate.name()) && score > best) {
+                best = score;
+                to = candidate.name();
+            }
+        }
+        if (to == null) {
+            event(new Event.HandOverAnswered(request.id(), false));
+            return;
+        }
+        replica.append(new LogRecord.HandedOver(request.id(), here, to))
+                .whenComplete((verdict, error) ->
+                        event(new Event.HandOverAnswered(request.id(), error == null && verdict.applied())));
+    }
+
+    /** Matches a task that a target reports with what this reign knows of it. */
+    private void report(Target target, TargetClient.Task task) {
+        Job job = state.job(task.request()).orElse(null);
+        Optional<Attempt> current = job == null ? Optional.empty() : job.phase().current();
+        boolean known = current.isPresent() && current.get().number() == task.attempt();
+        if (!known && adopts(job, task)) {
+            Member member = new Member(0, target.id(), task.units());
+            Attempt attempt = new Attempt(task.attempt(), List.of(member), 0);
+            decide(new Event.Recovered(job.request(), Optional.of(attempt)));
+            known = true;
+        }
+        if (known) {
+            change(job, task);
+        } else if (task.state().equals("running") || task.state().equals("throttled")) {
+            LOG.infof("orphan: stopped request=%s attempt=%d target=%s", task.request(), task.attempt(), target.id());
+            Member member = new Member(task.member(), target.id(), task.units());
+            long deadline = clock.millis() + decider.policy().stopMillis();
+            send(
+                    member,
+                    new Command.Treat(task.request(), task.attempt(), member, Treatment.STOP, deadline),
+                    () -> true);
+        }
+    }
+
+    /** An earlier leader's single task is followed, unless the request has gone on without it. */
+    private boolean adopts(Job job, TargetClient.Task task) {
+        boolean useful = task.state().equals("running") || task.state().equals("ended");
+        return job != null
+                && useful
+                && CellState.epochOf(task.attempt()) < epoch
+                && job.phase() instanceof Phase.Queued
+                && job.profile().idempotent()
+                && !job.profile().gang();
+    }
+
+    private void change(Job job, TargetClient.Task task) {
+        MemberState.Status status = statusOf(task.state());
+        boolean stale = job.phase() instanceof Phase.Running running
+                && running.members().containsKey(task.member())
+                && running.members().get(task.member()).status() == status;
+        if (!stale) {
+            MemberState next = new MemberState(status, task.output());
+            decide(new Event.MemberChanged(task.request(), task.attempt(), task.member(), next));
+        }
+    }
+
+    private static MemberState.Status statusOf(String word) {
+        return switch (word) {
+            case "running" -> MemberState.Status.RUNNING;
+            case "ended" -> MemberState.Status.ENDED;
+            case "failed" -> MemberState.Status.FAILED;
+            case "checkpointed" -> MemberState.Status.CHECKPOINTED;
+            case "throttled" -> MemberState.Status.THROTTLED;
+            default -> MemberState.Status.STOPPED;
+        };
+    }
+}
--- /dev/null
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
@@ -0,0 +1,320 @@
+package org.acaciaport.scheduler;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.acaciaport.config.ActiveConfiguration;
+import org.acaciaport.config.Profile;
+import org.acaciaport.decision.CellState;
+import org.acaciaport.decision.Event;
+import org.acaciaport.decision.Job;
+import org.acaciaport.decision.Phase;
+import org.acaciaport.decision.TargetState;
+import org.acaciaport.directory.Leader;
+import org.acaciaport.directory.RequestEntry;
+import org.acaciaport.directory.Verdict;
+import org.acaciaport.record.LogRecord;
+import org.acaciaport.request.Outcome;
+import org.acaciaport.request.Request;
+import org.acaciaport.wire.Message;
+import org.acaciaport.wire.WireServer;
+
+/**
+ * Answers gateways.
+ *
+ * <p>Safe for use by several threads; every query has a thread of its own, which may wait for the log or an answer.
+ */
+final class RequestDesk implements WireServer.Handler {
+    private static final long WAIT_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private final SchedulerSettings settings;
+    private final LogReplica replica;
+    private final Leadership leadership;
+    private final AtomicReference<Reign> reign;
+    private final Answers answers;
+    private final Explanations explanations;
+    private final Clock clock;
+    private final MetricRegistry metrics;
+    private final LocalKeys localKeys = new LocalKeys();
+    private final AtomicLong counter = new AtomicLong();
+    private volatile boolean draining;
+
+    RequestDesk(
+            SchedulerSettings settings,
+            LogReplica replica,
+            Leadership leadership,
+            AtomicReference<Reign> reign,
+            Answers answers,
+            Explanations explanations,
+            Clock clock,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.replica = replica;
+        this.leadership = leadership;
+        this.reign = reign;
+        this.answers = answers;
+        this.explanations = explanations;
+        this.clock = clock;
+        this.metrics = metrics;
+    }
+
+    /** Makes waiting queries return early and sends new requests elsewhere. */
+    void drain() {
+        draining = true;
+    }
+
+    @Override
+    public Message answer(Message query, long deadline) {
+        metrics.counter("query." + query.getClass().getSimpleName()).inc();
+        return switch (query) {
+            case Message.Submit submit -> submit(submit, deadline);
+            case Message.Find find -> find(find, deadline);
+            case Message.Cancel cancel -> cancel(cancel);
+            case Message.Explain explain -> new Message.Explanation(explanations.of(explain.request()));
+            case Message.Look look -> look(look);
+            case Message.ListTargets list -> targets();
+            case Message.Ping ping -> new Message.Pong();
+            case Message.Pong pong -> misdirected();
+            case Message.Status status -> misdirected();
+            case Message.Elsewhere elsewhere -> misdirected();
+            case Message.Refused refused -> misdirected();
+            case Message.Explanation explanation -> misdirected();
+            case Message.View view -> misdirected();
+            case Message.Targets targets -> misdirected();
+        };
+    }
+
+    private static Message misdirected() {
+        return refuse(Message.Refused.Kind.INVALID, "this message is a reply", "send a query");
+    }
+
+    private Message submit(Message.Submit submit, long deadline) {
+        Reign current = reign.get();
+        if (current == null || draining || !leadership.leads()) {
+            return elsewhere(settings.vm().dataCentre());
+        }
+        ActiveConfiguration active = replica.directory().active();
+        Profile profile = active.configuration().profile(submit.profile()).orElse(null);
+        if (profile == null) {
+            return refuse(
+                    Message.Refused.Kind.INVALID,
+                    "unknown profile '" + submit.profile() + "'",
+                    "choose one that 'acaciactl profile list' shows");
+        }
+        if (!active.configuration().hasAccount(submit.account())) {
+            return refuse(
+                    Message.Refused.Kind.INVALID,
+                    "unknown account '" + submit.account() + "'",
+                    "have an operator publish the account");
+        }
+        String hash = hash(submit);
+        RequestEntry entry = replica.directory().byKey(submit.account(), submit.key());
+        if (entry != null) {
+            return original(entry, hash);
+        }
+        Request request = request(current, submit, profile);
+        if (replica.available()) {
+            return acceptOnLog(request, hash, deadline);
+        }
+        return acceptLocally(current, request, hash);
+    }
+
+    private Request request(Reign current, Message.Submit submit, Profile profile) {
+        String id = settings.vm().dataCentre() + "_" + current.epoch() + "_" + counter.incrementAndGet();
+        long now = clock.millis();
+        return new Request(
+                id, submit.account(), submit.key(), profile, submit.payload(), now, now + profile.queueLimitMillis());
+    }
+
+    private Message acceptOnLog(Request request, String hash, long deadline) {
+        LogRecord.Accepted accepted = new LogRecord.Accepted(settings.vm().dataCentre(), request, hash);
+        try {
+            Verdict verdict =
+                    replica.append(accepted).get(Math.max(1, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
+            return switch (verdict) {
+                case Verdict.Applied applied -> status(request, "queued", null);
+                case Verdict.KeyUsed used -> original(used.original(), hash);
+                case Verdict.Void other -> refuse(Message.Refused.Kind.UNAVAILABLE, other.reason(), "submit it again");
+            };
+        } catch (TimeoutException | ExecutionException e) {
+            return refuse(
+                    Message.Refused.Kind.UNAVAILABLE,
+                    "the platform log did not confirm the request in time; it may have been accepted",
+                    "submit it again with the same key");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return refuse(Message.Refused.Kind.UNAVAILABLE, "the scheduler stops", "submit it again with the same key");
+        }
+    }
+
+    /** Without the log, only work that may run twice is taken in; the log hears of it later. */
+    private Message acceptLocally(Reign current, Request request, String hash) {
+        if (!request.profile().idempotent()) {
+            return refuse(
+                    Message.Refused.Kind.UNAVAILABLE,
+                    "not run: the platform log is unavailable and this work must not run twice",
+                    "submit it again with the same key later");
+        }
+        LocalKeys.Use use = localKeys.use(request, hash);
+        if (!use.request().id().equals(request.id())) {
+            return use.hash().equals(hash) ? knownStatus(use.request()) : conflict();
+        }
+        current.event(new Event.Submitted(request));
+        replica.append(new LogRecord.Accepted(settings.vm().dataCentre(), request, hash));
+        return status(request, "queued", null);
+    }
+
+    private Message original(RequestEntry entry, String hash) {
+        return entry.payloadHash().equals(hash) ? knownStatus(entry.request()) : conflict();
+    }
+
+    private static Message conflict() {
+        return refuse(
+                Message.Refused.Kind.KEY_CONFLICT,
+                "the key was used for another profile or payload",
+                "use a new key for new work, or send the first content again");
+    }
+
+    private Message find(Message.Find find, long deadline) {
+        long until = Math.min(deadline, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(find.waitMillis()));
+        while (true) {
+            Message known = known(find.request());
+            boolean waiting = known instanceof Message.Status status && status.outcome() == null;
+            long left = until - System.nanoTime();
+            if (!waiting || draining || left <= 0) {
+                return known;
+            }
+            answers.await(find.request(), Math.min(left, WAIT_STEP_NANOS));
+        }
+    }
+
+    private Message known(String id) {
+        RequestEntry entry = replica.directory().request(id);
+        Reign current = reign.get();
+        Job job = current == null ? null : current.state().job(id).orElse(null);
+        if (job != null) {
+            return knownStatus(job.request());
+        }
+        if (entry == null) {
+            Request local = localKeys.request(id);
+            return local == null ? notFound(id) : knownStatus(local);
+        }
+        boolean elsewhere = entry.outcome() == null
+                && answers.now(id) == null
+                && (current == null || !entry.home().equals(settings.vm().dataCentre()));
+        return elsewhere ? elsewhere(entry.home()) : knownStatus(entry.request());
+    }
+
+    private Message knownStatus(Request request) {
+        RequestEntry entry = replica.directory().request(request.id());
+        Outcome outcome = answers.now(request.id());
+        if (outcome == null && entry != null) {
+            outcome = entry.outcome();
+        }
+        if (outcome != null) {
+            return status(request, outcome.word(), outcome);
+        }
+        Reign current = reign.get();
+        String state = current == null
+                ? "queued"
+                : current.state()
+                        .job(request.id())
+                        .map(job -> word(job.phase()))
+                        .orElse("queued");
+        return status(request, state, null);
+    }
+
+    private Message cancel(Message.Cancel cancel) {
+        Reign current = reign.get();
+        Message known = known(cancel.request());
+        if (current != null && current.state().job(cancel.request()).isPresent()) {
+            current.event(new Event.CancelAsked(cancel.request()));
+        }
+        return known;
+    }
+
+    private Message look(Message.Look look) {
+        Reign current = reign.get();
+        ActiveConfiguration active = replica.directory().active();
+        Leader leader = leadership.current();
+        return new Message.View(
+                settings.vm().dataCentre(),
+                current != null && !draining,
+                leader == null ? 0 : leader.epoch(),
+                replica.available(),
+                current == null ? 0 : current.state().work().queues().size(),
+                active.revision(),
+                active.revision() > look.revision() ? active : null);
+    }
+
+    private Message targets() {
+        Reign current = reign.get();
+        if (current == null) {
+            return elsewhere(settings.vm().dataCentre());
+        }
+        CellState state = current.state();
+        List<Message.TargetLine> lines = state.fleet().targets().values().stream()
+                .map(RequestDesk::line)
+                .sorted((a, b) -> a.target().compareTo(b.target()))
+                .toList();
+        return new Message.Targets(lines);
+    }
+
+    private static Message.TargetLine line(TargetState target) {
+        String state = !target.reachable()
+                ? "unreachable"
+                : target.leaving() ? "leaving" : target.health().probation() ? "probation" : "live";
+        return new Message.TargetLine(
+                target.id(),
+                target.target().rack(),
+                state,
+                target.capacity(),
+                target.load().used(),
+                target.load().claimed(),
+                target.load().jobs().size());
+    }
+
+    private Message elsewhere(String dataCentre) {
+        Leader leader = replica.directory().leader(dataCentre);
+        return new Message.Elsewhere(dataCentre, leader == null || leader.resigned() ? "" : leader.address());
+    }
+
+    private static Message notFound(String id) {
+        return refuse(
+                Message.Refused.Kind.NOT_FOUND,
+                "no request '" + id + "' is known here",
+                "check the identifier, or submit again with the same key");
+    }
+
+    private static Message.Status status(Request request, String state, Outcome outcome) {
+        return new Message.Status(request.id(), request.account(), request.key(), state, outcome);
+    }
+
+    private static Message refuse(Message.Refused.Kind kind, String reason, String remedy) {
+        return new Message.Refused(kind, reason, remedy);
+    }
+
+    private static String hash(Message.Submit submit) {
+        return Hashing.sha256()
+                .hashString(submit.profile() + '\n' + submit.payload(), StandardCharsets.UTF_8)
+                .toString();
+    }
+
+    private static String word(Phase phase) {
+        return switch (phase) {
+            case Phase.Queued queued -> "queued";
+            case Phase.Claiming claiming -> "claiming";
+            case Phase.Reserving reserving -> "reserving";
+            case Phase.Committing committing -> "committing";
+            case Phase.Running running -> "running";
+            case Phase.Parked parked -> "paused";
+            case Phase.HandingOver handingOver -> "handing-over";
+        };
+    }
+}
--- /dev/null
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/SchedulerMain.java
@@ -0,0 +1,31 @@
+package org.acaciaport.scheduler;
+
+import org.acaciaport.http.JsonClient;
+import org.acaciaport.program.Logs;
+import org.acaciaport.program.ServerProgram;
+
+/** The {@code acacia-scheduler} program. */
+public final class SchedulerMain {
+    private SchedulerMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] arguments) {
+        ServerProgram<SchedulerSettings> program = new ServerProgram<>(
+                "acacia-scheduler",
+                "Decides where requests run in one data centre.",
+                SchedulerSettings.class,
+                SchedulerMain::start);
+        System.exit(program.run(arguments).code());
+    }
+
+    private static Scheduler start(SchedulerSettings settings) throws Exception {
+        Logs.configure(settings.log());
+        SchedulerModule module = new SchedulerModule(settings, JsonClient.start());
+        Scheduler scheduler = DaggerSchedulerComponent.builder()
+                .schedulerModule(module)
+                .build()
+                .scheduler();
+        scheduler.start();
+        return scheduler;
+    }
+}
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
@@ -96,6 +96,7 @@
         @JsonSubTypes.Type(value = LogRecord.Published.class, name = "published"),
         @JsonSubTypes.Type(value = LogRecord.ServiceChanged.class, name = "service-changed"),
         @JsonSubTypes.Type(value = LogRecord.Led.class, name = "led"),
+        @JsonSubTypes.Type(value = LogRecord.Resigned.class, name = "resigned"),
         @JsonSubTypes.Type(value = LogRecord.Accepted.class, name = "accepted"),
         @JsonSubTypes.Type(value = LogRecord.Intended.class, name = "intended"),
         @JsonSubTypes.Type(value = LogRecord.Voided.class, name = "voided"),
