The whole path in separate processes, and a demo

A request goes from a caller's HTTP call through a gateway and a scheduler to a target and back. Cause of the first failed run: the MessagePack parser reports the end of the bytes as an error when asked for trailing tokens, so every reply was dropped; found by a round-trip test that failed first. Second: a hand-over chose a data centre in service but without a leader; now only data centres whose leadership is renewed are chosen.

--- /dev/null
+++ b/acacia-ctl/src/main/java/org/acaciaport/ctl/Output.java
@@ -0,0 +1,77 @@
+package org.acaciaport.ctl;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.acaciaport.wire.Codecs;
+
+/**
+ * Prints answers as tables or as JSON.
+ *
+ * <p>Not thread-safe.
+ */
+final class Output {
+    private final PrintStream out;
+    private final boolean json;
+
+    Output(PrintStream out, boolean json) {
+        this.out = out;
+        this.json = json;
+    }
+
+    /** Prints {@code text}, or {@code value} if JSON was asked for. */
+    void line(String text, Object value) throws CtlException {
+        if (json) {
+            json(value);
+        } else {
+            out.println(text);
+        }
+    }
+
+    /** Prints the fields {@code columns} of each of {@code rows}, or {@code whole} if JSON was asked for. */
+    void table(JsonNode whole, JsonNode rows, String... columns) throws CtlException {
+        if (json) {
+            json(whole);
+            return;
+        }
+        List<List<String>> cells = new ArrayList<>();
+        cells.add(List.of(columns));
+        for (JsonNode row : rows) {
+            List<String> line = new ArrayList<>();
+            for (String column : columns) {
+                JsonNode value = row.at("/" + column.replace('.', '/'));
+                line.add(value.isValueNode() ? value.asText() : value.toString());
+            }
+            cells.add(line);
+        }
+        print(cells);
+    }
+
+    private void print(List<List<String>> cells) {
+        int columns = cells.getFirst().size();
+        int[] widths = new int[columns];
+        for (List<String> row : cells) {
+            for (int i = 0; i < columns; i++) {
+                widths[i] = Math.max(widths[i], row.get(i).length());
+            }
+        }
+        for (List<String> row : cells) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < columns; i++) {
+                line.append(String.format("%-" + (widths[i] + 2) + "s", row.get(i)));
+            }
+            out.println(line.toString().stripTrailing());
+        }
+    }
+
+    private void json(Object value) throws CtlException {
+        try {
+            out.println(Codecs.json().writerWithDefaultPrettyPrinter().writeValueAsString(value));
+        } catch (JsonProcessingException e) {
+            throw new CtlException(
+                    org.acaciaport.program.ExitCode.UNAVAILABLE, "answer cannot be printed: " + e.getOriginalMessage());
+        }
+    }
+}
--- /dev/null
+++ b/acacia-gateway/src/main/java/org/acaciaport/gateway/GatewayModule.java
@@ -0,0 +1,27 @@
+package org.acaciaport.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+
+/** Binds the gateway's settings. */
+@Module
+final class GatewayModule {
+    private final GatewaySettings settings;
+
+    GatewayModule(GatewaySettings settings) {
+        this.settings = settings;
+    }
+
+    @Provides
+    GatewaySettings settings() {
+        return settings;
+    }
+
+    @Provides
+    @Singleton
+    MetricRegistry metrics() {
+        return new MetricRegistry();
+    }
+}
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LogReplica.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LogReplica.java
@@ -23,7 +23,7 @@
 /**
  * Follows the platform's log and appends to it.
  *
- * <p>One thread reads and applies entries in order, one appends in batches. An append that was not confirmed is repeated
+ * <p>One thread reads and applies entries in order, one appends in batches. An unconfirmed append is repeated
  * under the same sequence numbers until it is; replay counts it once. Safe for use by several threads; readers of the
  * directory never wait.
  */
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
@@ -56,6 +56,7 @@
     private final Clock clock;
     private final Answers answers;
     private final Explanations explanations;
+    private final LiveCells cells;
     private final MetricRegistry metrics;
     private final Timer decisions;
     private final Runnable onDeposed;
@@ -74,6 +75,7 @@
             Clock clock,
             Answers answers,
             Explanations explanations,
+            LiveCells cells,
             MetricRegistry metrics,
             Runnable onDeposed) {
         this.epoch = epoch;
@@ -85,6 +87,7 @@
         this.clock = clock;
         this.answers = answers;
         this.explanations = explanations;
+        this.cells = cells;
         this.metrics = metrics;
         this.decisions = metrics.timer("decide.time");
         this.onDeposed = onDeposed;
@@ -164,10 +167,7 @@
         }
         CellState before = state;
         long now = clock.millis();
-        Decision decision;
-        try (Timer.Context timing = decisions.time()) {
-            decision = decider.decide(before, event, now);
-        }
+        Decision decision = decisions.timeSupplier(() -> decider.decide(before, event, now));
         for (Violation violation : invariants.check(before, event, decision, now)) {
             INVARIANTS.errorf("invariant: broken %s, %s", violation.invariant(), violation.detail());
             metrics.counter("invariant.broken").inc();
@@ -261,7 +261,8 @@
             long score = Hashing.murmur3_128()
                     .hashString(request.id() + '/' + candidate.name(), StandardCharsets.UTF_8)
                     .asLong();
-            if (state.active().inService(candidate.name()) && score > best) {
+            boolean usable = state.active().inService(candidate.name()) && cells.live(candidate.name());
+            if (usable && !candidate.name().equals(here) && score > best) {
                 best = score;
                 to = candidate.name();
             }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
@@ -55,6 +55,7 @@
     private final AtomicReference<Reign> reign = new AtomicReference<>();
     private final AtomicLong permitPostedAt = new AtomicLong(Long.MIN_VALUE / 2);
     private final String holder;
+    private final LiveCells cells;
     private final LogReplica replica;
     private final Leadership leadership;
     private final RequestDesk desk;
@@ -79,6 +80,7 @@
         this.decider = decider;
         this.metrics = metrics;
         holder = settings.vm().name() + "/" + UUID.randomUUID();
+        cells = new LiveCells(clock, settings.leases().leaderMillis());
         replica = new LogReplica(log, clock, holder, metrics);
         leadership = new Leadership(replica, clock, settings, holder);
         desk = new RequestDesk(settings, replica, leadership, reign, answers, explanations, clock, metrics);
@@ -125,6 +127,7 @@
             case LogRecord.Published published -> configured(current, directory);
             case LogRecord.ServiceChanged change -> configured(current, directory);
             case LogRecord.Led led -> {
+                cells.renewed(led.dataCentre());
                 if (led.dataCentre().equals(here)) {
                     led(directory.leader(here), directory);
                 }
@@ -177,6 +180,7 @@
                     clock,
                     answers,
                     explanations,
+                    cells,
                     metrics,
                     () -> end("a target has seen a later epoch"));
             reign.set(next);
--- /dev/null
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinTargets.java
@@ -0,0 +1,92 @@
+package org.acaciaport.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.acaciaport.http.HttpCall;
+import org.acaciaport.http.HttpProblem;
+import org.acaciaport.http.HttpReply;
+import org.acaciaport.http.HttpService;
+import org.acaciaport.http.HttpTargets;
+import org.acaciaport.platform.TargetClient;
+
+/**
+ * Stand-ins for many targets behind one address, each under {@code /targets/ID}.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class StandinTargets implements HttpService {
+    private static final int THREADS = 2;
+    private static final long LEASE_CHECK_MILLIS = 100;
+
+    private final Map<String, StandinTarget> targets = new TreeMap<>();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(
+            THREADS, Thread.ofPlatform().name("tasks-", 0).daemon().factory());
+
+    StandinTargets(List<String> ids, int accelerators) {
+        for (String id : ids) {
+            targets.put(id, new StandinTarget(accelerators, timer));
+        }
+        timer.scheduleAtFixedRate(
+                () -> targets.values().forEach(StandinTarget::checkLease),
+                LEASE_CHECK_MILLIS,
+                LEASE_CHECK_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** All starts at all targets. */
+    record Starts(List<Started> starts) {}
+
+    /** One start and where. */
+    record Started(String target, StandinTarget.StartRecord start) {}
+
+    @Override
+    public HttpReply answer(HttpCall call) throws HttpProblem {
+        if (call.matches("GET", 1, "starts")) {
+            return HttpReply.ok(starts());
+        }
+        if (call.path().size() != 3 || !call.path().getFirst().equals("targets")) {
+            throw HttpProblem.notFound("no such path", "use /targets/ID/CALL");
+        }
+        StandinTarget target = targets.get(call.path().get(1));
+        if (target == null) {
+            throw HttpProblem.notFound("no such target", "name one given at the start");
+        }
+        return answer(target, call.path().get(2), call);
+    }
+
+    private HttpReply answer(StandinTarget target, String name, HttpCall call) throws HttpProblem {
+        if (name.equals("faults")) {
+            target.faults().set(call.read(Faults.Setting.class));
+            return done();
+        }
+        target.faults().before();
+        if (name.equals("poll")) {
+            return HttpReply.ok(target.poll(call.read(HttpTargets.Poll.class)));
+        }
+        switch (name) {
+            case "reserve" -> target.reserve(call.read(HttpTargets.Reserve.class));
+            case "release" -> target.release(call.read(TargetClient.Place.class));
+            case "start" -> target.start(call.read(HttpTargets.Start.class));
+            case "treat" -> target.treat(call.read(HttpTargets.Treat.class));
+            case "resume" -> target.resume(call.read(TargetClient.Place.class));
+            default -> throw HttpProblem.notFound("no such call", "see the target's interface");
+        }
+        target.faults().after();
+        return done();
+    }
+
+    private Starts starts() {
+        List<Started> all = new ArrayList<>();
+        targets.forEach((id, target) -> target.starts().forEach(start -> all.add(new Started(id, start))));
+        return new Starts(all);
+    }
+
+    private static HttpReply done() {
+        return HttpReply.ok(new HttpTargets.Done(System.currentTimeMillis()));
+    }
+}
--- /dev/null
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinsMain.java
@@ -0,0 +1,52 @@
+package org.acaciaport.standins;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.acaciaport.http.HttpService;
+import org.acaciaport.http.HttpStartException;
+import org.acaciaport.http.JsonServer;
+import org.acaciaport.program.ExitCode;
+import org.acaciaport.program.LogSettings;
+import org.acaciaport.program.Logs;
+import org.acaciaport.program.SettingsCheck;
+
+/** The {@code acacia-standins} program: a platform or a set of targets, for tests and the demo. */
+public final class StandinsMain {
+    private StandinsMain() {}
+
+    /** Runs the program. */
+    public static void main(String[] arguments) throws InterruptedException {
+        Logs.configure(new LogSettings("text", "warn"));
+        ArgumentParser parser = ArgumentParsers.newFor("acacia-standins")
+                .build()
+                .description("Takes the place of the platform, or of targets when --target is given.");
+        parser.addArgument("--listen").required(true).metavar("IP:PORT");
+        parser.addArgument("--target")
+                .action(net.sourceforge.argparse4j.impl.Arguments.append())
+                .metavar("ID");
+        parser.addArgument("--accelerators").type(Integer.class).setDefault(8);
+        try {
+            Namespace parsed = parser.parseArgs(arguments);
+            JsonServer.start(SettingsCheck.parse(parsed.getString("listen")), service(parsed));
+        } catch (HelpScreenException e) {
+            System.exit(ExitCode.OK.code());
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(ExitCode.USAGE.code());
+        } catch (HttpStartException e) {
+            System.err.println("acacia-standins: " + e.getMessage());
+            System.exit(ExitCode.UNAVAILABLE.code());
+        }
+        new CountDownLatch(1).await();
+    }
+
+    private static HttpService service(Namespace parsed) {
+        List<String> ids = parsed.getList("target");
+        return ids == null ? new StandinPlatform() : new StandinTargets(ids, parsed.getInt("accelerators"));
+    }
+}
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
@@ -27,8 +27,11 @@
                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                     .build()))
             .build();
-    private static final ObjectMapper MESSAGE_PACK =
-            configure(new MessagePackMapperBuilder()).build();
+
+    /** Its parser reports the end of the bytes as an error when asked for trailing tokens. */
+    private static final ObjectMapper MESSAGE_PACK = configure(new MessagePackMapperBuilder())
+            .disable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
 
     private Codecs() {}
 
