--- a/acacia-ctl/src/main/java/org/acaciaport/ctl/CtlMain.java
+++ b/acacia-ctl/src/main/java/org/acaciaport/ctl/CtlMain.java
@@ -1,6 +1,8 @@
 package org.acaciaport.ctl;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -36,7 +38,7 @@
         Logs.configure(new LogSettings("text", "warn"));
         ArgumentParser parser = parser();
         try {
-            return run(parser.parseArgs(arguments));
+            return run(parser.parseArgs(withCommand(arguments)));
         } catch (HelpScreenException e) {
             return ExitCode.OK;
         } catch (ArgumentParserException e) {
@@ -54,8 +56,21 @@
         }
     }
 
+    /** A check of the settings needs no command, but the parser wants one. */
+    private static String[] withCommand(String[] arguments) {
+        List<String> words = new ArrayList<>(List.of(arguments));
+        if (!words.isEmpty() && words.getLast().equals("--check-settings")) {
+            words.add("version");
+        }
+        return words.toArray(String[]::new);
+    }
+
     private static ExitCode run(Namespace parsed) throws CtlException, SettingsException, HttpStartException {
         Output out = new Output(System.out, parsed.getBoolean("json"));
+        if (parsed.getBoolean("check_settings")) {
+            out.line(parsed.getString("settings") + ": settings are good", settings(parsed));
+            return ExitCode.OK;
+        }
         if (parsed.getString("command").equals("version")) {
             out.line(NAME + " " + ServerProgram.version(), ServerProgram.version());
             return ExitCode.OK;
@@ -70,10 +85,6 @@
             return ExitCode.OK;
         }
         CtlSettings settings = settings(parsed);
-        if (parsed.getBoolean("check_settings")) {
-            out.line(parsed.getString("settings") + ": settings are good", settings);
-            return ExitCode.OK;
-        }
         try (JsonClient client = JsonClient.start()) {
             Gateways gateways = new Gateways(client, settings);
             Publisher publisher = new Publisher(new HttpPlatform(client, settings.platform()), gateways, settings);
--- a/acacia-platform/src/main/java/org/acaciaport/program/ServerProgram.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/ServerProgram.java
@@ -13,7 +13,7 @@
 /**
  * The common life of a program that serves until it is told to stop: arguments, settings, start, drain.
  *
- * <p>Used by the main thread only. A stop signal begins a drain; the process ends once it is done.
+ * <p>Used by the main thread only. A stop signal begins a drain; the process ends with code 0 once it is done.
  *
  * @param <S> its settings
  */
@@ -87,6 +87,7 @@
                 Logger.getLogger(ServerProgram.class).warn("program: stop was interrupted");
             }
             drained.countDown();
+            Runtime.getRuntime().halt(ExitCode.OK.code());
         }));
         try {
             drained.await();
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
@@ -9,8 +9,12 @@
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
 import com.fasterxml.jackson.databind.cfg.MapperBuilder;
+import com.fasterxml.jackson.databind.cfg.MutableCoercionConfig;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.type.LogicalType;
 import org.acaciaport.config.Adjacency;
 import org.acaciaport.config.Treatment;
 import org.acaciaport.record.LogRecord;
@@ -54,12 +58,20 @@
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                 .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                .withCoercionConfig(LogicalType.Textual, Codecs::onlyText)
                 .addMixIn(Adjacency.class, AdjacencyNames.class)
                 .addMixIn(Treatment.class, TreatmentNames.class)
                 .addMixIn(Outcome.class, OutcomeNames.class)
                 .addMixIn(LogRecord.class, LogRecordNames.class);
     }
 
+    private static void onlyText(MutableCoercionConfig coercions) {
+        coercions
+                .setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail);
+    }
+
     private static final class MessagePackMapperBuilder extends MapperBuilder<ObjectMapper, MessagePackMapperBuilder> {
         MessagePackMapperBuilder() {
             super(new ObjectMapper(new MessagePackFactory()));
