--- a/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
@@ -20,11 +20,16 @@
     }
 
     void accept(Request request) {
+        accept(request, false);
+    }
+
+    private void accept(Request request, boolean checkpointed) {
         if (draft.job(request.id()) != null) {
             return;
         }
-        Job job = Job.accepted(request, draft.takeSequence());
-        if (draft.now() >= request.queueDeadline()) {
+        Job accepted = Job.accepted(request, draft.takeSequence());
+        Job job = checkpointed ? accepted.withStart().withCheckpoint(true) : accepted;
+        if (draft.now() >= request.queueDeadline() && !checkpointed) {
             refuse(job, "its queue deadline had passed on arrival; submit it again with a longer queue limit");
             return;
         }
@@ -51,7 +56,7 @@
     /** Takes up a request where an earlier leader left it. */
     void recover(Event.Recovered recovered) {
         if (recovered.intent().isEmpty()) {
-            accept(recovered.request());
+            accept(recovered.request(), recovered.checkpointed());
             return;
         }
         Attempt intent = recovered.intent().get();
--- a/acacia-core/src/main/java/org/acaciaport/decision/Command.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Command.java
@@ -15,8 +15,14 @@
     /** Records on the log that the attempt is about to start. */
     record RecordIntent(Request request, Attempt attempt) implements Command {}
 
-    /** Records on the log that an attempt with a recorded intent was never started. */
-    record RecordVoid(String request, long attempt) implements Command {}
+    /**
+     * Records on the log that an attempt with a recorded intent is over and another may follow.
+     *
+     * @param request identifier of the request
+     * @param attempt number of the attempt
+     * @param checkpointed whether it ran and its state was saved; else it was never started
+     */
+    record RecordVoid(String request, long attempt, boolean checkpointed) implements Command {}
 
     /** Tells a target to start a member, no later than the attempt's start deadline. */
     record Start(Request request, Attempt attempt, Member member, boolean resume) implements Command {}
--- a/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
@@ -70,7 +70,7 @@
             case Phase.Reserving reserving -> again(job);
             case Phase.Committing committing -> {
                 draft.command(
-                        new Command.RecordVoid(job.id(), committing.attempt().number()));
+                        new Command.RecordVoid(job.id(), committing.attempt().number(), false));
                 for (Member member : committing.attempt().members()) {
                     draft.command(
                             new Command.Release(job.id(), committing.attempt().number(), member));
--- a/acacia-core/src/main/java/org/acaciaport/decision/Event.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Event.java
@@ -18,8 +18,9 @@
      *
      * @param request the request
      * @param intent its last recorded attempt that was not voided; its members may be running
+     * @param checkpointed whether a saved state exists from which it resumes
      */
-    record Recovered(Request request, Optional<Attempt> intent) implements Event {}
+    record Recovered(Request request, Optional<Attempt> intent, boolean checkpointed) implements Event {}
 
     /** A caller wants {@code request} no more. */
     record CancelAsked(String request) implements Event {}
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -116,7 +116,7 @@
 
     private void settleNotStarted(Job job, Phase.Running running) {
         if (draft.rules().recordsIntent(job.profile())) {
-            draft.command(new Command.RecordVoid(job.id(), running.attempt().number()));
+            draft.command(new Command.RecordVoid(job.id(), running.attempt().number(), false));
         }
         if (job.cancelAsked()) {
             draft.finish(job, new Outcome.Cancelled(job.everStarted()));
@@ -128,6 +128,9 @@
 
     private void settleRevoked(Job job, Phase.Running running, String reason) {
         if (all(running, MemberState.Status.CHECKPOINTED)) {
+            if (draft.rules().recordsIntent(job.profile())) {
+                draft.command(new Command.RecordVoid(job.id(), running.attempt().number(), true));
+            }
             draft.note(PART, job, "checkpointed and queued again");
             draft.enqueue(job.withCheckpoint(true));
             return;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
@@ -25,15 +25,22 @@
         for (Member member : attempt.members()) {
             TargetState target = draft.fleet().target(member.target());
             for (Job victim : Victims.choose(draft, target, claimant, drain)) {
-                gently(victim, Revocation.Purpose.RECLAIM, "accelerators claimed by request " + claimant.id());
+                takeOff(victim, "accelerators claimed by request " + claimant.id());
             }
         }
     }
 
+    private void takeOff(Job victim, String reason) {
+        if (victim.phase() instanceof Phase.Running) {
+            gently(victim, Revocation.Purpose.RECLAIM, reason);
+        } else {
+            new Starts(draft).withdraw(victim, reason);
+        }
+    }
+
     /** Begins with the first treatment that the profile allows. */
     void gently(Job job, Revocation.Purpose purpose, String reason) {
-        Treatment first = job.profile().treatmentAfter(Optional.empty()).orElse(Treatment.STOP);
-        begin(job, purpose, usable(job, first), reason);
+        begin(job, purpose, next(job, Optional.empty()).orElse(Treatment.STOP), reason);
     }
 
     /** Stops the work at once. */
@@ -47,7 +54,7 @@
         if (draft.now() < revocation.deadline()) {
             return;
         }
-        Optional<Treatment> next = job.profile().treatmentAfter(Optional.of(revocation.stage()));
+        Optional<Treatment> next = next(job, Optional.of(revocation.stage()));
         if (next.isEmpty()) {
             loseRest(job, running);
             return;
@@ -98,8 +105,10 @@
     }
 
     /** A paused member keeps its memory, so only a single member is paused, and one at a time on a target. */
-    private Treatment usable(Job job, Treatment first) {
-        return first == Treatment.THROTTLE && !mayThrottle(job) ? Treatment.STOP : first;
+    private Optional<Treatment> next(Job job, Optional<Treatment> previous) {
+        Optional<Treatment> next = job.profile().treatmentAfter(previous);
+        boolean passedOver = next.isPresent() && next.get() == Treatment.THROTTLE && !mayThrottle(job);
+        return passedOver ? job.profile().treatmentAfter(next) : next;
     }
 
     private boolean mayThrottle(Job job) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -69,7 +69,7 @@
             return;
         }
         if (answer.recorded()) {
-            draft.command(new Command.RecordVoid(job.id(), answer.attempt()));
+            draft.command(new Command.RecordVoid(job.id(), answer.attempt(), false));
         }
         giveUp(job, committing.attempt(), job.cancelAsked() ? "cancelled" : "the log did not record the intent");
     }
@@ -109,6 +109,17 @@
         }
     }
 
+    /** Gives up a job that holds places but was not told to start. */
+    void withdraw(Job job, String why) {
+        if (job.phase() instanceof Phase.Reserving reserving) {
+            giveUp(job, reserving.attempt(), why);
+        }
+        if (job.phase() instanceof Phase.Committing committing) {
+            draft.command(new Command.RecordVoid(job.id(), committing.attempt().number(), false));
+            giveUp(job, committing.attempt(), why);
+        }
+    }
+
     private void commit(Job job, Attempt attempt) {
         if (!draft.rules().recordsIntent(job.profile())) {
             start(job, attempt, false);
@@ -122,7 +133,7 @@
         String barred = barred(attempt);
         if (barred != null) {
             if (intended) {
-                draft.command(new Command.RecordVoid(job.id(), attempt.number()));
+                draft.command(new Command.RecordVoid(job.id(), attempt.number(), false));
             }
             giveUp(job, attempt, barred);
             return;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
@@ -87,9 +87,7 @@
     }
 
     private static boolean mayTake(Job job, TargetState target, Job claimant, boolean drain) {
-        boolean running =
-                job.phase() instanceof Phase.Running phase && phase.revocation().isEmpty();
-        if (!running || !job.profile().revocable()) {
+        if (!removable(job.phase()) || !job.profile().revocable()) {
             return false;
         }
         if (job.account().equals(claimant.account())) {
@@ -98,6 +96,18 @@
         return target.borrowed(job.account()) > 0;
     }
 
+    private static boolean removable(Phase phase) {
+        return switch (phase) {
+            case Phase.Running running -> running.revocation().isEmpty();
+            case Phase.Reserving reserving -> true;
+            case Phase.Committing committing -> true;
+            case Phase.Queued queued -> false;
+            case Phase.Claiming claiming -> false;
+            case Phase.Parked parked -> false;
+            case Phase.HandingOver handingOver -> false;
+        };
+    }
+
     private static boolean lower(Job job, Job claimant) {
         return job.profile().revocable()
                 && job.profile().priority() < claimant.profile().priority();
--- a/acacia-core/src/main/java/org/acaciaport/directory/Directory.java
+++ b/acacia-core/src/main/java/org/acaciaport/directory/Directory.java
@@ -170,7 +170,8 @@
         if (original != null) {
             return new Step(this, new Verdict.KeyUsed(original));
         }
-        RequestEntry entry = new RequestEntry(request, accepted.payloadHash(), accepted.dataCentre(), null, null);
+        RequestEntry entry =
+                new RequestEntry(request, accepted.payloadHash(), accepted.dataCentre(), null, false, null);
         return applied(new Directory(
                 next, active, leaders, requests.plus(request.id(), entry), keys.plus(key, request.id()), sequences));
     }
@@ -195,7 +196,7 @@
                 || entry.outcome() != null) {
             return refuse("no such attempt stands");
         }
-        return applied(with(entry.withIntent(null)));
+        return applied(with(entry.withoutIntent(voided.checkpointed())));
     }
 
     private Step finish(LogRecord.Finished finished) {
--- a/acacia-core/src/main/java/org/acaciaport/directory/RequestEntry.java
+++ b/acacia-core/src/main/java/org/acaciaport/directory/RequestEntry.java
@@ -13,19 +13,29 @@
  * @param payloadHash hash of profile and payload
  * @param home data centre that answers for it
  * @param intent its intended attempt; null if none stands
+ * @param checkpointed whether a saved state exists from which it resumes
  * @param outcome its final answer; null if none yet
  */
 public record RequestEntry(
-        Request request, String payloadHash, String home, LogRecord.Intended intent, Outcome outcome) {
+        Request request,
+        String payloadHash,
+        String home,
+        LogRecord.Intended intent,
+        boolean checkpointed,
+        Outcome outcome) {
     RequestEntry withIntent(LogRecord.Intended next) {
-        return new RequestEntry(request, payloadHash, home, next, outcome);
+        return new RequestEntry(request, payloadHash, home, next, checkpointed, outcome);
+    }
+
+    RequestEntry withoutIntent(boolean saved) {
+        return new RequestEntry(request, payloadHash, home, null, checkpointed || saved, outcome);
     }
 
     RequestEntry withOutcome(Outcome next) {
-        return new RequestEntry(request, payloadHash, home, intent, next);
+        return new RequestEntry(request, payloadHash, home, intent, checkpointed, next);
     }
 
     RequestEntry withHome(String next) {
-        return new RequestEntry(request, payloadHash, next, intent, outcome);
+        return new RequestEntry(request, payloadHash, next, intent, checkpointed, outcome);
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/record/LogRecord.java
+++ b/acacia-core/src/main/java/org/acaciaport/record/LogRecord.java
@@ -75,12 +75,13 @@
     }
 
     /**
-     * An intended attempt was never started and never will be.
+     * An intended attempt is over and another may follow.
      *
      * @param request identifier of the request
      * @param attempt number of the attempt
+     * @param checkpointed whether it ran and its state was saved; else it was never started
      */
-    record Voided(String request, long attempt) implements LogRecord {}
+    record Voided(String request, long attempt, boolean checkpointed) implements LogRecord {}
 
     /**
      * A request has its final answer. Void if it had one before.
--- /dev/null
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
@@ -0,0 +1,134 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.acaciaport.config.Target;
+
+/** A target as a randomised run sees it: what it holds, what runs on it, and its own record of starts. */
+final class FakeTarget {
+    /** One start, for the target's own record. */
+    record Started(String request, long attempt, int member, long at) {}
+
+    private final Target target;
+    private final Map<String, Integer> held = new HashMap<>();
+    private final Map<String, Integer> running = new HashMap<>();
+    private final Set<String> known = new HashSet<>();
+    private final List<Started> started = new ArrayList<>();
+    private long epoch;
+    private boolean up = true;
+    private boolean failsAll;
+    private boolean ignoresTreatments;
+
+    FakeTarget(Target target) {
+        this.target = target;
+    }
+
+    String id() {
+        return target.id();
+    }
+
+    Target target() {
+        return target;
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    boolean failsAll() {
+        return failsAll;
+    }
+
+    void setFailsAll(boolean next) {
+        failsAll = next;
+    }
+
+    boolean ignoresTreatments() {
+        return ignoresTreatments;
+    }
+
+    void setIgnoresTreatments(boolean next) {
+        ignoresTreatments = next;
+    }
+
+    List<Started> started() {
+        return started;
+    }
+
+    /** Goes down; everything on it ends. */
+    void crash() {
+        up = false;
+        held.clear();
+        running.clear();
+        known.clear();
+    }
+
+    void restart() {
+        up = true;
+    }
+
+    /** Refuses callers of an older epoch; a newer one ends what was only held. */
+    boolean rules(long caller) {
+        if (caller > epoch) {
+            epoch = caller;
+            held.clear();
+        }
+        return up && caller == epoch;
+    }
+
+    boolean reserve(String key, int units) {
+        if (inUse() + units > target.accelerators()) {
+            return false;
+        }
+        held.put(key, units);
+        return true;
+    }
+
+    void release(String key) {
+        held.remove(key);
+    }
+
+    /** Starts a task unless it is late, known or does not fit; returns whether it runs now for the first time. */
+    boolean start(Command.Start start, long now) {
+        String key = key(
+                start.request().id(), start.attempt().number(), start.member().index());
+        Integer hold = held.remove(key);
+        boolean fits = hold != null || inUse() + start.member().units() <= target.accelerators();
+        if (now >= start.attempt().startBefore() || !fits || !known.add(key)) {
+            return false;
+        }
+        running.put(key, start.member().units());
+        started.add(new Started(
+                start.request().id(), start.attempt().number(), start.member().index(), now));
+        return true;
+    }
+
+    boolean runs(String key) {
+        return running.containsKey(key);
+    }
+
+    Set<String> running() {
+        return Set.copyOf(running.keySet());
+    }
+
+    boolean end(String key) {
+        return running.remove(key) != null;
+    }
+
+    void resume(String key, int units) {
+        running.put(key, units);
+    }
+
+    private int inUse() {
+        return held.values().stream().mapToInt(Integer::intValue).sum()
+                + running.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    static String key(String request, long attempt, int member) {
+        return request + '#' + attempt + '#' + member;
+    }
+}
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
@@ -99,7 +99,7 @@
         event(new Event.Configured(directory.active()));
         for (RequestEntry entry : directory.requests()) {
             if (entry.outcome() == null && entry.home().equals(settings.vm().dataCentre())) {
-                event(new Event.Recovered(entry.request(), intentOf(entry)));
+                event(new Event.Recovered(entry.request(), intentOf(entry), entry.checkpointed()));
             }
         }
         LOG.infof("lead: leading data-centre=%s epoch=%d", settings.vm().dataCentre(), epoch);
@@ -214,7 +214,8 @@
             case Command.Resume resume -> send(resume.member(), resume, () -> true);
             case Command.RecordIntent intent -> recordIntent(intent);
             case Command.RecordVoid recordVoid ->
-                replica.append(new LogRecord.Voided(recordVoid.request(), recordVoid.attempt()));
+                replica.append(
+                        new LogRecord.Voided(recordVoid.request(), recordVoid.attempt(), recordVoid.checkpointed()));
             case Command.Answer answer -> {
                 metrics.counter("answer." + answer.outcome().word()).inc();
                 answers.give(answer.request().id(), answer.outcome());
@@ -284,7 +285,7 @@
         if (!known && adopts(job, task)) {
             Member member = new Member(0, target.id(), task.units());
             Attempt attempt = new Attempt(task.attempt(), List.of(member), 0);
-            decide(new Event.Recovered(job.request(), Optional.of(attempt)));
+            decide(new Event.Recovered(job.request(), Optional.of(attempt), false));
             known = true;
         }
         if (known) {
--- a/acacia-wire/src/test/java/org/acaciaport/wire/WireTest.java
+++ b/acacia-wire/src/test/java/org/acaciaport/wire/WireTest.java
@@ -70,7 +70,8 @@
 
     @Test
     void unknownFieldsAreRefused() {
-        String json = "{\"record\":\"voided\",\"request\":\"r\",\"attempt\":1,\"colour\":\"red\"}";
+        String json =
+                "{\"record\":\"voided\",\"request\":\"r\",\"attempt\":1,\"checkpointed\":false,\"colour\":\"red\"}";
         assertThrows(UnrecognizedPropertyException.class, () -> Codecs.json().readValue(json, LogRecord.class));
     }
 
