Faults found by randomised runs: truth after a takeover, late starts, leaving targets

Causes and changes: an idempotent request has no intent on the log, so a new leader answered 'not run' for work that may have run; it is now marked as perhaps started and answered as unknown. A stop could overtake its start; targets now refuse a start that arrives after its stop, and a stop is given until the start deadline. Places for a large job are chosen beside what others own.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Admission.java
@@ -19,17 +19,17 @@
         this.draft = draft;
     }
 
-    void accept(Request request) {
-        accept(request, false);
+    void accept(Event.Submitted submitted) {
+        Job job = Job.accepted(submitted.request(), draft.takeSequence());
+        accept(submitted.mayHaveRun() ? job.withPerhaps() : job);
     }
 
-    private void accept(Request request, boolean checkpointed) {
+    private void accept(Job job) {
+        Request request = job.request();
         if (draft.job(request.id()) != null) {
             return;
         }
-        Job accepted = Job.accepted(request, draft.takeSequence());
-        Job job = checkpointed ? accepted.withStart().withCheckpoint(true) : accepted;
-        if (draft.now() >= request.queueDeadline() && !checkpointed) {
+        if (draft.now() >= request.queueDeadline() && !job.checkpointed()) {
             refuse(job, "its queue deadline had passed on arrival; submit it again with a longer queue limit");
             return;
         }
@@ -56,7 +56,7 @@
     /** Takes up a request where an earlier leader left it. */
     void recover(Event.Recovered recovered) {
         if (recovered.intent().isEmpty()) {
-            accept(recovered.request(), recovered.checkpointed());
+            accept(unfinished(recovered));
             return;
         }
         Attempt intent = recovered.intent().get();
@@ -76,6 +76,15 @@
         new Starts(draft).resumeFollowing(job, intent);
     }
 
+    /** Without an intent on the log, only work that needs none may have started. */
+    private Job unfinished(Event.Recovered recovered) {
+        Job job = Job.accepted(recovered.request(), draft.takeSequence());
+        if (recovered.checkpointed()) {
+            return job.withStart().withCheckpoint(true);
+        }
+        return draft.rules().recordsIntent(job.profile()) ? job : job.withPerhaps();
+    }
+
     /** Answers waiting requests that the present configuration can never run. */
     void recheck() {
         for (Job job : draft.jobs().values()) {
@@ -120,6 +129,12 @@
         return !target.leaving() && target.capacity() - kept >= units;
     }
 
+    /** Returns whether a member of {@code job} fits on {@code target} beside everything that other accounts own. */
+    static boolean fitsBesideOwners(TargetState target, Job job) {
+        return target.capacity() - target.ownedByOthers(job.account())
+                >= job.profile().unitsOn(target.target());
+    }
+
     private static String neverReason(Profile profile) {
         return "no set of targets here can ever hold " + profile.shape() + " of profile " + profile.name()
                 + " beside the guarantees; choose a smaller profile or another data centre";
@@ -158,6 +173,6 @@
         if (draft.rules().neverStarted(job)) {
             return new Outcome.NotRun(reason);
         }
-        return new Outcome.Failed("started before without finishing, and now " + reason);
+        return new Outcome.Unknown("it may have run before, and now " + reason);
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -91,16 +91,23 @@
             if (target == null || !target.inUse() || target.health().probation()) {
                 return "target " + member.target() + " is out of use";
             }
-            boolean fits = job.profile().revocable() || claiming.drain()
-                    ? Admission.fitsEmpty(target, job)
-                    : draft.rules().leavesOwned(target, job.account(), member.units());
-            if (!fits) {
+            if (!fits(job, claiming, member, target)) {
                 return "target " + member.target() + " has other owners now";
             }
         }
         return null;
     }
 
+    private boolean fits(Job job, Phase.Claiming claiming, Member member, TargetState target) {
+        if (claiming.drain()) {
+            boolean promised = claiming.deadline() != Long.MAX_VALUE;
+            return promised ? Admission.fitsBesideOwners(target, job) : Admission.fitsEmpty(target, job);
+        }
+        return job.profile().revocable()
+                ? Admission.fitsEmpty(target, job)
+                : draft.rules().leavesOwned(target, job.account(), member.units());
+    }
+
     /** Claims within shares come first; places set aside count only what all other claims leave. */
     private boolean ready(Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
@@ -54,13 +54,10 @@
     }
 
     private void queueDeadline(Job job) {
-        if (!draft.rules().neverStarted(job)) {
+        if (job.started() == Job.Started.YES) {
             return;
         }
-        Outcome notRun = new Outcome.NotRun("its queue deadline passed"
-                + (draft.gate().logAvailable()
-                        ? "; submit it again with a longer queue limit"
-                        : " while the platform log was unavailable; submit it again later"));
+        Outcome notRun = expired(job);
         switch (job.phase()) {
             case Phase.Queued queued -> draft.finish(job, notRun);
             case Phase.Claiming claiming -> {
@@ -84,6 +81,16 @@
         }
     }
 
+    private Outcome expired(Job job) {
+        if (!draft.rules().neverStarted(job)) {
+            return new Outcome.Unknown("its queue deadline passed, and an earlier scheduler may have started it");
+        }
+        return new Outcome.NotRun("its queue deadline passed"
+                + (draft.gate().logAvailable()
+                        ? "; submit it again with a longer queue limit"
+                        : " while the platform log was unavailable; submit it again later"));
+    }
+
     private void again(Job job) {
         draft.timer(draft.now() + draft.policy().reserveMillis(), Timer.Kind.QUEUE, job.id(), 0);
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Decider.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Decider.java
@@ -42,7 +42,7 @@
     private static void apply(Draft draft, Event event) {
         switch (event) {
             case Event.Tick tick -> {}
-            case Event.Submitted submitted -> new Admission(draft).accept(submitted.request());
+            case Event.Submitted submitted -> new Admission(draft).accept(submitted);
             case Event.Recovered recovered -> new Admission(draft).recover(recovered);
             case Event.CancelAsked cancel -> new Deadlines(draft).cancel(cancel.request());
             case Event.HandOverAnswered answer -> new Membership(draft).handOverAnswered(answer);
--- a/acacia-core/src/main/java/org/acaciaport/decision/Decision.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Decision.java
@@ -1,5 +1,6 @@
 package org.acaciaport.decision;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Set;
 
@@ -18,6 +19,6 @@
     public Decision {
         commands = List.copyOf(commands);
         notes = List.copyOf(notes);
-        touched = Set.copyOf(touched);
+        touched = ImmutableSet.copyOf(touched);
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -1,7 +1,6 @@
 package org.acaciaport.decision;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,7 +24,7 @@
     private final String dataCentre;
     private final List<Command> commands = new ArrayList<>();
     private final List<Note> notes = new ArrayList<>();
-    private final Set<String> touched = new HashSet<>();
+    private final Set<String> touched = new TreeSet<>();
     private final Set<String> vacated = new TreeSet<>();
 
     private ActiveConfiguration active;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -9,8 +9,9 @@
 /**
  * Sets places aside for the large job that has waited longest, one at a time, and lends them out meanwhile.
  *
- * <p>The places chosen are those whose irrevocable work ends first. Since every run has a limit, the wait of the job
- * whose turn it is has a bound.
+ * <p>The places chosen are those beside what other accounts own whose irrevocable work ends first. Since every run has
+ * a limit, the wait of the job whose turn it is has a bound. A job that fits only on accelerators that others own gets
+ * its turn too, but their claims come first, so its wait has none.
  *
  * <p>Confined to one decision.
  */
@@ -70,7 +71,11 @@
     private boolean endsBefore(Job job, long deadline) {
         OptionalLong high = draft.runTimes(job.profile().name()).high();
         boolean likely = high.isEmpty() || draft.now() + high.getAsLong() <= deadline;
-        return job.profile().revocable() ? likely : likely && endBy(job) <= deadline;
+        return job.profile().revocable()
+                ? likely
+                : likely
+                        && deadline != Long.MAX_VALUE
+                        && endBy(job) + 2 * draft.policy().reclaimMillis() <= deadline;
     }
 
     private boolean due(Job job) {
@@ -97,7 +102,7 @@
         if (best == null) {
             return;
         }
-        long deadline = best.clearAt() + 2 * draft.policy().reclaimMillis();
+        long deadline = best.beside() ? best.clearAt() + 2 * draft.policy().reclaimMillis() : Long.MAX_VALUE;
         draft.note(
                 PART,
                 job,
@@ -108,12 +113,15 @@
     }
 
     /** Targets for one large job and the time by which their irrevocable work has ended. */
-    private record Plan(List<TargetState> targets, long clearAt) {}
+    private record Plan(List<TargetState> targets, long clearAt, boolean beside) {}
 
     private static Plan earlier(Plan left, Plan right) {
         if (left == null || right == null) {
             return left == null ? right : left;
         }
+        if (left.beside() != right.beside()) {
+            return left.beside() ? left : right;
+        }
         return right.clearAt() < left.clearAt() ? right : left;
     }
 
@@ -131,12 +139,18 @@
         if (clearings.size() < needed) {
             return null;
         }
-        clearings.sort(Comparator.comparingLong(Clearing::at)
+        clearings.sort(Comparator.comparing((Clearing c) -> !Admission.fitsBesideOwners(c.target(), job))
+                .thenComparingLong(Clearing::at)
                 .thenComparingInt(c -> -c.target().free())
                 .thenComparing(c -> c.target().id()));
         List<TargetState> chosen =
                 clearings.subList(0, needed).stream().map(Clearing::target).toList();
-        return new Plan(chosen, clearings.get(needed - 1).at());
+        long clearAt = clearings.subList(0, needed).stream()
+                .mapToLong(Clearing::at)
+                .max()
+                .orElse(draft.now());
+        boolean beside = chosen.stream().allMatch(t -> Admission.fitsBesideOwners(t, job));
+        return new Plan(chosen, clearAt, beside);
     }
 
     /** A target and the time by which its irrevocable work has ended. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Event.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Event.java
@@ -10,8 +10,13 @@
     /** Time has passed. */
     record Tick() implements Event {}
 
-    /** A request was accepted for this data centre. */
-    record Submitted(Request request) implements Event {}
+    /**
+     * A request was accepted for this data centre, or handed over to it.
+     *
+     * @param request the request
+     * @param mayHaveRun whether another scheduler may have started it
+     */
+    record Submitted(Request request, boolean mayHaveRun) implements Event {}
 
     /**
      * A request that an earlier leader accepted, found on the log.
--- a/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
@@ -17,10 +17,14 @@
  * {@link #audit} costs time in the size of the state.
  */
 public final class Invariants {
+    /** A timer served later than this was held up by a pause of the process, in milliseconds. */
+    private static final long PAUSE_MILLIS = 500;
+
     private final StartLedger ledger = new StartLedger();
     private final Policy policy;
     private final List<Violation> found = new ArrayList<>();
     private long checks;
+    private long pauseEnd = Long.MIN_VALUE;
 
     /** Creates a check for decisions that keep to {@code policy}. */
     public Invariants(Policy policy) {
@@ -35,6 +39,7 @@
     /** Checks one decision and returns what it broke. */
     public List<Violation> check(CellState before, Event event, Decision decision, long now) {
         found.clear();
+        notePause(before, now);
         note(event);
         CellState after = decision.state();
         require(
@@ -55,6 +60,13 @@
         return List.copyOf(found);
     }
 
+    /** A due timer that was not served for long shows that the whole process stood still; bounds count from its end. */
+    private void notePause(CellState before, long now) {
+        if (before.nextTimer().orElse(Long.MAX_VALUE) < now - PAUSE_MILLIS) {
+            pauseEnd = now;
+        }
+    }
+
     private void note(Event event) {
         switch (event) {
             case Event.ReserveAnswered answer -> {
@@ -117,7 +129,7 @@
                     !gone || !running.occupies() || running.revocation().isPresent(),
                     () -> job.id() + " goes on without a member, members=" + running.members());
         }
-        if (job.phase() instanceof Phase.Claiming claiming && now > claiming.deadline()) {
+        if (job.phase() instanceof Phase.Claiming claiming && now > boundOf(claiming)) {
             Invariant bound = claiming.drain() ? Invariant.LARGE_JOB_BOUND : Invariant.RECLAIM_BOUND;
             require(
                     bound,
@@ -127,6 +139,11 @@
         }
     }
 
+    private long boundOf(Phase.Claiming claiming) {
+        boolean paused = claiming.since() < pauseEnd;
+        return paused ? Math.max(claiming.deadline(), pauseEnd + 2 * policy.reclaimMillis()) : claiming.deadline();
+    }
+
     private static boolean placesFree(CellState after, Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
             TargetState target = after.fleet().target(member.target());
--- a/acacia-core/src/main/java/org/acaciaport/decision/Job.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -15,7 +15,7 @@
  * @param phase where it stands
  * @param failures attempts that ran and failed
  * @param failedOn identifiers of targets on which it failed
- * @param everStarted whether any member may have run
+ * @param started whether any member may have run
  * @param checkpointed whether a saved state exists from which it resumes
  * @param cancelAsked whether the caller wants it no more
  */
@@ -25,12 +25,27 @@
         Phase phase,
         int failures,
         PSet<String> failedOn,
-        boolean everStarted,
+        Started started,
         boolean checkpointed,
         boolean cancelAsked) {
+    /** What is known of starts. */
+    public enum Started {
+        /** No member was ever told to start, or every one certainly did not. */
+        NO,
+        /** Another scheduler may have started it. */
+        PERHAPS,
+        /** A member ran, or may have. */
+        YES
+    }
+
+    /** Returns whether any member may have run. */
+    public boolean everStarted() {
+        return started != Started.NO;
+    }
+
     /** Returns a job that has just been accepted. */
     static Job accepted(Request request, long sequence) {
-        return new Job(request, sequence, new Phase.Queued(0), 0, HashTreePSet.empty(), false, false, false);
+        return new Job(request, sequence, new Phase.Queued(0), 0, HashTreePSet.empty(), Started.NO, false, false);
     }
 
     /** Returns the request's identifier. */
@@ -49,23 +64,29 @@
     }
 
     Job with(Phase next) {
-        return new Job(request, sequence, next, failures, failedOn, everStarted, checkpointed, cancelAsked);
+        return new Job(request, sequence, next, failures, failedOn, started, checkpointed, cancelAsked);
     }
 
     Job withFailure(String target) {
         return new Job(
-                request, sequence, phase, failures + 1, failedOn.plus(target), everStarted, checkpointed, cancelAsked);
+                request, sequence, phase, failures + 1, failedOn.plus(target), started, checkpointed, cancelAsked);
     }
 
     Job withStart() {
-        return new Job(request, sequence, phase, failures, failedOn, true, checkpointed, cancelAsked);
+        return new Job(request, sequence, phase, failures, failedOn, Started.YES, checkpointed, cancelAsked);
+    }
+
+    /** Returns this job as one that another scheduler may have started. */
+    Job withPerhaps() {
+        Started known = started == Started.NO ? Started.PERHAPS : started;
+        return new Job(request, sequence, phase, failures, failedOn, known, checkpointed, cancelAsked);
     }
 
     Job withCheckpoint(boolean saved) {
-        return new Job(request, sequence, phase, failures, failedOn, everStarted, saved, cancelAsked);
+        return new Job(request, sequence, phase, failures, failedOn, started, saved, cancelAsked);
     }
 
     Job withCancelAsked() {
-        return new Job(request, sequence, phase, failures, failedOn, everStarted, checkpointed, true);
+        return new Job(request, sequence, phase, failures, failedOn, started, checkpointed, true);
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
@@ -19,7 +19,7 @@
      * @param attempt the places
      * @param drain whether it waits for irrevocable work to end, as large jobs may
      * @param since when the places were promised, in milliseconds
-     * @param deadline when the places must be free, in milliseconds
+     * @param deadline when the places must be free, in milliseconds; {@link Long#MAX_VALUE} if owners may come first
      */
     record Claiming(Attempt attempt, boolean drain, long since, long deadline) implements Phase {}
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
@@ -62,7 +62,7 @@
         treat(
                 job,
                 running,
-                new Revocation(revocation.purpose(), next.get(), deadline(next.get()), revocation.reason()));
+                new Revocation(revocation.purpose(), next.get(), deadline(running, next.get()), revocation.reason()));
     }
 
     private void begin(Job job, Revocation.Purpose purpose, Treatment stage, String reason) {
@@ -75,7 +75,7 @@
             }
         }
         draft.note(PART, job, "treatment=" + stage + " why=" + reason);
-        treat(job, running, new Revocation(purpose, stage, deadline(stage), reason));
+        treat(job, running, new Revocation(purpose, stage, deadline(running, stage), reason));
     }
 
     private void treat(Job job, Phase.Running running, Revocation revocation) {
@@ -118,12 +118,15 @@
                 && draft.fleet().target(only.target()).load().parked().isEmpty();
     }
 
-    private long deadline(Treatment treatment) {
-        return draft.now()
-                + switch (treatment) {
-                    case CHECKPOINT -> draft.policy().checkpointMillis();
-                    case THROTTLE -> draft.policy().throttleMillis();
-                    case STOP -> draft.policy().stopMillis();
-                };
+    /** A start under way may overtake a stop, so a stop is given until the start deadline has passed as well. */
+    private long deadline(Phase.Running running, Treatment treatment) {
+        boolean starting = running.members().values().stream().anyMatch(m -> m.status() == MemberState.Status.STARTING);
+        return switch (treatment) {
+            case CHECKPOINT -> draft.now() + draft.policy().checkpointMillis();
+            case THROTTLE -> draft.now() + draft.policy().throttleMillis();
+            case STOP ->
+                draft.policy().stopMillis()
+                        + (starting ? Math.max(draft.now(), running.attempt().startBefore()) : draft.now());
+        };
     }
 }
--- a/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
@@ -42,7 +42,8 @@
     void start(Target target, Place place, Work work, String incarnation, long startBefore) throws PlatformException;
 
     /**
-     * Tells the target to checkpoint, throttle or stop a task; the report says when that is done.
+     * Tells the target to checkpoint, throttle or stop a task; the report says when that is done. A task that was not
+     * started is reported as not started, and a start that arrives later is refused.
      *
      * @throws PlatformException if the target did not answer
      */
@@ -97,7 +98,7 @@
      * @param attempt number of the attempt
      * @param member index of the member
      * @param units accelerators that it was given
-     * @param state one word: running, ended, failed, checkpointed, throttled or stopped
+     * @param state one word: running, ended, failed, checkpointed, throttled, stopped or not-started
      * @param output its output so far, whole once ended
      */
     record Task(String request, long attempt, int member, int units, String state, String output) {}
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
@@ -330,6 +330,7 @@
             case "failed" -> MemberState.Status.FAILED;
             case "checkpointed" -> MemberState.Status.CHECKPOINTED;
             case "throttled" -> MemberState.Status.THROTTLED;
+            case "not-started" -> MemberState.Status.NOT_STARTED;
             default -> MemberState.Status.STOPPED;
         };
     }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
@@ -165,7 +165,7 @@
         if (!use.request().id().equals(request.id())) {
             return use.hash().equals(hash) ? knownStatus(use.request()) : conflict();
         }
-        current.event(new Event.Submitted(request));
+        current.event(new Event.Submitted(request, false));
         replica.append(new LogRecord.Accepted(settings.vm().dataCentre(), request, hash));
         return status(request, "queued", null);
     }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
@@ -28,6 +28,7 @@
 import org.acaciaport.program.SettingsCheck;
 import org.acaciaport.record.LogEntry;
 import org.acaciaport.record.LogRecord;
+import org.acaciaport.request.Request;
 import org.acaciaport.wire.WireServer;
 import org.jboss.logging.Logger;
 
@@ -139,13 +140,13 @@
             }
             case LogRecord.Accepted accepted -> {
                 if (current != null && accepted.dataCentre().equals(here)) {
-                    current.event(new Event.Submitted(accepted.request()));
+                    current.event(new Event.Submitted(accepted.request(), false));
                 }
             }
             case LogRecord.HandedOver handedOver -> {
                 if (current != null && handedOver.to().equals(here)) {
-                    current.event(new Event.Submitted(
-                            directory.request(handedOver.request()).request()));
+                    Request request = directory.request(handedOver.request()).request();
+                    current.event(new Event.Submitted(request, request.profile().idempotent()));
                 }
             }
             case LogRecord.Finished finished -> answers.give(finished.request(), finished.outcome());
--- a/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
@@ -114,6 +114,9 @@
         if (!start.incarnation().equals(incarnation)) {
             throw conflict("the target was restarted");
         }
+        if (is(place, "not-started")) {
+            throw conflict("the task was stopped before its start");
+        }
         if (tasks.containsKey(key(place))) {
             return;
         }
@@ -141,6 +144,11 @@
 
     synchronized void treat(HttpTargets.Treat treat) throws HttpProblem {
         rule(treat.place().epoch());
+        if (!tasks.containsKey(key(treat.place()))) {
+            holds.remove(key(treat.place()));
+            put(treat.place(), "not-started", "");
+            return;
+        }
         String state =
                 switch (treat.treatment()) {
                     case CHECKPOINT -> "checkpointed";
