--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -53,7 +53,7 @@
             abandon(job, claiming, lost);
             return;
         }
-        if (ready(claiming)) {
+        if (ready(job, claiming)) {
             if (draft.rules().mayStart(draft.state(), draft.gate(), draft.now())) {
                 convert(job, claiming);
             }
@@ -109,19 +109,35 @@
     }
 
     /** Claims within shares come first; places set aside count only what all other claims leave. */
-    private boolean ready(Phase.Claiming claiming) {
+    private boolean ready(Job job, Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
             TargetState target = draft.fleet().target(member.target());
-            int idle = claiming.drain()
-                    ? target.free() + member.units()
-                    : target.capacity() - target.load().used();
-            if (idle < member.units()) {
+            int idle = target.capacity() - target.load().used();
+            int others =
+                    claiming.drain() ? target.load().claimed() - member.units() : olderClaims(job, claiming, target);
+            boolean kept =
+                    job.profile().revocable() || draft.rules().leavesOwned(target, job.account(), member.units());
+            if (idle - others < member.units() || !kept) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Returns the accelerators of {@code target} promised to claims within shares that are older than this one. */
+    private int olderClaims(Job job, Phase.Claiming claiming, TargetState target) {
+        int units = 0;
+        for (String id : target.load().jobs()) {
+            Job other = draft.job(id);
+            boolean older = other != null
+                    && other.phase() instanceof Phase.Claiming claim
+                    && !claim.drain()
+                    && claim.attempt().number() < claiming.attempt().number();
+            units += older ? other.unitsOn(target.id()) : 0;
+        }
+        return units;
+    }
+
     private boolean clearable(Job job, Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
             if (!Victims.clearable(draft.fleet().target(member.target()), job, member.units())) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
@@ -135,10 +135,25 @@
                     bound,
                     placesFree(after, claiming),
                     () -> job.id() + " claimed at " + claiming.since() + ", deadline " + claiming.deadline()
-                            + ", places still in use at " + now);
+                            + ", places still in use at " + now + " by " + users(after, claiming));
         }
     }
 
+    private static String users(CellState after, Phase.Claiming claiming) {
+        StringBuilder text = new StringBuilder();
+        for (Member member : claiming.attempt().members()) {
+            TargetState target = after.fleet().target(member.target());
+            text.append(target.id()).append(" owned=").append(target.owned()).append(" [");
+            for (String id : target.load().jobs()) {
+                Job job = after.work().jobs().get(id);
+                text.append(id).append(' ').append(job.profile().name()).append(' ');
+                text.append(job.account()).append(' ').append(job.phase()).append("; ");
+            }
+            text.append("] ");
+        }
+        return text.toString();
+    }
+
     private long boundOf(Phase.Claiming claiming) {
         boolean paused = claiming.since() < pauseEnd;
         return paused ? Math.max(claiming.deadline(), pauseEnd + 2 * policy.reclaimMillis()) : claiming.deadline();
--- a/acacia-core/src/main/java/org/acaciaport/decision/Job.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -63,6 +63,15 @@
         return request.profile();
     }
 
+    /** Returns the accelerators that the present attempt occupies on {@code target}, or was promised there. */
+    int unitsOn(String target) {
+        return phase.current().stream()
+                .flatMap(a -> a.members().stream())
+                .filter(m -> m.target().equals(target))
+                .mapToInt(Member::units)
+                .sum();
+    }
+
     Job with(Phase next) {
         return new Job(request, sequence, next, failures, failedOn, started, checkpointed, cancelAsked);
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.acaciaport.config.ActiveConfiguration;
 import org.acaciaport.config.Shares;
 import org.acaciaport.config.Target;
@@ -57,7 +58,7 @@
             if (state == null) {
                 fleet = fleet.with(TargetState.empty(target).withReachable(false));
             } else if (state.load().jobs().isEmpty() || target.accelerators() >= state.capacity()) {
-                fleet = fleet.with(state.with(target).withLeaving(false));
+                fleet = fleet.with(state.with(target));
             } else {
                 draft.note(PART, "target=" + target.id() + " keeps its size until it is empty");
             }
@@ -76,19 +77,29 @@
 
     /** Marks exactly the targets in {@code listed} as leaving, and takes off what may be taken off them. */
     void leavingListed(Set<String> listed) {
+        Set<String> configured = draft
+                .active()
+                .configuration()
+                .targetsOf(draft.state().dataCentre())
+                .stream()
+                .map(Target::id)
+                .collect(Collectors.toSet());
+        boolean changed = false;
         for (TargetState target : draft.fleet().targets().values()) {
-            boolean leaving = listed.contains(target.id());
+            boolean leaving = listed.contains(target.id()) || !configured.contains(target.id());
             if (leaving == target.leaving()) {
                 continue;
             }
+            changed = true;
             draft.changeTarget(target.id(), t -> t.withLeaving(leaving));
             draft.note(PART, "target=" + target.id() + " leaving=" + leaving);
             if (leaving) {
                 takeOff(target.id());
             }
         }
-        reassign();
-        draft.wantDispatch();
+        if (changed) {
+            reassign();
+        }
     }
 
     void reachable(String id) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -187,6 +187,11 @@
         draft.put(job);
         draft.occupy(job, attempt);
         follow(job, attempt);
+        boolean crowded = attempt.members().stream()
+                .anyMatch(m -> draft.fleet().target(m.target()).unowned() < 0);
+        if (crowded) {
+            new Membership(draft).reassign();
+        }
     }
 
     private void loseSilent(Job job, Phase.Running running) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
@@ -76,14 +76,7 @@
 
     /** Returns the accelerators that {@code job} occupies on {@code target}. */
     static int unitsOn(Job job, TargetState target) {
-        if (job.phase() instanceof Phase.Claiming) {
-            return 0;
-        }
-        return job.phase().current().stream()
-                .flatMap(a -> a.members().stream())
-                .filter(m -> m.target().equals(target.id()))
-                .mapToInt(Member::units)
-                .sum();
+        return job.phase() instanceof Phase.Claiming ? 0 : job.unitsOn(target.id());
     }
 
     private static boolean mayTake(Job job, TargetState target, Job claimant, boolean drain) {
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
@@ -169,6 +169,7 @@
         event(new Event.LeavingListed(Set.of()));
         setLog(true);
         permits = true;
+        outside.takenOut(Long.MAX_VALUE);
         configure(new ActiveConfiguration(active.revision() + 1, original, Set.of()));
         long end = now + millis;
         while (now < end && answers.size() < accepted.size() && violations.isEmpty()) {
@@ -304,7 +305,7 @@
             case PERMITS_GO_ON -> permits = true;
             case STALE_CONFIGURATION ->
                 event(new Event.Configured(
-                        new ActiveConfiguration(random.nextLong(active.revision() + 1), original, Set.of())));
+                        new ActiveConfiguration(random.nextLong(state.active().revision() + 1), original, Set.of())));
             case CONFIGURATION_CHANGED -> changeConfiguration();
             case SCHEDULER_PAUSED -> pausedUntil = now + random.nextLong(500, 8_000);
             case SCHEDULER_REPLACED -> replaceScheduler();
@@ -412,7 +413,9 @@
 
     private void renewPermits() {
         long until = now + PERMIT_MILLIS;
-        if (permits && logUp && now >= pausedUntil) {
+        boolean applied = state.active().revision() >= active.revision();
+        if (permits && logUp && applied && now >= pausedUntil) {
+            event(new Event.LeavingListed(Set.copyOf(leaving)));
             event(new Event.PermitRenewed(until));
         }
         later(PERMIT_PERIOD_MILLIS, this::renewPermits);
@@ -467,7 +470,10 @@
                                 release.member().index()));
                     }
                 });
-            case Command.Start start -> later(delay(), () -> start(start, by));
+            case Command.Start start -> {
+                int incarnation = targets.get(start.member().target()).incarnation();
+                later(delay(), () -> start(start, by, incarnation));
+            }
             case Command.Treat treat -> later(delay(), () -> treat(treat, by));
             case Command.Resume resume -> later(delay(), () -> resume(resume, by));
             case Command.RecordIntent intent -> append(() -> recordIntent(intent, by));
@@ -500,12 +506,9 @@
                         reserve.request(), reserve.attempt(), reserve.member().index(), granted));
     }
 
-    private void start(Command.Start start, long by) {
+    private void start(Command.Start start, long by, int incarnation) {
         FakeTarget target = targets.get(start.member().target());
-        if (!target.up()) {
-            return;
-        }
-        if (!target.rules(by)) {
+        if (!target.rules(by) || target.incarnation() != incarnation) {
             return;
         }
         outside.startArrived(start, target.id(), now);
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
@@ -20,6 +20,7 @@
     private final Set<String> known = new HashSet<>();
     private final List<Started> started = new ArrayList<>();
     private long epoch;
+    private int incarnation;
     private boolean up = true;
     private boolean failsAll;
     private boolean ignoresTreatments;
@@ -68,7 +69,12 @@
         known.clear();
     }
 
+    int incarnation() {
+        return incarnation;
+    }
+
     void restart() {
+        incarnation++;
         up = true;
     }
 
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
@@ -62,6 +62,7 @@
     private final RequestDesk desk;
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
             Thread.ofPlatform().name("vm-list").daemon().factory());
+    private volatile long vmsReadAt = Long.MIN_VALUE / 2;
     private Set<String> leaving = Set.of();
     private WireServer server;
     private JsonServer operators;
@@ -201,7 +202,8 @@
     public void caughtUp(long sentAt) {
         Reign current = reign.get();
         long term = settings.leases().permitMillis();
-        if (current == null || sentAt - permitPostedAt.get() < term / PERMITS_PER_TERM) {
+        boolean listKnown = sentAt - vmsReadAt < 2 * VM_LIST_MILLIS + term;
+        if (current == null || !listKnown || sentAt - permitPostedAt.get() < term / PERMITS_PER_TERM) {
             return;
         }
         permitPostedAt.set(sentAt);
@@ -218,8 +220,10 @@
     }
 
     private void readVms() {
+        long sentAt = clock.millis();
         try {
             leaving = vms.leaving();
+            vmsReadAt = sentAt;
         } catch (PlatformException e) {
             LOG.debugf("vms: list not read, %s", e.getMessage());
         }
