--- a/acacia-core/src/main/java/org/acaciaport/decision/Job.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -14,7 +14,7 @@
  * @param sequence arrival order within the data centre; kept when the request is queued again
  * @param phase where it stands
  * @param failures attempts that ran and failed
- * @param failedOn identifiers of targets on which it failed
+ * @param failedOn identifiers of targets that it avoids since they failed or refused it
  * @param started whether any member may have run
  * @param checkpointed whether a saved state exists from which it resumes
  * @param cancelAsked whether the caller wants it no more
@@ -28,6 +28,8 @@
         Started started,
         boolean checkpointed,
         boolean cancelAsked) {
+    private static final int MOST_AVOIDED = 4;
+
     /** What is known of starts. */
     public enum Started {
         /** No member was ever told to start, or every one certainly did not. */
@@ -81,6 +83,12 @@
                 request, sequence, phase, failures + 1, failedOn.plus(target), started, checkpointed, cancelAsked);
     }
 
+    /** Returns this job with {@code target} avoided next time; only the latest few are remembered. */
+    Job avoiding(String target) {
+        PSet<String> avoided = failedOn.size() >= MOST_AVOIDED ? HashTreePSet.singleton(target) : failedOn.plus(target);
+        return new Job(request, sequence, phase, failures, avoided, started, checkpointed, cancelAsked);
+    }
+
     Job withStart() {
         return new Job(request, sequence, phase, failures, failedOn, Started.YES, checkpointed, cancelAsked);
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -59,6 +59,11 @@
             draft.put(job.withFailure(place.target()));
             probation.failed(place.target(), job);
         }
+        if (state.status() == MemberState.Status.NOT_STARTED
+                && running.revocation().isEmpty()) {
+            draft.put(job.avoiding(place.target()));
+            probation.failed(place.target(), job);
+        }
     }
 
     /** Takes the rest of a gang off once one member is gone. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -45,7 +45,8 @@
             return;
         }
         if (!answer.granted()) {
-            giveUp(job, reserving.attempt(), "a target refused to hold a place");
+            String target = reserving.attempt().members().get(answer.member()).target();
+            giveUp(job.avoiding(target), reserving.attempt(), "target " + target + " refused to hold a place");
             return;
         }
         Phase.Reserving next =
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
@@ -34,6 +34,7 @@
     private static final long PERMIT_MILLIS = 3_000;
     private static final long PERMIT_PERIOD_MILLIS = 500;
     private static final long AUDIT_EVERY = 256;
+    private static final long HOLD_MILLIS = 2_000;
     private static final int TRACE_LINES = 80;
 
     /** Something that happens later. */
@@ -498,8 +499,8 @@
         FakeTarget target = targets.get(reserve.member().target());
         String key = FakeTarget.key(
                 reserve.request(), reserve.attempt(), reserve.member().index());
-        boolean granted =
-                target.rules(by) && target.reserve(key, reserve.member().units());
+        boolean granted = target.rules(by)
+                && target.reserve(key, reserve.member().units(), now, reserve.deadline() + HOLD_MILLIS);
         report(
                 by,
                 new Event.ReserveAnswered(
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
@@ -14,8 +14,11 @@
     /** One start, for the target's own record. */
     record Started(String request, long attempt, int member, long at) {}
 
+    /** Accelerators held until a time. */
+    private record Hold(int units, long until) {}
+
     private final Target target;
-    private final Map<String, Integer> held = new HashMap<>();
+    private final Map<String, Hold> held = new HashMap<>();
     private final Map<String, Integer> running = new HashMap<>();
     private final Set<String> known = new HashSet<>();
     private final List<Started> started = new ArrayList<>();
@@ -87,11 +90,12 @@
         return up && caller == epoch;
     }
 
-    boolean reserve(String key, int units) {
+    boolean reserve(String key, int units, long now, long until) {
+        held.values().removeIf(hold -> hold.until() < now);
         if (inUse() + units > target.accelerators()) {
             return false;
         }
-        held.put(key, units);
+        held.put(key, new Hold(units, until));
         return true;
     }
 
@@ -103,7 +107,8 @@
     boolean start(Command.Start start, long now) {
         String key = key(
                 start.request().id(), start.attempt().number(), start.member().index());
-        Integer hold = held.remove(key);
+        held.values().removeIf(other -> other.until() < now);
+        Hold hold = held.remove(key);
         boolean fits = hold != null || inUse() + start.member().units() <= target.accelerators();
         if (now >= start.attempt().startBefore() || !fits || !known.add(key)) {
             return false;
@@ -133,7 +138,7 @@
     }
 
     private int inUse() {
-        return held.values().stream().mapToInt(Integer::intValue).sum()
+        return held.values().stream().mapToInt(Hold::units).sum()
                 + running.values().stream().mapToInt(Integer::intValue).sum();
     }
 
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
@@ -53,7 +53,8 @@
                 .limit(5)
                 .forEach(id -> System.out.println(
                         "unanswered " + id + " " + driver.state().job(id).orElse(null)));
-        if (!driver.violations().isEmpty()) {
+        if (!driver.violations().isEmpty()
+                || driver.answers().size() < driver.accepted().size()) {
             driver.violations().forEach(v -> System.out.println("violation  " + v));
             driver.trace().forEach(line -> System.out.println("trace      " + line));
         }
