--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -138,7 +138,8 @@
         return units;
     }
 
-    private boolean clearable(Job job, Phase.Claiming claiming) {
+    /** Returns whether only revocable work stands between the job and its places. */
+    boolean clearable(Job job, Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
             if (!Victims.clearable(draft.fleet().target(member.target()), job, member.units())) {
                 return false;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -43,13 +43,16 @@
         }
     }
 
-    /** Returns places that are set aside but idle, which {@code job} may use without delaying their owner. */
+    /**
+     * Returns places that are set aside but idle, which {@code job} may use without delaying their owner. None are lent
+     * once the owner waits for nothing but revocable work.
+     */
     List<Member> lend(Job job) {
         Job owner = draft.drain().map(draft::job).orElse(null);
         if (owner == null || job.profile().gang() || !(owner.phase() instanceof Phase.Claiming claiming)) {
             return List.of();
         }
-        if (!endsBefore(job, claiming.deadline())) {
+        if (new Claims(draft).clearable(owner, claiming) || !endsBefore(job, claiming.deadline())) {
             return List.of();
         }
         for (Member member : claiming.attempt().members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Job.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -14,6 +14,7 @@
  * @param sequence arrival order within the data centre; kept when the request is queued again
  * @param phase where it stands
  * @param failures attempts that ran and failed
+ * @param refusals attempts in a row that were given up before any member ran
  * @param failedOn identifiers of targets that it avoids since they failed or refused it
  * @param started whether any member may have run
  * @param checkpointed whether a saved state exists from which it resumes
@@ -24,6 +25,7 @@
         long sequence,
         Phase phase,
         int failures,
+        int refusals,
         PSet<String> failedOn,
         Started started,
         boolean checkpointed,
@@ -47,7 +49,7 @@
 
     /** Returns a job that has just been accepted. */
     static Job accepted(Request request, long sequence) {
-        return new Job(request, sequence, new Phase.Queued(0), 0, HashTreePSet.empty(), Started.NO, false, false);
+        return new Job(request, sequence, new Phase.Queued(0), 0, 0, HashTreePSet.empty(), Started.NO, false, false);
     }
 
     /** Returns the request's identifier. */
@@ -75,35 +77,47 @@
     }
 
     Job with(Phase next) {
-        return new Job(request, sequence, next, failures, failedOn, started, checkpointed, cancelAsked);
+        return new Job(request, sequence, next, failures, refusals, failedOn, started, checkpointed, cancelAsked);
     }
 
     Job withFailure(String target) {
         return new Job(
-                request, sequence, phase, failures + 1, failedOn.plus(target), started, checkpointed, cancelAsked);
+                request,
+                sequence,
+                phase,
+                failures + 1,
+                refusals,
+                failedOn.plus(target),
+                started,
+                checkpointed,
+                cancelAsked);
     }
 
     /** Returns this job with {@code target} avoided next time; only the latest few are remembered. */
     Job avoiding(String target) {
         PSet<String> avoided = failedOn.size() >= MOST_AVOIDED ? HashTreePSet.singleton(target) : failedOn.plus(target);
-        return new Job(request, sequence, phase, failures, avoided, started, checkpointed, cancelAsked);
+        return new Job(request, sequence, phase, failures, refusals + 1, avoided, started, checkpointed, cancelAsked);
+    }
+
+    Job withRefusal() {
+        return new Job(request, sequence, phase, failures, refusals + 1, failedOn, started, checkpointed, cancelAsked);
     }
 
     Job withStart() {
-        return new Job(request, sequence, phase, failures, failedOn, Started.YES, checkpointed, cancelAsked);
+        return new Job(request, sequence, phase, failures, 0, failedOn, Started.YES, checkpointed, cancelAsked);
     }
 
     /** Returns this job as one that another scheduler may have started. */
     Job withPerhaps() {
         Started known = started == Started.NO ? Started.PERHAPS : started;
-        return new Job(request, sequence, phase, failures, failedOn, known, checkpointed, cancelAsked);
+        return new Job(request, sequence, phase, failures, refusals, failedOn, known, checkpointed, cancelAsked);
     }
 
     Job withCheckpoint(boolean saved) {
-        return new Job(request, sequence, phase, failures, failedOn, started, saved, cancelAsked);
+        return new Job(request, sequence, phase, failures, refusals, failedOn, started, saved, cancelAsked);
     }
 
     Job withCancelAsked() {
-        return new Job(request, sequence, phase, failures, failedOn, started, checkpointed, true);
+        return new Job(request, sequence, phase, failures, refusals, failedOn, started, checkpointed, true);
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Policy.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Policy.java
@@ -37,10 +37,17 @@
         long probeMillis,
         long maxProbeMillis,
         int rampStarts) {
+    private static final int MOST_DOUBLINGS = 6;
+
     /** The limits that the programs use. */
     public static final Policy STANDARD =
             new Policy(10_000, 2_000, 2_000, 2_000, 500, 1_000, 10_000, 5_000, 4, 200, 20, 3, 2_000, 60_000, 8);
 
+    /** Returns the pause before a request is tried again after {@code times} tries in a row without success. */
+    public long retryAfter(int times) {
+        return retryMillis << Math.min(times, MOST_DOUBLINGS);
+    }
+
     /** Returns the longest time from a claim to its accelerators being free, in milliseconds. */
     public long reclaimMillis() {
         return checkpointMillis + throttleMillis + stopMillis;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -12,7 +12,6 @@
  */
 final class Progress {
     private static final String PART = "progress";
-    private static final int MOST_DOUBLINGS = 6;
 
     private final Draft draft;
 
@@ -128,7 +127,7 @@
             return;
         }
         draft.note(PART, job, "no member was started, queued again");
-        draft.defer(job, draft.now() + draft.policy().retryMillis());
+        draft.defer(job, draft.now() + draft.policy().retryAfter(job.refusals()));
     }
 
     private void settleRevoked(Job job, Phase.Running running, String reason) {
@@ -166,14 +165,14 @@
             return;
         }
         draft.setBudget(profile, draft.budget(profile).spend());
-        long pause = draft.policy().retryMillis() << Math.min(job.failures(), MOST_DOUBLINGS);
+        long pause = draft.policy().retryAfter(job.failures());
         draft.note(PART, job, "failed and retried after ms=" + pause + " why=" + reason);
         draft.defer(job, draft.now() + pause);
     }
 
     private void settleRefused(Job job, String reason) {
         if (draft.rules().mayRunAgain(job) || !job.everStarted()) {
-            draft.defer(job, draft.now() + draft.policy().retryMillis());
+            draft.defer(job, draft.now() + draft.policy().retryAfter(job.refusals()));
         } else {
             draft.finish(job, new Outcome.Failed("stopped because " + reason));
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -106,7 +106,8 @@
         if (job.cancelAsked()) {
             draft.finish(job, new Outcome.Cancelled(job.everStarted()));
         } else {
-            draft.defer(job, draft.now() + draft.policy().retryMillis());
+            Job refused = job.withRefusal();
+            draft.defer(refused, draft.now() + draft.policy().retryAfter(refused.refusals()));
         }
     }
 
--- a/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
@@ -26,7 +26,7 @@
     void reserve(Target target, Place place, long holdMillis) throws PlatformException;
 
     /**
-     * Gives up a held place.
+     * Gives up a held place for good; a reservation or start that arrives later is refused.
      *
      * @throws PlatformException if the target did not answer
      */
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/FakeTarget.java
@@ -92,14 +92,16 @@
 
     boolean reserve(String key, int units, long now, long until) {
         held.values().removeIf(hold -> hold.until() < now);
-        if (inUse() + units > target.accelerators()) {
+        if (known.contains(key) || inUse() + units > target.accelerators()) {
             return false;
         }
         held.put(key, new Hold(units, until));
         return true;
     }
 
+    /** Gives a place up for good, also if the reservation arrives later. */
     void release(String key) {
+        known.add(key);
         held.remove(key);
     }
 
--- a/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
@@ -97,6 +97,9 @@
         TargetClient.Place place = reserve.place();
         rule(place.epoch());
         holds.values().removeIf(hold -> hold.until() < now());
+        if (tasks.containsKey(key(place))) {
+            throw conflict("the place was given up");
+        }
         if (!holds.containsKey(key(place)) && inUse() + place.units() > accelerators) {
             throw conflict("accelerators are in use");
         }
@@ -106,6 +109,9 @@
     synchronized void release(TargetClient.Place place) throws HttpProblem {
         rule(place.epoch());
         holds.remove(key(place));
+        if (!tasks.containsKey(key(place))) {
+            put(place, "not-started", "");
+        }
     }
 
     synchronized void start(HttpTargets.Start start) throws HttpProblem {
