--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -103,9 +103,8 @@
             boolean promised = claiming.deadline() != Long.MAX_VALUE;
             return promised ? Admission.fitsBesideOwners(target, job) : Admission.fitsEmpty(target, job);
         }
-        return job.profile().revocable()
-                ? Admission.fitsEmpty(target, job)
-                : draft.rules().leavesOwned(target, job.account(), member.units());
+        boolean owns = target.owned().getOrDefault(job.account(), 0) >= member.units();
+        return owns && (job.profile().revocable() || draft.rules().leavesOwned(target, job.account(), member.units()));
     }
 
     /** Claims within shares come first; places set aside count only what all other claims leave. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -152,6 +152,15 @@
         return taken;
     }
 
+    /** Has all claims looked at again, since their places may have other owners now. */
+    void revisitClaims() {
+        for (TargetState target : fleet.targets().values()) {
+            if (target.load().claimed() > 0) {
+                vacated.add(target.id());
+            }
+        }
+    }
+
     void command(Command command) {
         commands.add(command);
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -135,7 +135,7 @@
             boolean usable = target.inUse()
                     && !target.health().probation()
                     && !target.health().probed();
-            if (usable && !job.failedOn().contains(id) && Admission.fitsEmpty(target, job)) {
+            if (usable && Admission.fitsEmpty(target, job)) {
                 clearings.add(new Clearing(target, clearAt(target)));
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Job.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Job.java
@@ -30,8 +30,6 @@
         Started started,
         boolean checkpointed,
         boolean cancelAsked) {
-    private static final int MOST_AVOIDED = 4;
-
     /** What is known of starts. */
     public enum Started {
         /** No member was ever told to start, or every one certainly did not. */
@@ -93,9 +91,9 @@
                 cancelAsked);
     }
 
-    /** Returns this job with {@code target} avoided next time; only the latest few are remembered. */
+    /** Returns this job with {@code target} avoided next time, in place of earlier ones. */
     Job avoiding(String target) {
-        PSet<String> avoided = failedOn.size() >= MOST_AVOIDED ? HashTreePSet.singleton(target) : failedOn.plus(target);
+        PSet<String> avoided = HashTreePSet.singleton(target);
         return new Job(request, sequence, phase, failures, refusals + 1, avoided, started, checkpointed, cancelAsked);
     }
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -175,6 +175,7 @@
         Shares next =
                 Shares.assign(draft.active().configuration(), draft.state().dataCentre(), places, previous);
         draft.setFleet(draft.fleet().with(next));
+        draft.revisitClaims();
         if (next.owed() != previous.owed()) {
             draft.note(PART, "guaranteed slices owed=" + next.owed() + " why=the targets in use cannot hold them now");
         }
