--- a/acacia-core/src/main/java/org/acaciaport/decision/Dispatcher.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Dispatcher.java
@@ -38,12 +38,15 @@
             if (!mayStart()) {
                 return;
             }
+            for (String parked : draft.parked()) {
+                new Parking(draft).resume(draft.job(parked));
+            }
             placeAll();
             new Drains(draft).consider();
         }
     }
 
-    /** Serves the claims on a target in order of age, then resumes what is paused there. */
+    /** Serves the claims on a target in order of age. */
     void serveTarget(String id) {
         TargetState target = draft.fleet().target(id);
         if (target == null) {
@@ -62,9 +65,6 @@
         for (Job job : claiming) {
             claims.advance(draft.job(job.id()));
         }
-        for (String parked : target.load().parked()) {
-            new Parking(draft).resume(draft.job(parked));
-        }
     }
 
     private boolean mayStart() {
@@ -87,10 +87,14 @@
 
     private List<String> accountsByUse() {
         List<String> accounts = new ArrayList<>(draft.queues().accounts());
-        accounts.sort(Comparator.comparingInt(draft::unitsOf).thenComparing(Comparator.naturalOrder()));
+        accounts.sort(Comparator.comparingLong(this::turn).thenComparing(Comparator.naturalOrder()));
         return accounts;
     }
 
+    private long turn(String account) {
+        return draft.rules().turn(draft.unitsOf(account), heads(account).getFirst());
+    }
+
     private boolean placeOne(String account) {
         for (Job job : heads(account)) {
             String key = account + '/' + job.profile().name();
@@ -110,15 +114,12 @@
         for (String id : draft.queues().heads(account)) {
             heads.add(draft.job(id));
         }
-        heads.sort(Comparator.comparingLong(this::urgency).reversed().thenComparingLong(Job::sequence));
+        heads.sort(Comparator.comparingLong((Job j) -> draft.rules().urgency(j, draft.now(), draft.policy()))
+                .reversed()
+                .thenComparingLong(Job::sequence));
         return heads;
     }
 
-    private long urgency(Job job) {
-        long waited = draft.now() - job.request().acceptedAt();
-        return job.profile().priority() + waited / draft.policy().agingMillis();
-    }
-
     private boolean waitsForOthers(Job job) {
         Predicate<Profile> precedes = other -> draft.rules().waitsFor(job.profile(), other);
         return draft.queues().heads(job.account()).stream()
@@ -140,7 +141,7 @@
             start(job, free.get(), "free", "-");
             return true;
         }
-        Optional<List<Member>> claim = draft.rules().reclaims() ? placement.byClaim() : Optional.empty();
+        Optional<List<Member>> claim = draft.rules().claims() ? placement.byClaim() : Optional.empty();
         if (claim.isPresent()) {
             new Claims(draft).begin(job, claim.get());
             return true;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -9,6 +9,7 @@
 import org.acaciaport.config.ActiveConfiguration;
 import org.acaciaport.request.Outcome;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 import org.pcollections.TreePSet;
 
 /**
@@ -38,6 +39,7 @@
     private PMap<String, RunTimes> runTimes;
     private long nextSequence;
     private long nextAttempt;
+    private PSet<String> parked;
     private Optional<String> drain;
     private boolean dispatchWanted;
 
@@ -58,12 +60,14 @@
         runTimes = work.runTimes();
         nextSequence = work.nextSequence();
         nextAttempt = work.nextAttempt();
+        parked = work.parked();
         drain = work.drain();
     }
 
     /** Returns the state as it stands. */
     CellState state() {
-        Workload work = new Workload(jobs, queues, timers, units, budgets, runTimes, nextSequence, nextAttempt, drain);
+        Workload work =
+                new Workload(jobs, queues, timers, units, budgets, runTimes, nextSequence, nextAttempt, parked, drain);
         return new CellState(dataCentre, active, fleet, work, gate);
     }
 
@@ -125,6 +129,22 @@
         return units.getOrDefault(account, 0);
     }
 
+    PSet<String> parked() {
+        return parked;
+    }
+
+    /** Counts {@code job} as paused on {@code target}. */
+    void park(Job job, String target) {
+        parked = parked.plus(job.id());
+        changeTarget(target, t -> t.with(t.load().withParked(job.id())));
+    }
+
+    /** Counts {@code job} as no longer paused on {@code target}. */
+    void unpark(Job job, String target) {
+        parked = parked.minus(job.id());
+        changeTarget(target, t -> t.with(t.load().withoutParked(job.id())));
+    }
+
     Optional<String> drain() {
         return drain;
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -52,7 +52,8 @@
         if (owner == null || job.profile().gang() || !(owner.phase() instanceof Phase.Claiming claiming)) {
             return List.of();
         }
-        if (new Claims(draft).clearable(owner, claiming) || !endsBefore(job, claiming.deadline())) {
+        boolean ownerWaits = !new Claims(draft).clearable(owner, claiming);
+        if (!draft.rules().lends(ownerWaits, endsBefore(job, claiming.deadline()))) {
             return List.of();
         }
         for (Member member : claiming.attempt().members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -27,7 +27,7 @@
     /** Applies a newer revision; an older one or the same changes nothing. */
     void configured(ActiveConfiguration next) {
         ActiveConfiguration previous = draft.active();
-        if (next.revision() <= previous.revision()) {
+        if (!draft.rules().replaces(next, previous)) {
             draft.note(PART, "ignored revision=" + next.revision() + " in force=" + previous.revision());
             return;
         }
@@ -86,7 +86,8 @@
                 .collect(Collectors.toSet());
         boolean changed = false;
         for (TargetState target : draft.fleet().targets().values()) {
-            boolean leaving = listed.contains(target.id()) || !configured.contains(target.id());
+            boolean leaving =
+                    draft.rules().heedsList() && listed.contains(target.id()) || !configured.contains(target.id());
             if (leaving == target.leaving()) {
                 continue;
             }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Parking.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Parking.java
@@ -6,7 +6,7 @@
 import org.pcollections.HashTreePMap;
 
 /**
- * Handles work that is paused on its target.
+ * Handles work that is paused on its target. Work that may run again is not left paused for long.
  *
  * <p>Confined to one decision. Paused work has exactly one member.
  */
@@ -30,7 +30,7 @@
         if (!may || !draft.rules().accepts(target) || target.free() < only.units()) {
             return;
         }
-        unpark(job, only);
+        draft.unpark(job, only.target());
         draft.occupy(job, parked.attempt());
         long runDeadline = draft.now() + parked.remainingMillis();
         draft.put(job.with(new Phase.Running(
@@ -47,7 +47,7 @@
     /** Ends paused work whose caller wants it no more. */
     void cancel(Job job, Phase.Parked parked) {
         Member only = parked.attempt().members().getFirst();
-        unpark(job, only);
+        draft.unpark(job, only.target());
         draft.command(new Command.Treat(
                 job.id(),
                 parked.attempt().number(),
@@ -60,7 +60,7 @@
     /** Takes paused work off its target, which is gone or going. */
     void evict(Job job, Phase.Parked parked, String why) {
         Member only = parked.attempt().members().getFirst();
-        unpark(job, only);
+        draft.unpark(job, only.target());
         if (draft.rules().mayRunAgain(job)) {
             draft.command(new Command.Treat(
                     job.id(),
@@ -73,8 +73,4 @@
             draft.finish(job, new Outcome.Unknown("paused work ended: " + why));
         }
     }
-
-    private void unpark(Job job, Member only) {
-        draft.changeTarget(only.target(), t -> t.with(t.load().withoutParked(job.id())));
-    }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
@@ -91,7 +91,7 @@
         return draft.rules().accepts(target)
                 && trusted
                 && !job.failedOn().contains(target.id())
-                && target.free() >= units
+                && draft.rules().fits(target, units)
                 && (profile.revocable() || draft.rules().leavesOwned(target, job.account(), units));
     }
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -191,7 +191,12 @@
         Member only = running.attempt().members().getFirst();
         long remaining = Math.max(0, running.runDeadline() - draft.now());
         draft.put(job.with(new Phase.Parked(running.attempt(), remaining)));
-        draft.changeTarget(only.target(), t -> t.with(t.load().withParked(job.id())));
+        draft.park(job, only.target());
+        draft.timer(
+                draft.now() + draft.policy().patienceMillis(),
+                Timer.Kind.STEP,
+                job.id(),
+                running.attempt().number());
         draft.note(PART, job, "paused on target=" + only.target());
     }
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
@@ -19,7 +19,7 @@
 
     /** Takes work off for {@code claimant} wherever its promised accelerators are not yet free. */
     void clearFor(Job claimant, Attempt attempt, boolean drain) {
-        if (!draft.rules().reclaims()) {
+        if (!draft.rules().takesOff()) {
             return;
         }
         for (Member member : attempt.members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Rules.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Rules.java
@@ -1,5 +1,6 @@
 package org.acaciaport.decision;
 
+import org.acaciaport.config.ActiveConfiguration;
 import org.acaciaport.config.Profile;
 
 /**
@@ -19,6 +20,11 @@
         return !profile.idempotent();
     }
 
+    /** Returns whether {@code units} accelerators are free on {@code target} and promised to nobody. */
+    boolean fits(TargetState target, int units) {
+        return target.free() >= units;
+    }
+
     /** Returns whether irrevocable work of {@code account} leaves what others own on {@code target} reclaimable. */
     boolean leavesOwned(TargetState target, String account, int units) {
         return target.unownedFor(account) >= units;
@@ -44,11 +50,52 @@
         return other.precedes().contains(profile.name());
     }
 
-    /** Returns whether borrowed accelerators are taken back for an account that owns them. */
-    boolean reclaims() {
+    /** Returns whether an account may claim accelerators that it owns and others use. */
+    boolean claims() {
+        return true;
+    }
+
+    /** Returns whether work is taken off for a claim. */
+    boolean takesOff() {
+        return true;
+    }
+
+    /**
+     * Returns whether set-aside places may be lent to a job.
+     *
+     * @param ownerWaits whether their owner still waits for irrevocable work
+     * @param endsBefore whether the job will have ended by the owner's deadline
+     */
+    boolean lends(boolean ownerWaits, boolean endsBefore) {
+        return ownerWaits && endsBefore;
+    }
+
+    /** Returns whether targets that the platform lists as leaving count as leaving. */
+    boolean heedsList() {
         return true;
     }
 
+    /** Returns whether {@code target} may start what was placed there before. */
+    boolean mayStartOn(TargetState target) {
+        return target != null && target.inUse();
+    }
+
+    /** Returns whether {@code next} replaces {@code previous}. */
+    boolean replaces(ActiveConfiguration next, ActiveConfiguration previous) {
+        return next.revision() > previous.revision();
+    }
+
+    /** Returns how urgent {@code job} is within its account; waiting raises it. */
+    long urgency(Job job, long now, Policy policy) {
+        long waited = now - job.request().acceptedAt();
+        return job.profile().priority() + waited / policy.agingMillis();
+    }
+
+    /** Returns the order in which accounts are served, given the accelerators that {@code account} uses. */
+    long turn(int units, Job mostUrgent) {
+        return units;
+    }
+
     /** Returns whether places are set aside for large jobs that have waited long. */
     boolean setsAside() {
         return true;
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -91,7 +91,11 @@
             case Phase.Queued queued -> {}
             case Phase.Claiming claiming -> {}
             case Phase.Committing committing -> {}
-            case Phase.Parked parked -> {}
+            case Phase.Parked parked -> {
+                if (parked.attempt().number() == attempt && draft.rules().mayRunAgain(job)) {
+                    new Parking(draft).evict(job, parked, "paused for too long");
+                }
+            }
             case Phase.HandingOver handingOver -> {}
         }
     }
@@ -163,7 +167,7 @@
         }
         for (Member member : attempt.members()) {
             TargetState target = draft.fleet().target(member.target());
-            if (target == null || !target.inUse()) {
+            if (!draft.rules().mayStartOn(target)) {
                 return "target " + member.target() + " is out of use";
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Workload.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Workload.java
@@ -2,7 +2,9 @@
 
 import java.util.Optional;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 import org.pcollections.TreePSet;
 
 /**
@@ -18,6 +20,7 @@
  * @param runTimes observed run times by profile
  * @param nextSequence arrival number of the next request
  * @param nextAttempt number of the next attempt
+ * @param parked identifiers of paused requests
  * @param drain identifier of the large job for which places are set aside
  */
 public record Workload(
@@ -29,6 +32,7 @@
         PMap<String, RunTimes> runTimes,
         long nextSequence,
         long nextAttempt,
+        PSet<String> parked,
         Optional<String> drain) {
     /** Returns the work of a new scheduler whose attempts are numbered from {@code firstAttempt}. */
     static Workload startingAt(long firstAttempt) {
@@ -41,6 +45,7 @@
                 HashTreePMap.empty(),
                 0,
                 firstAttempt,
+                HashTreePSet.empty(),
                 Optional.empty());
     }
 }
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
@@ -70,6 +70,7 @@
     private long checks;
     private long pausedUntil;
     private long requests;
+    private boolean logArbitrates = true;
     private boolean logUp = true;
     private boolean permits = true;
     private final Set<String> leaving = new HashSet<>();
@@ -145,6 +146,11 @@
 
     // Commands.
 
+    /** Makes the log take every intent, also a second one for a request. */
+    void letLogTakeAnything() {
+        logArbitrates = false;
+    }
+
     /** Runs until {@code wanted} more decisions are made or a violation is found. */
     void run(long wanted, Map<Fault, Integer> weights) {
         long end = steps + wanted;
@@ -227,7 +233,12 @@
             return;
         }
         target.crash();
-        later(1_000 + random.nextLong(5_000), () -> event(new Event.TargetLost(target.id())));
+        int incarnation = target.incarnation();
+        later(1_000 + random.nextLong(5_000), () -> {
+            if (!target.up() && target.incarnation() == incarnation) {
+                event(new Event.TargetLost(target.id()));
+            }
+        });
         later(8_000 + random.nextLong(20_000), () -> restart(target));
     }
 
@@ -628,7 +639,8 @@
 
     private void recordIntent(Command.RecordIntent intent, long by) {
         String id = intent.request().id();
-        boolean recorded = by == epoch && !answers.containsKey(id) && !intents.containsKey(id);
+        boolean free = !answers.containsKey(id) && !intents.containsKey(id);
+        boolean recorded = by == epoch && (free || !logArbitrates);
         if (recorded) {
             intents.put(id, intent.attempt());
         }
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
@@ -1,6 +1,7 @@
 package org.acaciaport.decision;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -19,11 +20,14 @@
         parser.addArgument("--seed").type(Long.class).setDefault(1L);
         parser.addArgument("--steps").type(Long.class).setDefault(200_000L);
         parser.addArgument("--deployment").choices("kigali", "dk-vest").setDefault("kigali");
+        parser.addArgument("--without").nargs("*").type(Fault.class).setDefault(List.of());
         Namespace parsed = parser.parseArgsOrFail(arguments);
         Configuration configuration = Deployments.read(Path.of("."), parsed.getString("deployment"));
         CellDriver driver = new CellDriver(
                 parsed.getLong("seed"), configuration, Deployments.first(configuration), Policy.STANDARD, new Rules());
-        driver.run(parsed.getLong("steps"), weights());
+        Map<Fault, Integer> weights = weights();
+        parsed.<Fault>getList("without").forEach(weights::remove);
+        driver.run(parsed.getLong("steps"), weights);
         driver.settle(SETTLE_MILLIS);
         print(parsed, driver);
         int unanswered = driver.accepted().size() - driver.answers().size();
