--- a/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
@@ -75,8 +75,9 @@
      *
      * @param attempt the places
      * @param remainingMillis run limit left when it was paused, in milliseconds
+     * @param until when it is queued again if it may run again, in milliseconds
      */
-    record Parked(Attempt attempt, long remainingMillis) implements Phase {}
+    record Parked(Attempt attempt, long remainingMillis, long until) implements Phase {}
 
     /** Being passed to another data centre; the log has not answered yet. */
     record HandingOver() implements Phase {}
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -190,13 +190,10 @@
     private void park(Job job, Phase.Running running) {
         Member only = running.attempt().members().getFirst();
         long remaining = Math.max(0, running.runDeadline() - draft.now());
-        draft.put(job.with(new Phase.Parked(running.attempt(), remaining)));
+        long until = draft.now() + draft.policy().patienceMillis();
+        draft.put(job.with(new Phase.Parked(running.attempt(), remaining, until)));
         draft.park(job, only.target());
-        draft.timer(
-                draft.now() + draft.policy().patienceMillis(),
-                Timer.Kind.STEP,
-                job.id(),
-                running.attempt().number());
+        draft.timer(until, Timer.Kind.STEP, job.id(), running.attempt().number());
         draft.note(PART, job, "paused on target=" + only.target());
     }
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -84,7 +84,8 @@
                 }
             }
             case Phase.Running running -> {
-                if (running.attempt().number() == attempt) {
+                long silentAt = running.attempt().startBefore() + draft.policy().stopMillis();
+                if (running.attempt().number() == attempt && draft.now() >= silentAt) {
                     loseSilent(job, running);
                 }
             }
@@ -92,7 +93,8 @@
             case Phase.Claiming claiming -> {}
             case Phase.Committing committing -> {}
             case Phase.Parked parked -> {
-                if (parked.attempt().number() == attempt && draft.rules().mayRunAgain(job)) {
+                boolean late = parked.attempt().number() == attempt && draft.now() >= parked.until();
+                if (late && draft.rules().mayRunAgain(job)) {
                     new Parking(draft).evict(job, parked, "paused for too long");
                 }
             }
