--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -104,7 +104,16 @@
             return promised ? Admission.fitsBesideOwners(target, job) : Admission.fitsEmpty(target, job);
         }
         boolean owns = target.owned().getOrDefault(job.account(), 0) >= member.units();
-        return owns && (job.profile().revocable() || draft.rules().leavesOwned(target, job.account(), member.units()));
+        return owns && leavesOwned(job, member, target);
+    }
+
+    /** Asks the rule as if the job's own claim on the target did not exist. */
+    private boolean leavesOwned(Job job, Member member, TargetState target) {
+        if (job.profile().revocable()) {
+            return true;
+        }
+        Load others = target.load().withClaim(job.account(), -member.units(), false);
+        return draft.rules().leavesOwned(target.with(others), job.account(), member.units());
     }
 
     /** Claims within shares come first; places set aside count only what all other claims leave. */
@@ -114,8 +123,7 @@
             int idle = target.capacity() - target.load().used();
             int others =
                     claiming.drain() ? target.load().claimed() - member.units() : olderClaims(job, claiming, target);
-            boolean kept =
-                    job.profile().revocable() || draft.rules().leavesOwned(target, job.account(), member.units());
+            boolean kept = leavesOwned(job, member, target);
             if (idle - others < member.units() || !kept) {
                 return false;
             }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -264,8 +264,10 @@
         for (Member member : attempt.members()) {
             changeTarget(
                     member.target(),
-                    t -> t.with(
-                            t.load().withClaim(job.account(), member.units()).withJob(job.id())));
+                    t -> t.with(t.load()
+                            .withClaim(
+                                    job.account(), member.units(), job.profile().revocable())
+                            .withJob(job.id())));
         }
     }
 
@@ -276,7 +278,10 @@
                 changeTarget(
                         member.target(),
                         t -> t.with(t.load()
-                                .withClaim(job.account(), -member.units())
+                                .withClaim(
+                                        job.account(),
+                                        -member.units(),
+                                        job.profile().revocable())
                                 .withoutJob(job.id())));
                 vacated.add(member.target());
             }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Load.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Load.java
@@ -16,6 +16,7 @@
  * @param use accelerators occupied, by account
  * @param used accelerators occupied by all accounts
  * @param claims accelerators promised to claims that wait for them, by account
+ * @param irrevocableClaims the part of {@code claims} for work that cannot be taken off
  * @param claimed accelerators promised to all accounts
  * @param revoking accelerators occupied by work that is being taken off
  * @param jobs identifiers of requests that occupy accelerators here or wait for promised ones
@@ -25,13 +26,21 @@
         PMap<String, Use> use,
         int used,
         PMap<String, Integer> claims,
+        PMap<String, Integer> irrevocableClaims,
         int claimed,
         int revoking,
         PSet<String> jobs,
         PSet<String> parked) {
     /** No work. */
-    static final Load NONE =
-            new Load(HashTreePMap.empty(), 0, HashTreePMap.empty(), 0, 0, HashTreePSet.empty(), HashTreePSet.empty());
+    static final Load NONE = new Load(
+            HashTreePMap.empty(),
+            0,
+            HashTreePMap.empty(),
+            HashTreePMap.empty(),
+            0,
+            0,
+            HashTreePSet.empty(),
+            HashTreePSet.empty());
 
     /** Returns what {@code account} occupies. */
     public Use of(String account) {
@@ -54,40 +63,47 @@
         return result;
     }
 
-    /** Returns the accelerators occupied by irrevocable work of all accounts. */
-    public int irrevocableUnits() {
-        return use.values().stream().mapToInt(Use::irrevocable).sum();
+    /** Returns the accelerators occupied by irrevocable work or promised to such work, by account. */
+    Map<String, Integer> irrevocableWithClaims() {
+        Map<String, Integer> result = irrevocable();
+        irrevocableClaims.forEach((account, units) -> result.merge(account, units, Integer::sum));
+        return result;
     }
 
     Load withUse(String account, int units, boolean revocable) {
         Use changed = of(account).plus(units, revocable);
         PMap<String, Use> next = changed.total() == 0 ? use.minus(account) : use.plus(account, changed);
-        return new Load(next, used + units, claims, claimed, revoking, jobs, parked);
+        return new Load(next, used + units, claims, irrevocableClaims, claimed, revoking, jobs, parked);
+    }
+
+    Load withClaim(String account, int units, boolean revocable) {
+        PMap<String, Integer> next = add(claims, account, units);
+        PMap<String, Integer> hard = revocable ? irrevocableClaims : add(irrevocableClaims, account, units);
+        return new Load(use, used, next, hard, claimed + units, revoking, jobs, parked);
     }
 
-    Load withClaim(String account, int units) {
-        int changed = claimedBy(account) + units;
-        PMap<String, Integer> next = changed == 0 ? claims.minus(account) : claims.plus(account, changed);
-        return new Load(use, used, next, claimed + units, revoking, jobs, parked);
+    private static PMap<String, Integer> add(PMap<String, Integer> map, String account, int units) {
+        int changed = map.getOrDefault(account, 0) + units;
+        return changed == 0 ? map.minus(account) : map.plus(account, changed);
     }
 
     Load withRevoking(int units) {
-        return new Load(use, used, claims, claimed, revoking + units, jobs, parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, revoking + units, jobs, parked);
     }
 
     Load withJob(String job) {
-        return new Load(use, used, claims, claimed, revoking, jobs.plus(job), parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs.plus(job), parked);
     }
 
     Load withoutJob(String job) {
-        return new Load(use, used, claims, claimed, revoking, jobs.minus(job), parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs.minus(job), parked);
     }
 
     Load withParked(String job) {
-        return new Load(use, used, claims, claimed, revoking, jobs, parked.plus(job));
+        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs, parked.plus(job));
     }
 
     Load withoutParked(String job) {
-        return new Load(use, used, claims, claimed, revoking, jobs, parked.minus(job));
+        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs, parked.minus(job));
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -1,6 +1,7 @@
 package org.acaciaport.decision;
 
 import java.util.Optional;
+import org.acaciaport.config.Shares;
 import org.acaciaport.request.Outcome;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
@@ -195,13 +196,17 @@
         draft.put(job);
         draft.occupy(job, attempt);
         follow(job, attempt);
-        boolean crowded = attempt.members().stream()
-                .anyMatch(m -> draft.fleet().target(m.target()).unowned() < 0);
+        boolean crowded =
+                attempt.members().stream().anyMatch(m -> crowded(draft.fleet().target(m.target())));
         if (crowded) {
             new Membership(draft).reassign();
         }
     }
 
+    private static boolean crowded(TargetState target) {
+        return Shares.committed(target.owned(), target.load().irrevocable()) > target.capacity();
+    }
+
     private void loseSilent(Job job, Phase.Running running) {
         Progress progress = new Progress(draft);
         for (Member member : running.attempt().members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
@@ -39,14 +39,15 @@
         return capacity() - load.used() - load.claimed();
     }
 
-    /** Returns the accelerators that irrevocable work may still take without touching what accounts own. */
+    /** Returns the accelerators that irrevocable work may still take without touching what is owned or promised. */
     public int unowned() {
-        return capacity() - Shares.committed(owned, load.irrevocable());
+        return capacity() - Shares.committed(owned, load.irrevocableWithClaims());
     }
 
     /** Returns the accelerators that irrevocable work of {@code account} may still take here. */
     public int unownedFor(String account) {
-        int spareOwn = owned.getOrDefault(account, 0) - load.of(account).irrevocable();
+        int spareOwn =
+                owned.getOrDefault(account, 0) - load.irrevocableWithClaims().getOrDefault(account, 0);
         return unowned() + Math.max(0, spareOwn);
     }
 
--- /dev/null
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/Baseline.java
@@ -0,0 +1,78 @@
+package org.acaciaport.decision;
+
+import org.acaciaport.config.Profile;
+
+/** Simpler ways to decide, to measure against. */
+enum Baseline {
+    /** The rules that the programs use. */
+    ACACIAPORT(new Rules()),
+    /** Arrival order over all accounts, the first place that fits, nothing taken back. */
+    FIRST_FIT(new Rules() {
+        @Override
+        boolean leavesOwned(TargetState target, String account, int units) {
+            return true;
+        }
+
+        @Override
+        boolean claims() {
+            return false;
+        }
+
+        @Override
+        boolean setsAside() {
+            return false;
+        }
+
+        @Override
+        boolean waitsFor(Profile profile, Profile other) {
+            return false;
+        }
+
+        @Override
+        long urgency(Job job, long now, Policy policy) {
+            return -job.sequence();
+        }
+
+        @Override
+        long turn(int units, Job mostUrgent) {
+            return mostUrgent.sequence();
+        }
+    }),
+    /** Highest priority over all accounts first, nothing taken back, no aging. */
+    STRICT_PRIORITY(new Rules() {
+        @Override
+        boolean leavesOwned(TargetState target, String account, int units) {
+            return true;
+        }
+
+        @Override
+        boolean claims() {
+            return false;
+        }
+
+        @Override
+        boolean setsAside() {
+            return false;
+        }
+
+        @Override
+        long urgency(Job job, long now, Policy policy) {
+            return job.profile().priority();
+        }
+
+        @Override
+        long turn(int units, Job mostUrgent) {
+            return -mostUrgent.profile().priority();
+        }
+    });
+
+    private final Rules rules;
+
+    Baseline(Rules rules) {
+        this.rules = rules;
+    }
+
+    Rules rules() {
+        return rules;
+    }
+}
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
@@ -50,6 +50,7 @@
     private final Map<String, Outcome> answers = new LinkedHashMap<>();
     private final Map<String, Long> answeredAt = new HashMap<>();
     private final Map<String, Attempt> intents = new HashMap<>();
+    private final Map<String, Long> lastArrival = new HashMap<>();
     private final Set<String> saved = new HashSet<>();
     private final ArrayDeque<Runnable> pendingRecords = new ArrayDeque<>();
     private final Set<String> bad = new HashSet<>();
@@ -70,6 +71,7 @@
     private long checks;
     private long pausedUntil;
     private long requests;
+    private boolean stopsAtViolation = true;
     private boolean logArbitrates = true;
     private boolean logUp = true;
     private boolean permits = true;
@@ -146,6 +148,15 @@
 
     // Commands.
 
+    /** Goes on after a violation, to measure policies that break promises. */
+    void goOnAfterViolations() {
+        stopsAtViolation = false;
+    }
+
+    private boolean goesOn() {
+        return !stopsAtViolation || violations.isEmpty();
+    }
+
     /** Makes the log take every intent, also a second one for a request. */
     void letLogTakeAnything() {
         logArbitrates = false;
@@ -155,7 +166,7 @@
     void run(long wanted, Map<Fault, Integer> weights) {
         long end = steps + wanted;
         int total = weights.values().stream().mapToInt(Integer::intValue).sum();
-        while (steps < end && violations.isEmpty()) {
+        while (steps < end && goesOn()) {
             act(weights, total);
             advance(now + random.nextLong(1, 400));
         }
@@ -179,7 +190,7 @@
         outside.takenOut(Long.MAX_VALUE);
         configure(new ActiveConfiguration(active.revision() + 1, original, Set.of()));
         long end = now + millis;
-        while (now < end && answers.size() < accepted.size() && violations.isEmpty()) {
+        while (now < end && answers.size() < accepted.size() && goesOn()) {
             advance(now + 1_000);
         }
     }
@@ -196,7 +207,7 @@
 
     /** Passes time until {@code until}, with everything that happens meanwhile. */
     void advance(long until) {
-        while (violations.isEmpty()) {
+        while (goesOn()) {
             long timer = Math.max(state.nextTimer().orElse(Long.MAX_VALUE), pausedUntil);
             long next = agenda.isEmpty() ? Long.MAX_VALUE : agenda.peek().at();
             if (Math.min(timer, next) > until) {
@@ -469,6 +480,16 @@
         return random.nextInt(50) == 0 ? random.nextLong(200, 3_500) : random.nextLong(1, 8);
     }
 
+    /** Commands reach a target in order, except for a few that are repeated after a time-out. */
+    private void send(Member member, Runnable command) {
+        long arrival = now + delay();
+        if (random.nextInt(100) > 0) {
+            arrival = Math.max(arrival, lastArrival.getOrDefault(member.target(), 0L));
+            lastArrival.put(member.target(), arrival);
+        }
+        later(arrival - now, command);
+    }
+
     private void carryOut(Command command, long by) {
         switch (command) {
             case Command.Reserve reserve -> later(delay(), () -> reserve(reserve, by));
@@ -484,10 +505,10 @@
                 });
             case Command.Start start -> {
                 int incarnation = targets.get(start.member().target()).incarnation();
-                later(delay(), () -> start(start, by, incarnation));
+                send(start.member(), () -> start(start, by, incarnation));
             }
-            case Command.Treat treat -> later(delay(), () -> treat(treat, by));
-            case Command.Resume resume -> later(delay(), () -> resume(resume, by));
+            case Command.Treat treat -> send(treat.member(), () -> treat(treat, by));
+            case Command.Resume resume -> send(resume.member(), () -> resume(resume, by));
             case Command.RecordIntent intent -> append(() -> recordIntent(intent, by));
             case Command.RecordVoid recordVoid -> append(() -> recordVoid(recordVoid));
             case Command.Answer answer -> answer(answer);
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/MissingRuleTest.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/MissingRuleTest.java
@@ -16,7 +16,7 @@
 final class MissingRuleTest {
     private static final Path ROOT = Path.of("..");
     private static final long STEPS = 10_000;
-    private static final int SEEDS = 12;
+    private static final int SEEDS = 60;
 
     @Test
     void placingBeyondCapacityIsNoticed() throws Exception {
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/SoakMain.java
@@ -57,6 +57,9 @@
                 .limit(5)
                 .forEach(id -> System.out.println(
                         "unanswered " + id + " " + driver.state().job(id).orElse(null)));
+        driver.targets().values().stream()
+                .filter(t -> !t.running().isEmpty())
+                .forEach(t -> System.out.println("left on    " + t.id() + " " + t.running()));
         if (!driver.violations().isEmpty()
                 || driver.answers().size() < driver.accepted().size()) {
             driver.violations().forEach(v -> System.out.println("violation  " + v));
