--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -148,7 +148,7 @@
     /** Returns whether only revocable work stands between the job and its places. */
     boolean clearable(Job job, Phase.Claiming claiming) {
         for (Member member : claiming.attempt().members()) {
-            if (!Victims.clearable(draft.fleet().target(member.target()), job, member.units())) {
+            if (!Victims.clearable(draft, draft.fleet().target(member.target()), job, member.units())) {
                 return false;
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -137,7 +137,7 @@
                     && !target.health().probation()
                     && !target.health().probed();
             if (usable && Admission.fitsEmpty(target, job)) {
-                clearings.add(new Clearing(target, clearAt(target)));
+                clearings.add(new Clearing(target, clearAt(target, job)));
             }
         }
         if (clearings.size() < needed) {
@@ -160,11 +160,14 @@
     /** A target and the time by which its irrevocable work has ended. */
     private record Clearing(TargetState target, long at) {}
 
-    private long clearAt(TargetState target) {
+    private long clearAt(TargetState target, Job owner) {
         long latest = draft.now();
         for (String id : target.load().jobs()) {
             Job job = draft.job(id);
-            if (job != null && !job.profile().revocable()) {
+            boolean stays = job != null
+                    && !(job.phase() instanceof Phase.Claiming)
+                    && (!job.profile().revocable() || Victims.spares(job, owner));
+            if (stays) {
                 latest = Math.max(latest, endBy(job));
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
@@ -62,25 +62,44 @@
     }
 
     /** Returns whether enough of {@code target} is free or can be taken off for the claimant's {@code units}. */
-    static boolean clearable(TargetState target, Job claimant, int units) {
+    static boolean clearable(Draft draft, TargetState target, Job claimant, int units) {
         int kept = 0;
         for (Map.Entry<String, Use> entry : target.load().use().entrySet()) {
             Use use = entry.getValue();
             boolean own = entry.getKey().equals(claimant.account());
             int owned = own ? 0 : target.owned().getOrDefault(entry.getKey(), 0);
-            kept += Math.max(use.irrevocable(), Math.min(owned, use.total()));
+            int staying = use.irrevocable() + spared(draft, target, claimant, entry.getKey());
+            kept += Math.max(staying, Math.min(owned, use.total()));
         }
         int othersClaims = target.load().claimed() - units;
         return target.capacity() - kept - othersClaims >= units;
     }
 
+    /** Returns whether a job is left alone when places are set aside: else two large jobs could evict each other. */
+    static boolean spares(Job job, Job claimant) {
+        return job.profile().shape().accelerators()
+                >= claimant.profile().shape().accelerators();
+    }
+
+    private static int spared(Draft draft, TargetState target, Job claimant, String account) {
+        int units = 0;
+        for (String id : target.load().jobs()) {
+            Job job = draft.job(id);
+            if (job != null && job.account().equals(account) && job.profile().revocable() && spares(job, claimant)) {
+                units += unitsOn(job, target);
+            }
+        }
+        return units;
+    }
+
     /** Returns the accelerators that {@code job} occupies on {@code target}. */
     static int unitsOn(Job job, TargetState target) {
         return job.phase() instanceof Phase.Claiming ? 0 : job.unitsOn(target.id());
     }
 
     private static boolean mayTake(Job job, TargetState target, Job claimant, boolean drain) {
-        if (!removable(job.phase()) || !job.profile().revocable()) {
+        boolean spared = drain && spares(job, claimant);
+        if (!removable(job.phase()) || !job.profile().revocable() || spared) {
             return false;
         }
         if (job.account().equals(claimant.account())) {
