A restarted target's word on earlier work proves nothing; listed targets stay listed

Causes: after a takeover a restarted target reported work of the earlier leader as not started, and it ran twice (seed 10 of kigali); a target that was configured anew forgot that the platform lists it as leaving (seed 22 of dk-vest). Treatments now name the target's incarnation.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -75,6 +75,11 @@
         return new Decision(state(), commands, notes, touched);
     }
 
+    /** Returns whether {@code attempt} was made by an earlier leader. */
+    boolean recovered(Attempt attempt) {
+        return CellState.epochOf(attempt.number()) < CellState.epochOf(nextAttempt);
+    }
+
     Policy policy() {
         return policy;
     }
@@ -104,6 +109,11 @@
         fleet = next;
     }
 
+    /** Keeps the newest list of leaving VMs for targets that are configured later. */
+    void noteListed(Set<String> listed) {
+        fleet = fleet.withListed(listed);
+    }
+
     Gate gate() {
         return gate;
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Fleet.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Fleet.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.UnaryOperator;
 import org.acaciaport.config.Shares;
 import org.pcollections.HashTreePMap;
@@ -18,16 +20,18 @@
  * @param free accepting targets by free accelerators
  * @param unowned accepting targets by accelerators that are both free and owned by nobody
  * @param shares which slices make up each account's guarantee
+ * @param listed identifiers on the platform's newest list of leaving VMs, whether or not they are in the fleet
  */
 public record Fleet(
         PMap<String, TargetState> targets,
         Map<String, List<String>> racks,
         CapacityIndex free,
         CapacityIndex unowned,
-        Shares shares) {
+        Shares shares,
+        Set<String> listed) {
     /** No targets. */
     static final Fleet EMPTY =
-            new Fleet(HashTreePMap.empty(), Map.of(), CapacityIndex.EMPTY, CapacityIndex.EMPTY, Shares.NONE);
+            new Fleet(HashTreePMap.empty(), Map.of(), CapacityIndex.EMPTY, CapacityIndex.EMPTY, Shares.NONE, Set.of());
 
     /** Returns the target called {@code id}, or null if it is not in the fleet. */
     public TargetState target(String id) {
@@ -49,7 +53,7 @@
         TargetState previous = targets.get(next.id());
         CapacityIndex freeNext = replace(free, previous, next, Fleet::freeUnits);
         CapacityIndex unownedNext = replace(unowned, previous, next, Fleet::unownedUnits);
-        return new Fleet(targets.plus(next.id(), next), racks, freeNext, unownedNext, shares);
+        return new Fleet(targets.plus(next.id(), next), racks, freeNext, unownedNext, shares, listed);
     }
 
     /** Returns the fleet without the target called {@code id}. */
@@ -57,12 +61,12 @@
         TargetState previous = targets.get(id);
         CapacityIndex freeNext = remove(free, previous, freeUnits(previous));
         CapacityIndex unownedNext = remove(unowned, previous, unownedUnits(previous));
-        return new Fleet(targets.minus(id), racks, freeNext, unownedNext, shares);
+        return new Fleet(targets.minus(id), racks, freeNext, unownedNext, shares, listed);
     }
 
     /** Returns the fleet with slices assigned as in {@code next}. */
     Fleet with(Shares next) {
-        Fleet fleet = new Fleet(targets, racks, free, unowned, next);
+        Fleet fleet = new Fleet(targets, racks, free, unowned, next, listed);
         for (TargetState target : targets.values()) {
             if (!target.owned().equals(next.on(target.id()))) {
                 fleet = fleet.with(target.withOwned(next.on(target.id())));
@@ -73,12 +77,17 @@
 
     /** Returns the fleet with the racks of its present targets. */
     Fleet withRacks() {
-        Map<String, List<String>> next = new java.util.TreeMap<>();
+        Map<String, List<String>> next = new TreeMap<>();
         for (TargetState target : targets.values()) {
             next.computeIfAbsent(target.target().rack(), r -> new ArrayList<>()).add(target.id());
         }
         next.replaceAll((rack, ids) -> ids.stream().sorted().toList());
-        return new Fleet(targets, next, free, unowned, shares);
+        return new Fleet(targets, next, free, unowned, shares, listed);
+    }
+
+    /** Returns the fleet with another list of leaving VMs noted; marks no target. */
+    Fleet withListed(Set<String> next) {
+        return new Fleet(targets, racks, free, unowned, shares, Set.copyOf(next));
     }
 
     /** Returns the fleet with {@code change} made to one target. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -56,7 +56,9 @@
             present.add(target.id());
             TargetState state = fleet.target(target.id());
             if (state == null) {
-                fleet = fleet.with(TargetState.empty(target).withReachable(false));
+                boolean leaving = fleet.listed().contains(target.id());
+                fleet = fleet.with(
+                        TargetState.empty(target).withReachable(false).withLeaving(leaving));
             } else if (state.load().jobs().isEmpty() || target.accelerators() >= state.capacity()) {
                 fleet = fleet.with(state.with(target));
             } else {
@@ -77,6 +79,9 @@
 
     /** Marks exactly the targets in {@code listed} as leaving, and takes off what may be taken off them. */
     void leavingListed(Set<String> listed) {
+        if (!listed.equals(draft.fleet().listed())) {
+            draft.noteListed(listed);
+        }
         Set<String> configured = draft
                 .active()
                 .configuration()
--- a/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Progress.java
@@ -19,6 +19,10 @@
         this.draft = draft;
     }
 
+    /**
+     * Notes a report. A target that was restarted knows nothing of what an earlier leader started there, so its report
+     * that such a member was not started proves nothing.
+     */
     void memberChanged(String request, long attempt, int member, MemberState state) {
         Job job = draft.job(request);
         if (job == null
@@ -29,6 +33,10 @@
             draft.note(PART, "dropped a late or doubled report, request=" + request + " attempt=" + attempt);
             return;
         }
+        if (state.status() == MemberState.Status.NOT_STARTED && draft.recovered(running.attempt())) {
+            memberChanged(request, attempt, member, MemberState.of(MemberState.Status.LOST));
+            return;
+        }
         Job changed = state.status() == MemberState.Status.NOT_STARTED ? job : job.withStart();
         Phase.Running next = running.with(member, state);
         Member place = running.attempt().members().get(member);
--- a/acacia-platform/src/main/java/org/acaciaport/http/HttpTargets.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/HttpTargets.java
@@ -53,8 +53,9 @@
      *
      * @param place the place
      * @param treatment what to do
+     * @param incarnation incarnation of the target that is meant
      */
-    public record Treat(Place place, Treatment treatment) {}
+    public record Treat(Place place, Treatment treatment, String incarnation) {}
 
     /** Answer of a target that did what was asked. */
     public record Done(long clock) {}
@@ -83,8 +84,8 @@
     }
 
     @Override
-    public void treat(Target target, Place place, Treatment treatment) throws PlatformException {
-        call(target, "/treat", new Treat(place, treatment));
+    public void treat(Target target, Place place, Treatment treatment, String incarnation) throws PlatformException {
+        call(target, "/treat", new Treat(place, treatment, incarnation));
     }
 
     @Override
--- a/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/platform/TargetClient.java
@@ -45,9 +45,10 @@
      * Tells the target to checkpoint, throttle or stop a task; the report says when that is done. A task that was not
      * started is reported as not started, and a start that arrives later is refused.
      *
+     * @param incarnation incarnation of the target that is meant; another one refuses
      * @throws PlatformException if the target did not answer
      */
-    void treat(Target target, Place place, Treatment treatment) throws PlatformException;
+    void treat(Target target, Place place, Treatment treatment, String incarnation) throws PlatformException;
 
     /**
      * Tells the target to go on with a throttled task.
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/TargetLink.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/TargetLink.java
@@ -186,8 +186,9 @@
 
     private void treat(Command.Treat treat, Supplier<Boolean> wanted) {
         TargetClient.Place place = place(treat.request(), treat.attempt(), treat.member());
+        String incarnation = sample.incarnation();
         for (int tries = 1; open && clock.millis() < treat.deadline(); tries++) {
-            if (attempt(() -> client.treat(target, place, treat.treatment())) || !wanted.get()) {
+            if (attempt(() -> client.treat(target, place, treat.treatment(), incarnation)) || !wanted.get()) {
                 return;
             }
             pause(tries);
--- a/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinTarget.java
@@ -150,6 +150,9 @@
 
     synchronized void treat(HttpTargets.Treat treat) throws HttpProblem {
         rule(treat.place().epoch());
+        if (!treat.incarnation().equals(incarnation)) {
+            throw conflict("the target was restarted");
+        }
         if (!tasks.containsKey(key(treat.place()))) {
             holds.remove(key(treat.place()));
             put(treat.place(), "not-started", "");
