A claim that cannot stand is not made

Cause (stack of kigali seed 14): a claim was made and abandoned for ever within one decision, since making it did not ask whether irrevocable work still fits beside what others own. It asks now, and an abandoned claim waits before it is tried again.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -68,7 +68,7 @@
     void abandon(Job job, Phase.Claiming claiming, String why) {
         draft.note(PART, job, "abandoned attempt=" + claiming.attempt().number() + " why=" + why);
         release(job, claiming);
-        draft.enqueue(job);
+        draft.defer(job, draft.now() + draft.policy().retryMillis());
     }
 
     /** Gives the promised places up. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Placement.java
@@ -80,7 +80,9 @@
     private boolean claimable(TargetState target) {
         int owned = target.owned().getOrDefault(job.account(), 0);
         int kept = target.load().of(job.account()).total() - Victims.ownLower(draft, target, job);
-        return draft.rules().accepts(target)
+        boolean leavesOwned = profile.revocable() || draft.rules().leavesOwned(target, job.account(), units(target));
+        return leavesOwned
+                && draft.rules().accepts(target)
                 && !job.failedOn().contains(target.id())
                 && owned - kept - target.load().claimedBy(job.account()) >= units(target);
     }
