--- /dev/null
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/DecisionBenchmark.java
@@ -0,0 +1,142 @@
+package org.acaciaport.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.acaciaport.config.ActiveConfiguration;
+import org.acaciaport.config.Adjacency;
+import org.acaciaport.config.ClientAccount;
+import org.acaciaport.config.Configuration;
+import org.acaciaport.config.DataCentre;
+import org.acaciaport.config.Guarantee;
+import org.acaciaport.config.Profile;
+import org.acaciaport.config.Shape;
+import org.acaciaport.config.Target;
+import org.acaciaport.config.Treatment;
+import org.acaciaport.request.Request;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** Time and allocation of single decisions in a data centre that is seven eighths full. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class DecisionBenchmark {
+    private static final int ACCELERATORS = 8;
+    private static final int RACK = 8;
+    private static final int ACCOUNTS = 4;
+    private static final long LIMIT_MILLIS = 86_400_000;
+
+    @Param({"30", "1600", "16000"})
+    int targets;
+
+    private final Decider decider = Decider.of(Policy.STANDARD);
+    private final Profile single = profile("single", 1, 1, Adjacency.SAME_TARGET);
+    private final Profile gang = profile("gang", 1, 4, Adjacency.SAME_RACK);
+    private final Profile large = profile("large", 8, 8, Adjacency.SAME_RACK);
+    private CellState state;
+    private long now = 1_000_000;
+    private long requests;
+
+    /** Fills the data centre. */
+    @Setup
+    public void fill() {
+        state = CellState.initial("dc", 1);
+        step(new Event.Configured(new ActiveConfiguration(1, configuration(), java.util.Set.of())));
+        for (int i = 0; i < targets; i++) {
+            step(new Event.TargetReachable("t" + i));
+        }
+        step(new Event.PermitRenewed(Long.MAX_VALUE / 2));
+        for (int i = 0; i < targets * (ACCELERATORS - 1); i++) {
+            start(single);
+        }
+    }
+
+    private Configuration configuration() {
+        List<Target> list = new ArrayList<>();
+        for (int i = 0; i < targets; i++) {
+            list.add(new Target("t" + i, "dc", "r" + i / RACK, "http://127.0.0.1:1", 32, 65_536, ACCELERATORS, 8, 64));
+        }
+        List<ClientAccount> accounts = new ArrayList<>();
+        for (int i = 0; i < ACCOUNTS; i++) {
+            accounts.add(new ClientAccount("a" + i));
+        }
+        Guarantee guarantee = new Guarantee("dc", new Shape(4, 2, Adjacency.SAME_RACK));
+        return new Configuration(
+                List.of(new DataCentre("dc")), list, accounts, List.of(guarantee), List.of(single, gang, large));
+    }
+
+    private static Profile profile(String name, int accelerators, int members, Adjacency adjacency) {
+        return new Profile(
+                name,
+                new Shape(accelerators, members, adjacency),
+                1,
+                1_024,
+                10,
+                true,
+                true,
+                List.of(Treatment.STOP),
+                List.of(),
+                LIMIT_MILLIS,
+                LIMIT_MILLIS);
+    }
+
+    private Decision step(Event event) {
+        Decision decision = decider.decide(state, event, now);
+        state = decision.state();
+        return decision;
+    }
+
+    private Decision submit(Profile profile) {
+        String id = "r" + ++requests;
+        String account = "a" + requests % ACCOUNTS;
+        return step(new Event.Submitted(new Request(id, account, id, profile, "", now, now + LIMIT_MILLIS), false));
+    }
+
+    private String start(Profile profile) {
+        submit(profile);
+        String id = "r" + requests;
+        Job job = state.work().jobs().get(id);
+        if (job.phase() instanceof Phase.Running running) {
+            step(new Event.MemberChanged(
+                    id, running.attempt().number(), 0, MemberState.of(MemberState.Status.RUNNING)));
+        }
+        return id;
+    }
+
+    /** Places a single-member request and ends it: two decisions. */
+    @Benchmark
+    public Object placeAndEndSingle() {
+        submit(single);
+        String id = "r" + requests;
+        Phase.Running running = (Phase.Running) state.work().jobs().get(id).phase();
+        return step(new Event.MemberChanged(
+                id, running.attempt().number(), 0, new MemberState(MemberState.Status.ENDED, "")));
+    }
+
+    /** Places a gang of four in one rack up to its reservations, and cancels it: two decisions. */
+    @Benchmark
+    public Object placeAndCancelGang() {
+        submit(gang);
+        return step(new Event.CancelAsked("r" + requests));
+    }
+
+    /** Takes in a large job that finds no place, and cancels it: two decisions. */
+    @Benchmark
+    public Object queueAndCancelLarge() {
+        submit(large);
+        return step(new Event.CancelAsked("r" + requests));
+    }
+}
