--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -115,8 +115,7 @@
         }
         draft.changeTarget(id, t -> t.withReachable(true));
         draft.note(PART, "target=" + id + " reachable");
-        reassign();
-        draft.wantDispatch();
+        reassignOwed();
     }
 
     /** Ends all work on a target whose lease has lapsed. */
@@ -163,6 +162,14 @@
         }
     }
 
+    /** Assigns what is still owed, now that another target is in use. */
+    void reassignOwed() {
+        if (draft.fleet().shares().owed() > 0) {
+            reassign();
+        }
+        draft.wantDispatch();
+    }
+
     /** Assigns the guarantees anew wherever the present targets no longer carry them. */
     void reassign() {
         List<Shares.Place> places = new ArrayList<>();
--- a/acacia-core/src/main/java/org/acaciaport/decision/Probation.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Probation.java
@@ -26,7 +26,7 @@
         draft.changeTarget(id, t -> t.with(Health.GOOD));
         if (probed) {
             draft.note(PART, "target=" + id + " trusted again why=a task succeeded");
-            new Membership(draft).reassign();
+            new Membership(draft).reassignOwed();
         }
     }
 
