A claim no longer waits for a slot

Cause: a target full of lent single-accelerator tasks had no free slot, so an account could not claim its share of it until a task ended by itself. Every task takes an accelerator and a target has at least as many slots as accelerators (now checked), so slots do not count any more.

--- a/acacia-core/src/main/java/org/acaciaport/config/ConfigurationCheck.java
+++ b/acacia-core/src/main/java/org/acaciaport/config/ConfigurationCheck.java
@@ -75,7 +75,7 @@
         between(at + "processors", target.processors(), 1, 4096);
         between(at + "memory-mb", target.memoryMb(), 1, 1 << 26);
         between(at + "accelerators", target.accelerators(), 1, 64);
-        between(at + "slots", target.slots(), 1, 1024);
+        between(at + "slots", target.slots(), target.accelerators(), 1024);
         between(at + "connections", target.connections(), 1, 1024);
     }
 
--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -31,8 +31,8 @@
     private void promise(Job job, List<Member> members, boolean drain, long deadline) {
         Attempt attempt = new Attempt(draft.takeAttempt(), members, 0);
         draft.dequeue(job);
-        draft.claim(job, attempt);
         Phase.Claiming claiming = new Phase.Claiming(attempt, drain, draft.now(), deadline);
+        draft.claim(job, claiming);
         Job claimed = job.with(claiming);
         draft.put(claimed);
         draft.note(
@@ -73,7 +73,7 @@
 
     /** Gives the promised places up. */
     void release(Job job, Phase.Claiming claiming) {
-        draft.unclaim(job, claiming.attempt());
+        draft.unclaim(job, claiming);
         if (claiming.drain()) {
             draft.setDrain(Optional.empty());
         }
@@ -100,19 +100,19 @@
 
     private boolean fits(Job job, Phase.Claiming claiming, Member member, TargetState target) {
         if (claiming.drain()) {
-            boolean promised = claiming.deadline() != Long.MAX_VALUE;
-            return promised ? Admission.fitsBesideOwners(target, job) : Admission.fitsEmpty(target, job);
+            return claiming.bounded() ? Admission.fitsBesideOwners(target, job) : Admission.fitsEmpty(target, job);
         }
         boolean owns = target.owned().getOrDefault(job.account(), 0) >= member.units();
-        return owns && leavesOwned(job, member, target);
+        return owns && leavesOwned(job, claiming, member, target);
     }
 
     /** Asks the rule as if the job's own claim on the target did not exist. */
-    private boolean leavesOwned(Job job, Member member, TargetState target) {
+    private boolean leavesOwned(Job job, Phase.Claiming claiming, Member member, TargetState target) {
         if (job.profile().revocable()) {
             return true;
         }
-        Load others = target.load().withClaim(job.account(), -member.units(), false);
+        Load others =
+                claiming.bounded() ? target.load().withClaim(job.account(), -member.units(), false) : target.load();
         return draft.rules().leavesOwned(target.with(others), job.account(), member.units());
     }
 
@@ -123,7 +123,7 @@
             int idle = target.capacity() - target.load().used();
             int others =
                     claiming.drain() ? target.load().claimed() - member.units() : olderClaims(job, claiming, target);
-            boolean kept = leavesOwned(job, member, target);
+            boolean kept = leavesOwned(job, claiming, member, target);
             if (idle - others < member.units() || !kept) {
                 return false;
             }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -269,29 +269,23 @@
         }
     }
 
-    /** Promises an attempt's places to {@code job}. */
-    void claim(Job job, Attempt attempt) {
-        for (Member member : attempt.members()) {
+    /** Promises the places of {@code claiming} to {@code job}. */
+    void claim(Job job, Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
             changeTarget(
                     member.target(),
-                    t -> t.with(t.load()
-                            .withClaim(
-                                    job.account(), member.units(), job.profile().revocable())
-                            .withJob(job.id())));
+                    t -> t.with(
+                            promised(t.load(), job, claiming, member.units()).withJob(job.id())));
         }
     }
 
     /** Takes back what {@link #claim} promised. */
-    void unclaim(Job job, Attempt attempt) {
-        for (Member member : attempt.members()) {
+    void unclaim(Job job, Phase.Claiming claiming) {
+        for (Member member : claiming.attempt().members()) {
             if (fleet.target(member.target()) != null) {
                 changeTarget(
                         member.target(),
-                        t -> t.with(t.load()
-                                .withClaim(
-                                        job.account(),
-                                        -member.units(),
-                                        job.profile().revocable())
+                        t -> t.with(promised(t.load(), job, claiming, -member.units())
                                 .withoutJob(job.id())));
                 vacated.add(member.target());
             }
@@ -299,6 +293,13 @@
         dispatchWanted = true;
     }
 
+    private static Load promised(Load load, Job job, Phase.Claiming claiming, int units) {
+        Load counted = claiming.bounded()
+                ? load.withClaim(job.account(), units, job.profile().revocable())
+                : load.withoutDeadline(units);
+        return claiming.drain() ? counted.withSetAside(units) : counted;
+    }
+
     /** Counts the accelerators of an attempt as occupied. */
     void occupy(Job job, Attempt attempt) {
         for (Member member : attempt.members()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Load.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Load.java
@@ -10,14 +10,15 @@
 /**
  * The work on one target.
  *
- * <p>Immutable. {@code used} and {@code claimed} are the sums of {@code use} and {@code claims}; {@code revoking} is at
- * most {@code used}.
+ * <p>Immutable. {@code used} is the sum of {@code use}; {@code claims} add up to at most {@code claimed}, and
+ * {@code revoking} is at most {@code used}.
  *
  * @param use accelerators occupied, by account
  * @param used accelerators occupied by all accounts
- * @param claims accelerators promised to claims that wait for them, by account
+ * @param claims accelerators promised with a deadline to claims that wait for them, by account
  * @param irrevocableClaims the part of {@code claims} for work that cannot be taken off
- * @param claimed accelerators promised to all accounts
+ * @param claimed accelerators promised in all
+ * @param setAside the part of {@code claimed} that is set aside for a large job
  * @param revoking accelerators occupied by work that is being taken off
  * @param jobs identifiers of requests that occupy accelerators here or wait for promised ones
  * @param parked identifiers of requests paused here
@@ -28,6 +29,7 @@
         PMap<String, Integer> claims,
         PMap<String, Integer> irrevocableClaims,
         int claimed,
+        int setAside,
         int revoking,
         PSet<String> jobs,
         PSet<String> parked) {
@@ -39,6 +41,7 @@
             HashTreePMap.empty(),
             0,
             0,
+            0,
             HashTreePSet.empty(),
             HashTreePSet.empty());
 
@@ -73,13 +76,22 @@
     Load withUse(String account, int units, boolean revocable) {
         Use changed = of(account).plus(units, revocable);
         PMap<String, Use> next = changed.total() == 0 ? use.minus(account) : use.plus(account, changed);
-        return new Load(next, used + units, claims, irrevocableClaims, claimed, revoking, jobs, parked);
+        return new Load(next, used + units, claims, irrevocableClaims, claimed, setAside, revoking, jobs, parked);
     }
 
     Load withClaim(String account, int units, boolean revocable) {
         PMap<String, Integer> next = add(claims, account, units);
         PMap<String, Integer> hard = revocable ? irrevocableClaims : add(irrevocableClaims, account, units);
-        return new Load(use, used, next, hard, claimed + units, revoking, jobs, parked);
+        return new Load(use, used, next, hard, claimed + units, setAside, revoking, jobs, parked);
+    }
+
+    /** Promises places for a large job without a deadline, which the claims of owners may come before. */
+    Load withoutDeadline(int units) {
+        return new Load(use, used, claims, irrevocableClaims, claimed + units, setAside, revoking, jobs, parked);
+    }
+
+    Load withSetAside(int units) {
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside + units, revoking, jobs, parked);
     }
 
     private static PMap<String, Integer> add(PMap<String, Integer> map, String account, int units) {
@@ -88,22 +100,22 @@
     }
 
     Load withRevoking(int units) {
-        return new Load(use, used, claims, irrevocableClaims, claimed, revoking + units, jobs, parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside, revoking + units, jobs, parked);
     }
 
     Load withJob(String job) {
-        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs.plus(job), parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside, revoking, jobs.plus(job), parked);
     }
 
     Load withoutJob(String job) {
-        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs.minus(job), parked);
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside, revoking, jobs.minus(job), parked);
     }
 
     Load withParked(String job) {
-        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs, parked.plus(job));
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside, revoking, jobs, parked.plus(job));
     }
 
     Load withoutParked(String job) {
-        return new Load(use, used, claims, irrevocableClaims, claimed, revoking, jobs, parked.minus(job));
+        return new Load(use, used, claims, irrevocableClaims, claimed, setAside, revoking, jobs, parked.minus(job));
     }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Phase.java
@@ -21,7 +21,12 @@
      * @param since when the places were promised, in milliseconds
      * @param deadline when the places must be free, in milliseconds; {@link Long#MAX_VALUE} if owners may come first
      */
-    record Claiming(Attempt attempt, boolean drain, long since, long deadline) implements Phase {}
+    record Claiming(Attempt attempt, boolean drain, long since, long deadline) implements Phase {
+        /** Returns whether the places have a deadline. */
+        boolean bounded() {
+            return deadline != Long.MAX_VALUE;
+        }
+    }
 
     /**
      * Targets are being asked to hold its places.
--- a/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
@@ -71,10 +71,14 @@
         return Math.max(0, load.of(account).total() - owned.getOrDefault(account, 0));
     }
 
-    /** Returns whether one more task may be placed here, apart from accelerators. */
+    /**
+     * Returns whether one more task may be placed here, apart from accelerators. Slots do not count: a target has at
+     * least as many as accelerators, and every task takes an accelerator.
+     */
     public boolean accepting() {
-        int slots = health.probed() ? 1 : target.slots();
-        return inUse() && !health.probation() && load.jobs().size() < slots;
+        return inUse()
+                && !health.probation()
+                && (!health.probed() || load.jobs().isEmpty());
     }
 
     /** Returns whether the target is reachable and stays in service. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Victims.java
@@ -38,7 +38,8 @@
      * accounts borrow there, then the claimant's own work of a lower priority, or all of its own if {@code drain}.
      */
     static List<Job> choose(Draft draft, TargetState target, Job claimant, boolean drain) {
-        int missing = -target.free() - target.load().revoking();
+        int others = drain ? 0 : target.load().setAside();
+        int missing = -target.free() - others - target.load().revoking();
         if (missing <= 0) {
             return List.of();
         }
