Clearer names and imports

The class that makes decisions during one epoch is called LeaderTerm, the field's word. Fully qualified names in code are imported.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Invariants.java
@@ -371,9 +371,4 @@
             found.add(new Violation(invariant, detail.text()));
         }
     }
-
-    /** Returns the limits that the checked decisions keep to. */
-    public Policy policy() {
-        return policy;
-    }
 }
--- a/acacia-ctl/src/main/java/org/acaciaport/ctl/Commands.java
+++ b/acacia-ctl/src/main/java/org/acaciaport/ctl/Commands.java
@@ -1,5 +1,6 @@
 package org.acaciaport.ctl;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
 import java.util.UUID;
@@ -103,7 +104,7 @@
     private static String pretty(Object value) throws CtlException {
         try {
             return Codecs.json().writerWithDefaultPrettyPrinter().writeValueAsString(value);
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+        } catch (JsonProcessingException e) {
             throw new CtlException(ExitCode.UNAVAILABLE, "cannot be printed: " + e.getOriginalMessage());
         }
     }
--- a/acacia-ctl/src/main/java/org/acaciaport/ctl/Output.java
+++ b/acacia-ctl/src/main/java/org/acaciaport/ctl/Output.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import org.acaciaport.program.ExitCode;
 import org.acaciaport.wire.Codecs;
 
 /**
@@ -70,8 +71,7 @@
         try {
             out.println(Codecs.json().writerWithDefaultPrettyPrinter().writeValueAsString(value));
         } catch (JsonProcessingException e) {
-            throw new CtlException(
-                    org.acaciaport.program.ExitCode.UNAVAILABLE, "answer cannot be printed: " + e.getOriginalMessage());
+            throw new CtlException(ExitCode.UNAVAILABLE, "answer cannot be printed: " + e.getOriginalMessage());
         }
     }
 }
--- a/acacia-gateway/src/main/java/org/acaciaport/gateway/CallerService.java
+++ b/acacia-gateway/src/main/java/org/acaciaport/gateway/CallerService.java
@@ -1,7 +1,9 @@
 package org.acaciaport.gateway;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.http.HttpCall;
@@ -96,7 +98,7 @@
         Submission submission;
         try {
             submission = Codecs.json().treeToValue(body, Submission.class);
-        } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+        } catch (JsonProcessingException e) {
             throw HttpProblem.invalid(JsonProblems.describe(e), "correct the body and send it again");
         }
         text("account", submission.account(), MOST_KEY_LENGTH);
@@ -148,7 +150,7 @@
                     case NOT_FOUND -> NOT_FOUND;
                     case UNAVAILABLE -> UNAVAILABLE;
                 };
-        String kind = refused.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+        String kind = refused.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
         return new HttpProblem(status, kind, refused.reason(), refused.remedy());
     }
 }
--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -1,6 +1,7 @@
 package org.acaciaport.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.platform.PlatformException;
@@ -148,7 +149,7 @@
                     .get();
             return new Answer(response.getStatus(), response.getContent());
         } catch (ExecutionException e) {
-            boolean refused = e.getCause() instanceof java.net.ConnectException;
+            boolean refused = e.getCause() instanceof ConnectException;
             PlatformException.Kind kind = refused ? PlatformException.Kind.NOT_DONE : PlatformException.Kind.UNCERTAIN;
             throw new PlatformException(
                     kind, "no answer from " + request.getURI() + " (" + e.getCause() + "); try again", e);
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/DecisionBenchmark.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/DecisionBenchmark.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.config.ActiveConfiguration;
 import org.acaciaport.config.Adjacency;
@@ -57,7 +58,7 @@
     @Setup
     public void fill() {
         state = CellState.initial("dc", 1);
-        step(new Event.Configured(new ActiveConfiguration(1, configuration(), java.util.Set.of())));
+        step(new Event.Configured(new ActiveConfiguration(1, configuration(), Set.of())));
         for (int i = 0; i < targets; i++) {
             step(new Event.TargetReachable("t" + i));
         }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Reign.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LeaderTerm.java
@@ -42,8 +42,8 @@
  * <p>One thread decides; its queue is the order of events. Other threads read the published state without waiting. The
  * state is published before the commands that follow from it are carried out.
  */
-final class Reign implements AutoCloseable, TargetLink.Listener {
-    private static final Logger LOG = Logger.getLogger(Reign.class);
+final class LeaderTerm implements AutoCloseable, TargetLink.Listener {
+    private static final Logger LOG = Logger.getLogger(LeaderTerm.class);
     private static final Logger INVARIANTS = Logger.getLogger(Invariants.class);
     private static final long IDLE_MILLIS = 1_000;
 
@@ -66,7 +66,7 @@
     private volatile CellState state;
     private volatile boolean open = true;
 
-    Reign(
+    LeaderTerm(
             long epoch,
             SchedulerSettings settings,
             Decider decider,
@@ -277,7 +277,7 @@
                         event(new Event.HandOverAnswered(request.id(), error == null && verdict.applied())));
     }
 
-    /** Matches a task that a target reports with what this reign knows of it. */
+    /** Matches a task that a target reports with what this term of leadership knows of it. */
     private void report(Target target, TargetClient.Task task) {
         Job job = state.job(task.request()).orElse(null);
         Optional<Attempt> current = job == null ? Optional.empty() : job.phase().current();
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
@@ -36,7 +36,7 @@
     private final SchedulerSettings settings;
     private final LogReplica replica;
     private final Leadership leadership;
-    private final AtomicReference<Reign> reign;
+    private final AtomicReference<LeaderTerm> leaderTerm;
     private final Answers answers;
     private final Explanations explanations;
     private final Clock clock;
@@ -49,7 +49,7 @@
             SchedulerSettings settings,
             LogReplica replica,
             Leadership leadership,
-            AtomicReference<Reign> reign,
+            AtomicReference<LeaderTerm> leaderTerm,
             Answers answers,
             Explanations explanations,
             Clock clock,
@@ -57,7 +57,7 @@
         this.settings = settings;
         this.replica = replica;
         this.leadership = leadership;
-        this.reign = reign;
+        this.leaderTerm = leaderTerm;
         this.answers = answers;
         this.explanations = explanations;
         this.clock = clock;
@@ -95,7 +95,7 @@
     }
 
     private Message submit(Message.Submit submit, long deadline) {
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         if (current == null || draining || !leadership.leads()) {
             return elsewhere(settings.vm().dataCentre());
         }
@@ -125,7 +125,7 @@
         return acceptLocally(current, request, hash);
     }
 
-    private Request request(Reign current, Message.Submit submit, Profile profile) {
+    private Request request(LeaderTerm current, Message.Submit submit, Profile profile) {
         String id = settings.vm().dataCentre() + "_" + current.epoch() + "_" + counter.incrementAndGet();
         long now = clock.millis();
         return new Request(
@@ -154,7 +154,7 @@
     }
 
     /** Without the log, only work that may run twice is taken in; the log hears of it later. */
-    private Message acceptLocally(Reign current, Request request, String hash) {
+    private Message acceptLocally(LeaderTerm current, Request request, String hash) {
         if (!request.profile().idempotent()) {
             return refuse(
                     Message.Refused.Kind.UNAVAILABLE,
@@ -196,7 +196,7 @@
 
     private Message known(String id) {
         RequestEntry entry = replica.directory().request(id);
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         Job job = current == null ? null : current.state().job(id).orElse(null);
         if (job != null) {
             return knownStatus(job.request());
@@ -220,7 +220,7 @@
         if (outcome != null) {
             return status(request, outcome.word(), outcome);
         }
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         String state = current == null
                 ? "queued"
                 : current.state()
@@ -231,7 +231,7 @@
     }
 
     private Message cancel(Message.Cancel cancel) {
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         Message known = known(cancel.request());
         if (current != null && current.state().job(cancel.request()).isPresent()) {
             current.event(new Event.CancelAsked(cancel.request()));
@@ -240,7 +240,7 @@
     }
 
     private Message look(Message.Look look) {
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         ActiveConfiguration active = replica.directory().active();
         Leader leader = leadership.current();
         return new Message.View(
@@ -254,7 +254,7 @@
     }
 
     private Message targets() {
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         if (current == null) {
             return elsewhere(settings.vm().dataCentre());
         }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
@@ -35,8 +35,8 @@
 /**
  * The scheduler of one VM: follows the log, stands for leadership and serves the other programs.
  *
- * <p>Safe for use by several threads. A reign begins and ends on the thread that reads the log, so its first state and
- * the entries that follow fit together.
+ * <p>Safe for use by several threads. A term of leadership begins and ends on the thread that reads the log, so its
+ * first state and the entries that follow fit together.
  */
 @Singleton
 public final class Scheduler implements LogReplica.Listener, ServerProgram.Running {
@@ -53,7 +53,7 @@
     private final Clock clock = new Clock();
     private final Answers answers = new Answers();
     private final Explanations explanations = new Explanations();
-    private final AtomicReference<Reign> reign = new AtomicReference<>();
+    private final AtomicReference<LeaderTerm> leaderTerm = new AtomicReference<>();
     private final AtomicLong permitPostedAt = new AtomicLong(Long.MIN_VALUE / 2);
     private final String holder;
     private final LiveCells cells;
@@ -85,7 +85,7 @@
         cells = new LiveCells(clock, settings.leases().leaderMillis());
         replica = new LogReplica(log, clock, holder, metrics);
         leadership = new Leadership(replica, clock, settings, holder);
-        desk = new RequestDesk(settings, replica, leadership, reign, answers, explanations, clock, metrics);
+        desk = new RequestDesk(settings, replica, leadership, leaderTerm, answers, explanations, clock, metrics);
     }
 
     /**
@@ -124,7 +124,7 @@
             return;
         }
         String here = settings.vm().dataCentre();
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         switch (entry.record()) {
             case LogRecord.Published published -> configured(current, directory);
             case LogRecord.ServiceChanged change -> configured(current, directory);
@@ -156,7 +156,7 @@
         }
     }
 
-    private void configured(Reign current, Directory directory) {
+    private void configured(LeaderTerm current, Directory directory) {
         LOG.infof(
                 "config: in force revision=%d out=%s",
                 directory.active().revision(), directory.active().out());
@@ -167,13 +167,13 @@
 
     private void led(Leader leader, Directory directory) {
         leadership.seen(leader);
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         boolean mine = leader.holder().equals(holder);
         if (current != null && (!mine || current.epoch() != leader.epoch())) {
             end("epoch " + leader.epoch() + " has begun");
         }
-        if (mine && reign.get() == null) {
-            Reign next = new Reign(
+        if (mine && leaderTerm.get() == null) {
+            LeaderTerm next = new LeaderTerm(
                     leader.epoch(),
                     settings,
                     decider,
@@ -185,13 +185,13 @@
                     cells,
                     metrics,
                     () -> end("a target has seen a later epoch"));
-            reign.set(next);
+            leaderTerm.set(next);
             next.begin(directory);
         }
     }
 
     private void end(String why) {
-        Reign ended = reign.getAndSet(null);
+        LeaderTerm ended = leaderTerm.getAndSet(null);
         if (ended != null) {
             LOG.infof("lead: ended epoch=%d why=%s", ended.epoch(), why);
             ended.close();
@@ -200,7 +200,7 @@
 
     @Override
     public void caughtUp(long sentAt) {
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         long term = settings.leases().permitMillis();
         boolean listKnown = sentAt - vmsReadAt < 2 * VM_LIST_MILLIS + term;
         if (current == null || !listKnown || sentAt - permitPostedAt.get() < term / PERMITS_PER_TERM) {
@@ -213,7 +213,7 @@
     @Override
     public void available(boolean now) {
         LOG.infof("log: available=%s", now);
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         if (current != null) {
             current.event(new Event.LogChanged(now));
         }
@@ -227,7 +227,7 @@
         } catch (PlatformException e) {
             LOG.debugf("vms: list not read, %s", e.getMessage());
         }
-        Reign current = reign.get();
+        LeaderTerm current = leaderTerm.get();
         if (current != null) {
             current.event(new Event.LeavingListed(leaving));
         }
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/TargetLink.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/TargetLink.java
@@ -14,7 +14,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Keeps the lease at one target during one reign, reports what changes there and passes commands on, in order.
+ * Keeps the lease at one target during one term of leadership, reports what changes there and passes commands on, in
+ * order.
  *
  * <p>Safe for use by several threads. One thread polls and one sends commands.
  */
@@ -27,7 +28,7 @@
     /** The lease counts as lapsed only this much later, in percent, so that clocks may run at different rates. */
     private static final int PATIENCE_PERCENT = 125;
 
-    /** What a reign hears from its links. */
+    /** What a term of leadership hears from its links. */
     interface Listener {
         /** Called with everything that the decisions must know. */
         void event(Event event);
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/package-info.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/package-info.java
@@ -3,7 +3,7 @@
  *
  * <p>{@link org.acaciaport.scheduler.Scheduler} ties the parts together. {@link org.acaciaport.scheduler.LogReplica}
  * follows the log, {@link org.acaciaport.scheduler.Leadership} decides who leads,
- * {@link org.acaciaport.scheduler.Reign} makes and carries out the decisions while this process leads, and
+ * {@link org.acaciaport.scheduler.LeaderTerm} makes and carries out the decisions while this process leads, and
  * {@link org.acaciaport.scheduler.RequestDesk} answers the other programs.
  */
 package org.acaciaport.scheduler;
--- a/acacia-standins/src/main/java/org/acaciaport/standins/StandinsMain.java
+++ b/acacia-standins/src/main/java/org/acaciaport/standins/StandinsMain.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -26,9 +27,7 @@
                 .build()
                 .description("Takes the place of the platform, or of targets when --target is given.");
         parser.addArgument("--listen").required(true).metavar("IP:PORT");
-        parser.addArgument("--target")
-                .action(net.sourceforge.argparse4j.impl.Arguments.append())
-                .metavar("ID");
+        parser.addArgument("--target").action(Arguments.append()).metavar("ID");
         parser.addArgument("--accelerators").type(Integer.class).setDefault(8);
         try {
             Namespace parsed = parser.parseArgs(arguments);
