--- a/acacia-platform/src/main/java/org/acaciaport/program/Settings.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/Settings.java
@@ -22,6 +22,8 @@
     private static final ObjectMapper TOML =
             Codecs.configure(TomlMapper.builder()).build();
 
+    private static final String MISSING = "(missing)";
+
     private Settings() {}
 
     /** A record of settings that knows which values are allowed. */
@@ -72,6 +74,9 @@
         }
         if (error instanceof JsonMappingException mapping) {
             String path = JsonProblems.path(mapping);
+            if (valueAt(text, path).equals(MISSING)) {
+                return "key '" + path + "' is missing; add it as in the sample settings";
+            }
             return "key '" + path + "' = " + valueAt(text, path) + ": " + firstLine(mapping.getOriginalMessage())
                     + "; see the sample settings for its type";
         }
@@ -81,7 +86,7 @@
     private static String valueAt(String text, String path) {
         try {
             JsonNode node = TOML.readTree(text).at("/" + path.replace('.', '/'));
-            return node.isMissingNode() ? "(missing)" : node.toString();
+            return node.isMissingNode() ? MISSING : node.toString();
         } catch (IOException e) {
             return "(unreadable)";
         }
