--- a/acacia-core/src/main/java/org/acaciaport/config/ActiveConfiguration.java
+++ b/acacia-core/src/main/java/org/acaciaport/config/ActiveConfiguration.java
@@ -1,5 +1,6 @@
 package org.acaciaport.config;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Set;
 
 /**
@@ -17,7 +18,7 @@
 
     /** Copies the set. */
     public ActiveConfiguration {
-        out = Set.copyOf(out);
+        out = ImmutableSet.copyOf(out);
     }
 
     /** Returns whether {@code dataCentre} exists and is in service. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Fleet.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Fleet.java
@@ -1,5 +1,6 @@
 package org.acaciaport.decision;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -87,7 +88,7 @@
 
     /** Returns the fleet with another list of leaving VMs noted; marks no target. */
     Fleet withListed(Set<String> next) {
-        return new Fleet(targets, racks, free, unowned, shares, Set.copyOf(next));
+        return new Fleet(targets, racks, free, unowned, shares, ImmutableSet.copyOf(next));
     }
 
     /** Returns the fleet with {@code change} made to one target. */
--- a/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
+++ b/acacia-proofs/src/test/java/org/acaciaport/decision/CellDriver.java
@@ -1,5 +1,6 @@
 package org.acaciaport.decision;
 
+import com.google.common.collect.ImmutableSortedSet;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -362,7 +363,7 @@
     private void leave(String id) {
         leaving.add(id);
         outside.leaves(id, now);
-        Set<String> listed = Set.copyOf(leaving);
+        Set<String> listed = ImmutableSortedSet.copyOf(leaving);
         later(random.nextLong(1_000), () -> event(new Event.LeavingListed(listed)));
     }
 
@@ -403,7 +404,7 @@
         state = CellState.initial(dataCentre, epoch);
         event(new Event.Configured(active));
         event(new Event.LogChanged(logUp));
-        event(new Event.LeavingListed(Set.copyOf(leaving)));
+        event(new Event.LeavingListed(ImmutableSortedSet.copyOf(leaving)));
         for (Request request : List.copyOf(accepted.values())) {
             if (!answers.containsKey(request.id())) {
                 event(new Event.Recovered(
@@ -438,7 +439,7 @@
         long until = now + PERMIT_MILLIS;
         boolean applied = state.active().revision() >= active.revision();
         if (permits && logUp && applied && now >= pausedUntil) {
-            event(new Event.LeavingListed(Set.copyOf(leaving)));
+            event(new Event.LeavingListed(ImmutableSortedSet.copyOf(leaving)));
             event(new Event.PermitRenewed(until));
         }
         later(PERMIT_PERIOD_MILLIS, this::renewPermits);
