--- a/acacia-core/src/main/java/org/acaciaport/decision/CapacityIndex.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/CapacityIndex.java
@@ -1,7 +1,6 @@
 package org.acaciaport.decision;
 
 import java.util.Comparator;
-import java.util.Optional;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.TreePSet;
@@ -44,11 +43,6 @@
         return new CapacityIndex(entries.minus(new Entry(units, target)), racks.plus(rack, load));
     }
 
-    /** Returns the target with the fewest accelerators that are at least {@code units}. */
-    Optional<String> bestFit(int units) {
-        return Optional.ofNullable(entries.ceiling(new Entry(units, ""))).map(Entry::target);
-    }
-
     /** Returns the targets that can give at least {@code units}, fewest first. */
     Iterable<Entry> atLeast(int units) {
         return entries.tailSet(new Entry(units, ""));
--- a/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Deadlines.java
@@ -68,11 +68,7 @@
             case Phase.Committing committing -> {
                 draft.command(
                         new Command.RecordVoid(job.id(), committing.attempt().number(), false));
-                for (Member member : committing.attempt().members()) {
-                    draft.command(
-                            new Command.Release(job.id(), committing.attempt().number(), member));
-                    draft.vacate(job, member, false);
-                }
+                new Starts(draft).release(job, committing.attempt());
                 draft.finish(job, notRun);
             }
             case Phase.Running running -> again(job);
--- a/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Drains.java
@@ -133,10 +133,7 @@
         List<Clearing> clearings = new ArrayList<>();
         for (String id : targets) {
             TargetState target = draft.fleet().target(id);
-            boolean usable = target.inUse()
-                    && !target.health().probation()
-                    && !target.health().probed();
-            if (usable && Admission.fitsEmpty(target, job)) {
+            if (target.trusted() && Admission.fitsEmpty(target, job)) {
                 clearings.add(new Clearing(target, clearAt(target, job)));
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -174,9 +174,7 @@
     void reassign() {
         List<Shares.Place> places = new ArrayList<>();
         for (TargetState target : new TreeMap<>(draft.fleet().targets()).values()) {
-            if (target.inUse()
-                    && !target.health().probation()
-                    && !target.health().probed()) {
+            if (target.trusted()) {
                 places.add(new Shares.Place(
                         target.id(),
                         target.target().rack(),
--- a/acacia-core/src/main/java/org/acaciaport/decision/Parking.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Parking.java
@@ -48,12 +48,7 @@
     void cancel(Job job, Phase.Parked parked) {
         Member only = parked.attempt().members().getFirst();
         draft.unpark(job, only.target());
-        draft.command(new Command.Treat(
-                job.id(),
-                parked.attempt().number(),
-                only,
-                Treatment.STOP,
-                draft.now() + draft.policy().stopMillis()));
+        stop(job, parked, only);
         draft.finish(job, new Outcome.Cancelled(true));
     }
 
@@ -62,15 +57,15 @@
         Member only = parked.attempt().members().getFirst();
         draft.unpark(job, only.target());
         if (draft.rules().mayRunAgain(job)) {
-            draft.command(new Command.Treat(
-                    job.id(),
-                    parked.attempt().number(),
-                    only,
-                    Treatment.STOP,
-                    draft.now() + draft.policy().stopMillis()));
+            stop(job, parked, only);
             draft.enqueue(job);
         } else {
             draft.finish(job, new Outcome.Unknown("paused work ended: " + why));
         }
     }
+
+    private void stop(Job job, Phase.Parked parked, Member only) {
+        long deadline = draft.now() + draft.policy().stopMillis();
+        draft.command(new Command.Treat(job.id(), parked.attempt().number(), only, Treatment.STOP, deadline));
+    }
 }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starts.java
@@ -106,10 +106,7 @@
     /** Gives the places back and queues the job again; no member was told to start. */
     void giveUp(Job job, Attempt attempt, String why) {
         draft.note(PART, job, "gave up attempt=" + attempt.number() + " why=" + why);
-        for (Member member : attempt.members()) {
-            draft.command(new Command.Release(job.id(), attempt.number(), member));
-            draft.vacate(job, member, false);
-        }
+        release(job, attempt);
         if (job.cancelAsked()) {
             draft.finish(job, new Outcome.Cancelled(job.everStarted()));
         } else {
@@ -118,6 +115,14 @@
         }
     }
 
+    /** Gives the places of an attempt back that was not started. */
+    void release(Job job, Attempt attempt) {
+        for (Member member : attempt.members()) {
+            draft.command(new Command.Release(job.id(), attempt.number(), member));
+            draft.vacate(job, member, false);
+        }
+    }
+
     /** Gives up a job that holds places but was not told to start. */
     void withdraw(Job job, String why) {
         if (job.phase() instanceof Phase.Reserving reserving) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/TargetState.java
@@ -81,6 +81,11 @@
                 && (!health.probed() || load.jobs().isEmpty());
     }
 
+    /** Returns whether the target is in use and neither on probation nor being probed. */
+    public boolean trusted() {
+        return inUse() && health.probes() == 0;
+    }
+
     /** Returns whether the target is reachable and stays in service. */
     public boolean inUse() {
         return reachable && !leaving;
