--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/Desk.java
@@ -0,0 +1,225 @@
+package org.acaciaport.node;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.KeyedLog;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Moment;
+import org.acaciaport.pool.Step;
+import org.jboss.logging.Logger;
+
+/**
+ * Answers callers: takes jobs in, says how far they are, cancels them.
+ *
+ * <p>Safe for use by several threads. A job is accepted only once it is durable. A refusal means that this node has
+ * written nothing for the request; when that is not known, the answer is {@link Answer.Undetermined}.
+ */
+public final class Desk {
+    private static final Logger LOG = Logger.getLogger(Desk.class);
+
+    /** Age up to which the copy of the jobs may be used to say that there is no such job, in milliseconds. */
+    private static final long FRESH_MILLIS = 1_000;
+
+    /** Time left to a caller to receive an answer, in milliseconds. */
+    private static final long ANSWER_MILLIS = 150;
+
+    private final Topics topics;
+    private final KeyedLog log;
+    private final Replica replica;
+    private final Follower jobs;
+    private final OperatorView operators;
+    private final long evidenceMillis;
+    private final MetricRegistry metrics;
+
+    Desk(Term.Parts parts, Follower jobs, long evidenceMillis, MetricRegistry metrics) {
+        this.topics = parts.topics();
+        this.log = parts.log();
+        this.replica = parts.replica();
+        this.operators = parts.operators();
+        this.jobs = jobs;
+        this.evidenceMillis = evidenceMillis;
+        this.metrics = metrics;
+    }
+
+    /** Where a call goes and on whose behalf. */
+    public sealed interface Access {
+        /**
+         * The call may go on.
+         *
+         * @param queue its queue
+         * @param account the client account; empty on open queues
+         * @param rest what follows the queue's prefix in the path
+         */
+        record Granted(AccessList.Queue queue, String account, String rest) implements Access {}
+
+        /** There is no such queue. */
+        record NoQueue() implements Access {}
+
+        /** The key belongs to no client account. */
+        record UnknownKey() implements Access {}
+
+        /** This node does not know for sure what is published now. */
+        record NotCurrent(String reason) implements Access {}
+    }
+
+    /** What a caller is told. */
+    public sealed interface Answer {
+        /** The job is durable, or its cancelling is. */
+        record Accepted() implements Answer {}
+
+        /** How far the job is. */
+        record State(JobState state) implements Answer {}
+
+        /** There is no such job. */
+        record NoJob() implements Answer {}
+
+        /**
+         * Nothing was done, and the request may come again.
+         *
+         * @param reason why
+         */
+        record Refused(String reason) implements Answer {}
+
+        /**
+         * The outcome is not known; the same request may come again.
+         *
+         * @param reason why
+         */
+        record Undetermined(String reason) implements Answer {}
+    }
+
+    /**
+     * Finds the queue and the client account of a call.
+     *
+     * @param host host without port
+     * @param path path of the URL
+     * @param key API key; null without one
+     */
+    public Access access(String host, String path, String key) {
+        AccessList list = operators.accessList();
+        Moment asOf = operators.asOf();
+        if (list == null || asOf == null) {
+            return new Access.NotCurrent("no configuration yet");
+        }
+        long age = Clocks.age(asOf);
+        if (age > evidenceMillis) {
+            return new Access.NotCurrent("configuration was last confirmed " + age + " ms ago");
+        }
+        AccessList.Queue queue = list.queue(host, path);
+        if (queue == null) {
+            return new Access.NoQueue();
+        }
+        String account = key == null ? null : list.accounts().get(key);
+        if (account == null && !queue.open()) {
+            return new Access.UnknownKey();
+        }
+        String rest = path.substring(queue.prefix().length());
+        return new Access.Granted(queue, account == null ? "" : account, rest);
+    }
+
+    /** Returns whether this node can serve, as far as it knows. */
+    public boolean ready() {
+        Moment asOf = operators.asOf();
+        Moment copy = replica.asOf();
+        return asOf != null
+                && copy != null
+                && operators.accessList() != null
+                && Clocks.age(asOf) < evidenceMillis
+                && Clocks.age(copy) < evidenceMillis;
+    }
+
+    /** Takes a job in. {@code deadline} is a reading of the steady clock. */
+    public Answer submit(
+            Access.Granted access, String id, String payload, List<Step> steps, Job.Schedule schedule, long deadline) {
+        JobEntry known = replica.find(id);
+        if (known != null) {
+            return new Answer.Accepted();
+        }
+        AccessList.Queue queue = access.queue();
+        Job job = new Job(
+                id,
+                queue.name(),
+                queue.service(),
+                access.account(),
+                queue.terms(),
+                payload,
+                steps,
+                schedule,
+                System.currentTimeMillis());
+        Answer answer = write(JobRecords.job(job), deadline);
+        LOG.infof("submit: request=%s queue=%s account=%s outcome=%s", id, queue.name(), access.account(), answer);
+        return answer;
+    }
+
+    private Answer write(KeyedRecord record, long deadline) {
+        long until = deadline - ANSWER_MILLIS * Clocks.NANOS_PER_MILLI;
+        Append append = new Append(topics.jobs(), List.of(record), new Append.Always());
+        AppendOutcome outcome = metrics.timer("append").timeSupplier(() -> log.append(append, until));
+        return switch (outcome) {
+            case AppendOutcome.Appended appended -> new Answer.Accepted();
+            case AppendOutcome.Refused refused -> new Answer.Refused(refused.reason());
+            case AppendOutcome.Unknown unknown -> new Answer.Undetermined(unknown.reason());
+            case AppendOutcome.NotAtEnd other -> new Answer.Undetermined("unexpected condition");
+            case AppendOutcome.OutOfSequence other -> new Answer.Undetermined("unexpected sequence");
+            case AppendOutcome.Deposed deposed -> new Answer.Undetermined("unexpected epoch");
+        };
+    }
+
+    /** Returns what the log says of a job, made current if the copy has none; null if there is none for sure. */
+    private JobEntry find(String id, long deadline) throws NotCurrentException {
+        JobEntry entry = replica.find(id);
+        if (entry != null) {
+            return entry;
+        }
+        if (!jobs.catchUp(deadline - ANSWER_MILLIS * Clocks.NANOS_PER_MILLI)) {
+            throw new NotCurrentException();
+        }
+        return replica.find(id);
+    }
+
+    /** Thrown when this node cannot tell whether a job exists. */
+    private static final class NotCurrentException extends Exception {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** Says how far a job is. */
+    public Answer state(Access.Granted access, String id, long deadline) {
+        try {
+            JobEntry entry = find(id, deadline);
+            boolean visible = entry != null && entry.job().account().equals(access.account());
+            return visible ? new Answer.State(entry.state()) : new Answer.NoJob();
+        } catch (NotCurrentException e) {
+            return new Answer.Refused("this node's copy of the jobs is not current");
+        }
+    }
+
+    /** Cancels a job. */
+    public Answer cancel(Access.Granted access, String id, long deadline) {
+        try {
+            JobEntry entry = find(id, deadline);
+            if (entry == null || !entry.job().account().equals(access.account())) {
+                return new Answer.NoJob();
+            }
+            if (entry.state().terminal()) {
+                return new Answer.Accepted();
+            }
+        } catch (NotCurrentException e) {
+            return new Answer.Refused("this node's copy of the jobs is not current");
+        }
+        Answer answer = write(JobRecords.cancel(new CancelRecord(id, System.currentTimeMillis())), deadline);
+        LOG.infof("cancel: request=%s account=%s outcome=%s", id, access.account(), answer);
+        return answer;
+    }
+
+    /** Returns how many accepted jobs of the queue have no started task, or -1 if that is not known. */
+    public long pending(Access.Granted access) {
+        Moment asOf = replica.asOf();
+        return asOf == null || Clocks.age(asOf) > FRESH_MILLIS
+                ? -1
+                : replica.pending(access.queue().name());
+    }
+}
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
@@ -0,0 +1,124 @@
+package org.acaciaport.node;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.pool.Moment;
+import org.jboss.logging.Logger;
+
+/**
+ * Takes the lead when the log shows that nobody has it.
+ *
+ * <p>Runs on a thread of its own. A claim is appended only where this node's copy of the log ends, so of several nodes
+ * one succeeds; the offset of its record is the epoch of the term, which no other term can have.
+ */
+final class Leadership {
+    private static final Logger LOG = Logger.getLogger(Leadership.class);
+    private static final long LOOK_MILLIS = 25;
+
+    /** Silence after which a leader counts as lost, in milliseconds; a few of its pauses between records. */
+    private static final long SILENCE_MILLIS = 3 * Term.BEAT_MILLIS;
+
+    /** How much of a slow read's duration is added to the silence allowed. */
+    private static final int READ_FACTOR = 4;
+
+    /** Longest random delay of a claim, in milliseconds, so that nodes seldom claim at once. */
+    private static final int JITTER_MILLIS = 60;
+
+    private static final long CLAIM_MILLIS = 1_500;
+
+    private final LeaderRecord self;
+    private final Term.Parts parts;
+    private final Follower jobs;
+    private final SplittableRandom random;
+    private volatile boolean stopped;
+    private volatile Term term;
+    private Thread thread;
+
+    Leadership(LeaderRecord self, Term.Parts parts, Follower jobs, SplittableRandom random) {
+        this.self = self;
+        this.parts = parts;
+        this.jobs = jobs;
+        this.random = random;
+    }
+
+    void start() {
+        thread = Thread.ofPlatform().name("lead").daemon().start(this::run);
+    }
+
+    private void run() {
+        while (!stopped) {
+            if (vacant()) {
+                try {
+                    lead();
+                } catch (RuntimeException e) {
+                    LOG.errorf(e, "lead: outcome=failed");
+                }
+                term = null;
+            }
+            if (!Clocks.sleep(LOOK_MILLIS)) {
+                return;
+            }
+        }
+    }
+
+    /** Returns whether the log, read up to now, shows no living leader. */
+    private boolean vacant() {
+        Moment asOf = parts.replica().asOf();
+        if (asOf == null || parts.operators().accessList() == null || !silent(asOf)) {
+            return false;
+        }
+        Clocks.sleep(random.nextInt(JITTER_MILLIS));
+        Moment asked = Clocks.now();
+        if (!jobs.catchUp(Clocks.in(CLAIM_MILLIS))) {
+            return false;
+        }
+        Moment fresh = parts.replica().asOf();
+        long took = Clocks.now().millisSince(asked.nanos());
+        Replica.Leader leader = parts.replica().leader();
+        if (fresh == null || leader == null || leader.record().resigned()) {
+            return fresh != null;
+        }
+        return fresh.millisSince(leader.heardNanos()) > SILENCE_MILLIS + READ_FACTOR * took;
+    }
+
+    private boolean silent(Moment asOf) {
+        Replica.Leader leader = parts.replica().leader();
+        return leader == null || leader.record().resigned() || asOf.millisSince(leader.heardNanos()) > SILENCE_MILLIS;
+    }
+
+    private void lead() {
+        long end = parts.replica().next();
+        Append claim = new Append(parts.topics().jobs(), List.of(JobRecords.leader(self)), new Append.AtEnd(end));
+        AppendOutcome outcome = parts.log().append(claim, Clocks.in(CLAIM_MILLIS));
+        LOG.infof("lead: step=claim at=%s outcome=%s", end, outcome);
+        if (!(outcome instanceof AppendOutcome.Appended appended)) {
+            return;
+        }
+        long epoch = appended.offset();
+        TermLog termLog = new TermLog(parts.log(), parts.topics().jobs(), epoch);
+        if (!termLog.bar() || !jobs.catchUp(Clocks.in(CLAIM_MILLIS))) {
+            return;
+        }
+        Term next = new Term(self, epoch, termLog, parts);
+        term = next;
+        if (!stopped) {
+            next.run();
+        }
+    }
+
+    /** Gives up the lead, if it is here, and takes it no more. */
+    void stop(long millis) {
+        stopped = true;
+        Term current = term;
+        if (current != null) {
+            current.resign(millis);
+        }
+    }
+
+    /** Returns whether this node leads. */
+    boolean leads() {
+        return term != null;
+    }
+}
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/Registry.java
@@ -0,0 +1,57 @@
+package org.acaciaport.node;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.Moment;
+
+/**
+ * Hands registrations of targets to a term.
+ *
+ * <p>Used under its follower's lock. Targets that a re-read from the start no longer shows count as unregistered.
+ */
+final class Registry implements Follower.Sink {
+    private final TargetCodec codec;
+    private final Term term;
+    private final Set<String> known = new HashSet<>();
+    private final Set<String> unseen = new HashSet<>();
+
+    Registry(TargetCodec codec, Term term) {
+        this.codec = codec;
+        this.term = term;
+    }
+
+    @Override
+    public void reset() {
+        unseen.addAll(known);
+    }
+
+    @Override
+    public void apply(KeyedRecord record, long offset) {
+        codec.id(record).ifPresent(id -> {
+            if (record.value().length == 0) {
+                drop(id);
+                return;
+            }
+            codec.decodeTarget(record).ifPresent(info -> {
+                unseen.remove(id);
+                known.add(id);
+                term.register(info);
+            });
+        });
+    }
+
+    @Override
+    public void caughtUp(Moment asOf, long next) {
+        Set<String> gone = Set.copyOf(unseen);
+        unseen.clear();
+        gone.forEach(this::drop);
+    }
+
+    private void drop(String id) {
+        unseen.remove(id);
+        if (known.remove(id)) {
+            term.unregister(id);
+        }
+    }
+}
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetCalls.java
@@ -0,0 +1,98 @@
+package org.acaciaport.node;
+
+import java.util.OptionalLong;
+import org.acaciaport.pool.TargetReport;
+import org.acaciaport.pool.TaskId;
+
+/** Sends orders to targets. Safe for use by several threads; calls block until their time is up at the latest. */
+public interface TargetCalls {
+    /**
+     * The target that is meant.
+     *
+     * @param id its name; another target at the address does nothing
+     * @param address host and port
+     */
+    record Address(String id, String address) {}
+
+    /**
+     * An order to start a run.
+     *
+     * @param task the task
+     * @param run number of the start
+     * @param payload text for the task
+     * @param saved checkpoint to go on from; empty for none
+     * @param leaseMillis end of the lease, on the target's clock, in milliseconds
+     * @param fence fencing token
+     */
+    record StartCall(TaskId task, int run, String payload, String saved, long leaseMillis, long fence) {}
+
+    /**
+     * Asks for a report, and renews the lease.
+     *
+     * @param fence fencing token
+     * @param acknowledged number of the last end that need not be listed again
+     * @param leaseMillis end of the lease, on the target's clock, in milliseconds; empty to leave it
+     * @param waitMillis how long to wait for an end, in milliseconds
+     */
+    record ReportCall(long fence, long acknowledged, OptionalLong leaseMillis, long waitMillis) {}
+
+    /** Starts a run; waits up to {@code millis} milliseconds. */
+    Reply start(Address target, StartCall call, long millis);
+
+    /** Stops a run, and bars it if it has not begun; waits up to {@code millis} milliseconds. */
+    Reply stop(Address target, TaskId task, int run, long fence, long millis);
+
+    /** Asks for a report; waits up to {@code millis} milliseconds. */
+    Reply report(Address target, ReportCall call, long millis);
+
+    /** What came back. */
+    sealed interface Reply {}
+
+    /**
+     * The order was carried out.
+     *
+     * @param clockMillis reading of the target's clock
+     */
+    record Done(long clockMillis) implements Reply {}
+
+    /**
+     * A report.
+     *
+     * @param clockMillis reading of the target's clock
+     * @param report what runs and what ended
+     */
+    record Reported(long clockMillis, TargetReport report) implements Reply {}
+
+    /**
+     * The order was not carried out and will not be.
+     *
+     * @param why the kind of refusal
+     * @param clockMillis reading of the target's clock, if it said so
+     */
+    record Refused(Why why, OptionalLong clockMillis) implements Reply {}
+
+    /**
+     * The order may have been carried out, or may be later.
+     *
+     * @param reason what is known
+     */
+    record NoAnswer(String reason) implements Reply {}
+
+    /** Why a target refuses. */
+    enum Why {
+        /** It has seen a higher fencing token. */
+        FENCE,
+        /** It has seen an end of this run or a later one. */
+        OLD_RUN,
+        /** The lease asked for is over already. */
+        LATE,
+        /** There is no room. */
+        ROOM,
+        /** It does not know the task. */
+        UNKNOWN_TASK,
+        /** It is unhealthy or busy. */
+        UNHEALTHY,
+        /** Another target lives at the address now. */
+        OTHER_TARGET
+    }
+}
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -0,0 +1,343 @@
+package org.acaciaport.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.acaciaport.log.KeyedLog;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.Batch;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.Moment;
+import org.acaciaport.pool.Order;
+import org.acaciaport.pool.Pool;
+import org.acaciaport.pool.TargetInfo;
+import org.acaciaport.pool.TargetReport;
+import org.jboss.logging.Logger;
+
+/**
+ * One term of leading the pool, from the moment all earlier records are known until it is over.
+ *
+ * <p>The pool is used by the term's own thread only; everything else reaches it as an event. A start leaves only after
+ * the record that names it is durable.
+ */
+final class Term implements TargetSession.Events, Replica.Listener {
+    private static final Logger LOG = Logger.getLogger(Term.class);
+
+    /** How long leases are renewed while the log cannot confirm the lead, in milliseconds. */
+    static final long UNCONFIRMED_MILLIS = 8_000;
+
+    /** Longest pause between two records of the leader, in milliseconds. */
+    static final long BEAT_MILLIS = 250;
+
+    private static final long STEP_MILLIS = 20;
+
+    /** Pause between two reads of the registrations, in milliseconds. */
+    private static final long REGISTRY_PAUSE_MILLIS = 200;
+
+    /** How long jobs that have ended can be asked for, in milliseconds. */
+    private static final long KEPT_MILLIS = 180_000;
+
+    private static final long PURGE_PAUSE_MILLIS = 5_000;
+    private static final int FENCE_BITS = 16;
+
+    private final LeaderRecord self;
+    private final long epoch;
+    private final TermLog termLog;
+    private final Replica replica;
+    private final OperatorView operators;
+    private final TargetCalls calls;
+    private final Follower registry;
+    private final Pool pool = new Pool();
+    private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final Map<String, TargetSession> sessions = new HashMap<>();
+    private final Map<String, TargetInfo> registered = new HashMap<>();
+    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private final long begunInheritedNanos;
+    private final List<KeyedRecord> extra = new ArrayList<>();
+    private volatile boolean over;
+    private volatile boolean resigning;
+    private boolean appending;
+    private long beatNanos;
+    private long purgeNanos;
+
+    Term(LeaderRecord self, long epoch, TermLog termLog, Parts parts) {
+        this.self = self;
+        this.epoch = epoch;
+        this.termLog = termLog;
+        this.replica = parts.replica();
+        this.operators = parts.operators();
+        this.calls = parts.calls();
+        Follower.Pace pace = new Follower.Pace(0, REGISTRY_PAUSE_MILLIS);
+        registry = new Follower(parts.topics().targets(), parts.log(), pace, new Registry(parts.codec(), this));
+        Moment now = Clocks.now();
+        begunInheritedNanos = TargetSession.inherited(now, UNCONFIRMED_MILLIS);
+        purgeNanos = now.nanos();
+    }
+
+    /**
+     * What a term works with.
+     *
+     * @param replica the product's records
+     * @param operators what operators have published
+     * @param calls sends orders
+     * @param topics names of topics
+     * @param log the shared log
+     * @param codec decodes registrations
+     */
+    record Parts(
+            Replica replica,
+            OperatorView operators,
+            TargetCalls calls,
+            Topics topics,
+            KeyedLog log,
+            TargetCodec codec) {}
+
+    /** Leads until the term is over. */
+    void run() {
+        restore();
+        operators.listen(() -> events.add(() -> pool.configure(operators.poolSettings())));
+        pool.configure(operators.poolSettings());
+        registry.start();
+        try {
+            while (!over) {
+                step();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            end();
+        }
+    }
+
+    private void restore() {
+        Moment now = Clocks.now();
+        List<CancelRecord> cancels = new ArrayList<>();
+        for (JobEntry entry : replica.attach(this)) {
+            if (entry.job() == null) {
+                continue;
+            }
+            JobProgress progress = entry.progress();
+            if (progress == null) {
+                pool.submit(entry.job());
+            } else {
+                pool.restore(entry.job(), progress, now);
+            }
+            if (entry.cancel() != null) {
+                cancels.add(entry.cancel());
+            }
+        }
+        cancels.forEach(cancel -> pool.cancel(cancel.id(), now));
+        LOG.infof(
+                "lead: epoch=%s outcome=leading occupied=%s",
+                epoch, pool.occupied().size());
+    }
+
+    private void step() throws InterruptedException {
+        Runnable event = events.poll(STEP_MILLIS, TimeUnit.MILLISECONDS);
+        while (event != null) {
+            event.run();
+            event = events.poll();
+        }
+        if (over) {
+            return;
+        }
+        Moment now = Clocks.now();
+        if (!resigning) {
+            pool.schedule(now);
+        }
+        for (Order.Stop stop : pool.takeStops()) {
+            TargetSession session = session(stop.target());
+            if (session != null) {
+                workers.execute(() -> session.stop(stop));
+            }
+        }
+        purge(now);
+        if (!appending) {
+            append(now);
+        }
+        Set<String> occupied = new HashSet<>(pool.occupied());
+        occupied.forEach(this::session);
+        sessions.forEach((id, session) -> session.need(occupied.contains(id)));
+    }
+
+    private void append(Moment now) {
+        Batch batch = pool.takeBatch();
+        boolean beat = now.millisSince(beatNanos) >= BEAT_MILLIS;
+        if (batch.records().isEmpty() && extra.isEmpty() && !beat) {
+            release(batch);
+            return;
+        }
+        List<KeyedRecord> records = new ArrayList<>(extra);
+        extra.clear();
+        batch.records().forEach(progress -> records.add(JobRecords.progress(progress)));
+        if (beat || resigning) {
+            beatNanos = now.nanos();
+            records.add(JobRecords.leader(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
+        }
+        appending = true;
+        workers.execute(() -> {
+            boolean done = termLog.append(records);
+            events.add(() -> appended(done, batch));
+        });
+    }
+
+    private void appended(boolean done, Batch batch) {
+        appending = false;
+        if (!done) {
+            stop("deposed by a later term in the log");
+            return;
+        }
+        release(batch);
+    }
+
+    private void release(Batch batch) {
+        for (Order.Start start : batch.starts()) {
+            TargetSession session = session(start.target());
+            if (session == null) {
+                pool.notStarted(start, "no address", 0, Clocks.now());
+            } else {
+                workers.execute(() -> session.start(start));
+            }
+        }
+        batch.acknowledgements().forEach((target, ends) -> {
+            TargetSession session = session(target);
+            if (session != null) {
+                session.acknowledge(ends.incarnation(), ends.upTo());
+            }
+        });
+    }
+
+    /** Drops jobs that ended long ago. */
+    private void purge(Moment now) {
+        if (now.millisSince(purgeNanos) < PURGE_PAUSE_MILLIS) {
+            return;
+        }
+        purgeNanos = now.nanos();
+        for (String id : pool.endedBefore(now.millis() - KEPT_MILLIS)) {
+            pool.forget(id);
+            extra.add(KeyedRecord.drop(JobRecords.PROGRESS + id));
+            extra.add(KeyedRecord.drop(JobRecords.CANCEL + id));
+            extra.add(KeyedRecord.drop(JobRecords.JOB + id));
+        }
+    }
+
+    /** Returns the session with a target, or null if its address was never known. */
+    private TargetSession session(String id) {
+        TargetSession session = sessions.get(id);
+        TargetInfo info = registered.get(id);
+        if (session == null && info != null) {
+            TargetCalls.Address address = new TargetCalls.Address(id, info.address());
+            session = new TargetSession(address, calls, this, epoch << FENCE_BITS, begunInheritedNanos);
+            sessions.put(id, session);
+        }
+        return session;
+    }
+
+    /** Takes a registration. */
+    void register(TargetInfo info) {
+        events.add(() -> {
+            TargetInfo before = registered.put(info.id(), info);
+            if (before == null || before.draining() != info.draining() || before.incarnation() != info.incarnation()) {
+                LOG.infof(
+                        "target: target=%s address=%s data_centre=%s incarnation=%s draining=%s",
+                        info.id(), info.address(), info.dataCentre(), info.incarnation(), info.draining());
+            }
+            pool.register(info);
+            TargetSession session = session(info.id());
+            session.address(new TargetCalls.Address(info.id(), info.address()));
+            session.verify(info.incarnation());
+        });
+    }
+
+    /** Takes note that a registration is gone. */
+    void unregister(String id) {
+        events.add(() -> {
+            LOG.infof("target: target=%s outcome=unregistered", id);
+            pool.unregister(id);
+        });
+    }
+
+    @Override
+    public void submitted(Job job) {
+        events.add(() -> pool.submit(job));
+    }
+
+    @Override
+    public void cancelled(CancelRecord cancel) {
+        events.add(() -> pool.cancel(cancel.id(), Clocks.now()));
+    }
+
+    @Override
+    public void reported(TargetReport report) {
+        events.add(() -> pool.report(report, Clocks.now()));
+    }
+
+    @Override
+    public void started(Order.Start start) {
+        events.add(() -> pool.started(start, Clocks.now()));
+    }
+
+    @Override
+    public void notStarted(Order.Start start, String reason, long avoidMillis) {
+        events.add(() -> pool.notStarted(start, reason, avoidMillis, Clocks.now()));
+    }
+
+    @Override
+    public void silent(String target, long avoidMillis) {
+        events.add(() -> pool.avoid(target, avoidMillis, Clocks.now()));
+    }
+
+    @Override
+    public void lapsed(String target) {
+        events.add(() -> pool.lapsed(target, Clocks.now()));
+    }
+
+    @Override
+    public void deposed(String target) {
+        stop("target " + target + " has seen a later term");
+    }
+
+    @Override
+    public boolean leads() {
+        return !over && Clocks.age(termLog.confirmed()) < UNCONFIRMED_MILLIS;
+    }
+
+    /** Ends the term at once. */
+    void stop(String reason) {
+        if (!over) {
+            over = true;
+            LOG.infof("lead: epoch=%s outcome=ended reason=%s", epoch, reason);
+        }
+    }
+
+    /** Gives up the lead for a planned stop, so that another node takes it at once; waits until that is durable. */
+    void resign(long millis) {
+        long deadline = Clocks.in(millis);
+        events.add(() -> {
+            resigning = true;
+            beatNanos -= BEAT_MILLIS * Clocks.NANOS_PER_MILLI;
+        });
+        while (!over && Clocks.millisUntil(deadline) > 0 && Clocks.sleep(STEP_MILLIS)) {
+            Replica.Leader leader = replica.leader();
+            if (leader != null && leader.record().resigned()) {
+                stop("resigned");
+            }
+        }
+    }
+
+    private void end() {
+        registry.stop();
+        replica.detach();
+        operators.listen(() -> {});
+        sessions.values().forEach(TargetSession::close);
+        workers.shutdownNow();
+    }
+}
--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.ConnectException;
+import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.platform.PlatformException;
@@ -108,6 +109,31 @@
         }
     }
 
+    /**
+     * A call whose body is not made of records.
+     *
+     * @param method the HTTP method
+     * @param uri the whole URI
+     * @param headers further headers
+     * @param type media type of the body
+     * @param body the body; empty for none
+     */
+    public record RawCall(String method, String uri, Map<String, String> headers, String type, byte[] body) {}
+
+    /**
+     * Sends {@code call} and returns the answer, whatever its status.
+     *
+     * @throws PlatformException if no answer came within {@code millis} milliseconds
+     */
+    public Answer exchange(RawCall call, long millis) throws PlatformException {
+        Request request = client.newRequest(call.uri()).method(call.method());
+        request.headers(fields -> call.headers().forEach(fields::put));
+        if (call.body().length > 0) {
+            request.body(new BytesRequestContent(call.type(), call.body()));
+        }
+        return send(request, millis);
+    }
+
     /**
      * Posts {@code body} and reads the answer.
      *
--- a/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
@@ -1,5 +1,6 @@
 package org.acaciaport.program;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -8,14 +9,46 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import java.util.concurrent.atomic.AtomicLong;
 import org.slf4j.LoggerFactory;
 
-/** Sets up logging to standard error, as text or as one JSON object a line. */
+/**
+ * Sets up logging to standard output, as text or as one JSON object a line.
+ *
+ * <p>Lines wait in a queue of {@value #QUEUE_LINES}; further ones are dropped and counted, so that a slow reader never
+ * blocks the program.
+ */
 public final class Logs {
     private static final String TEXT = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n%ex";
 
+    private static final int QUEUE_LINES = 4_096;
+    private static final AtomicLong DROPPED = new AtomicLong();
+
     private Logs() {}
 
+    /** Returns how many lines were dropped since the start. */
+    public static long dropped() {
+        return DROPPED.get();
+    }
+
+    /** Drops lines instead of blocking, and counts them. */
+    private static final class BoundedAppender extends AsyncAppender {
+        BoundedAppender() {
+            setNeverBlock(true);
+            setQueueSize(QUEUE_LINES);
+            setDiscardingThreshold(0);
+        }
+
+        @Override
+        protected void append(ILoggingEvent event) {
+            if (getRemainingCapacity() == 0) {
+                DROPPED.incrementAndGet();
+                return;
+            }
+            super.append(event);
+        }
+    }
+
     /** Replaces the log set-up of this process. */
     public static void configure(LogSettings settings) {
         System.setProperty("org.jboss.logging.provider", "slf4j");
@@ -23,11 +56,14 @@
         context.reset();
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
         appender.setContext(context);
-        appender.setTarget("System.err");
         appender.setEncoder(encoder(context, settings));
         appender.start();
+        BoundedAppender bounded = new BoundedAppender();
+        bounded.setContext(context);
+        bounded.addAppender(appender);
+        bounded.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-        root.addAppender(appender);
+        root.addAppender(bounded);
         root.setLevel(Level.toLevel(settings.level()));
         context.getLogger("org.eclipse.jetty").setLevel(Level.WARN);
     }
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
@@ -0,0 +1,179 @@
+package org.acaciaport.pool;
+
+import org.jboss.logging.Logger;
+
+/**
+ * What the end of a run means for its task, its gang and its job.
+ *
+ * <p>For the pool's thread only.
+ */
+final class Ends {
+    private static final Logger LOG = Logger.getLogger(Ends.class);
+
+    /** Time without progress after which a run counts as stuck, in milliseconds. */
+    private static final long STUCK_MILLIS = 2_500;
+
+    /** Part of a task's estimated duration that is added to {@link #STUCK_MILLIS}. */
+    private static final double STUCK_SHARE = 0.1;
+
+    private static final int ALL_DONE_PERCENT = 100;
+
+    private final Outbox outbox;
+    private final Suspicion suspicion;
+
+    Ends(Outbox outbox, Suspicion suspicion) {
+        this.outbox = outbox;
+        this.suspicion = suspicion;
+    }
+
+    /** Takes note of an end that {@code target} lists. Ends of older runs change nothing. */
+    void settle(JobRun job, TargetRun target, TargetReport.Ended end, Moment now) {
+        TaskRun task = job == null ? null : job.task(end.task());
+        boolean here = task != null && task.lastRun == end.run() && task.phase.occupies() && task.target == target;
+        boolean gone = task != null && task.lastRun == end.run() && !task.phase.occupies();
+        LOG.infof(
+                "end: request=%s task=%s run=%s target=%s how=%s number=%s current=%s",
+                end.task().job(), end.task(), end.run(), target.id, end.how(), end.number(), here);
+        if (!here && !(gone && end.how() == TargetReport.How.DONE && task.phase != Phase.DONE)) {
+            return;
+        }
+        if (!end.saved().isEmpty()) {
+            save(task, end.saved());
+        }
+        outbox.changed(job);
+        switch (end.how()) {
+            case DONE -> {
+                suspicion.succeeded(target);
+                done(task, now);
+            }
+            case FAILED -> {
+                suspicion.failed(task.id.job(), target, now);
+                failed(task, now);
+            }
+            case STOPPED, LAPSED, BROKEN, ALONE -> over(task, now);
+        }
+    }
+
+    /** Keeps a checkpoint; one member's is good for its whole gang. */
+    void save(TaskRun task, String saved) {
+        if (!task.step.spec.mode().gang()) {
+            task.saved = saved;
+            return;
+        }
+        for (TaskRun member : task.step.tasks) {
+            member.saved = saved;
+        }
+    }
+
+    private void done(TaskRun task, Moment now) {
+        StepRun step = task.step;
+        if (step.job.state.terminal()) {
+            release(task, Phase.WAITING);
+            return;
+        }
+        if (step.spec.mode().lasting()) {
+            over(task, now);
+            return;
+        }
+        if (!step.spec.mode().gang()) {
+            finish(task);
+        } else {
+            step.tasks.forEach(this::finish);
+        }
+        JobRun job = step.job;
+        if (job.occurrence(step.occurrence).stream().allMatch(StepRun::done)) {
+            job.close(step.occurrence, now.millis());
+            if (job.state == JobState.DONE) {
+                suspicion.forget(job.job.id());
+                LOG.infof("done: request=%s age_ms=%s", job.job.id(), now.millis() - job.job.acceptedMillis());
+            }
+        }
+    }
+
+    private void finish(TaskRun task) {
+        if (task.phase == Phase.DONE) {
+            return;
+        }
+        release(task, Phase.DONE);
+        task.step.doneTasks++;
+    }
+
+    private void failed(TaskRun task, Moment now) {
+        StepRun step = task.step;
+        TaskRun counter = step.spec.mode().gang() ? step.tasks.get(0) : task;
+        if (step.failedRun != task.lastRun || !step.spec.mode().gang()) {
+            counter.failures++;
+            step.failedRun = task.lastRun;
+        }
+        JobRun job = step.job;
+        boolean spent = !step.spec.mode().lasting()
+                && counter.failures >= job.job.terms().attempts();
+        over(task, now);
+        if (spent && !job.state.terminal()) {
+            job.end(JobState.FAILED, now.millis());
+            stopAll(job, now);
+            LOG.infof("fail: request=%s task=%s failures=%s", job.job.id(), task.id, counter.failures);
+        }
+    }
+
+    /** Takes the run off its target; the task waits again, and the rest of its gang stops. */
+    void over(TaskRun task, Moment now) {
+        boolean ran = task.phase.occupies();
+        release(task, Phase.WAITING);
+        outbox.changed(task.step.job);
+        if (!task.step.spec.mode().gang()) {
+            return;
+        }
+        for (TaskRun member : task.step.tasks) {
+            if (member.phase == Phase.ASSIGNED) {
+                release(member, Phase.WAITING);
+            } else if (ran && (member.phase == Phase.STARTING || member.phase == Phase.RUNNING)) {
+                stop(member, now);
+            }
+        }
+    }
+
+    /** Stops every run of {@code job} and gives back what it was promised. */
+    void stopAll(JobRun job, Moment now) {
+        suspicion.forget(job.job.id());
+        for (TaskRun task : job.tasks()) {
+            if (task.phase == Phase.ASSIGNED) {
+                release(task, Phase.WAITING);
+            } else if (task.phase == Phase.STARTING || task.phase == Phase.RUNNING) {
+                stop(task, now);
+            }
+        }
+    }
+
+    /** Tells the target to stop the task's run. */
+    void stop(TaskRun task, Moment now) {
+        task.stopNanos = now.nanos();
+        task.target.put(task, Phase.STOPPING);
+        outbox.stop(task.target.id, task.incarnation, task.id, task.lastRun);
+    }
+
+    /** Stops a run that makes no progress, so that it goes on elsewhere. */
+    void stopIfStuck(TaskRun task, Moment now) {
+        Step step = task.step.spec;
+        if (step.mode().lasting() || step.mode().filling() || task.percent >= ALL_DONE_PERCENT) {
+            return;
+        }
+        long patience = STUCK_MILLIS + (long) (STUCK_SHARE * step.estimateMillis());
+        if (now.millisSince(task.advancedNanos) < patience) {
+            return;
+        }
+        LOG.infof(
+                "stop: request=%s task=%s run=%s target=%s why=stuck percent=%s",
+                task.id.job(), task.id, task.lastRun, task.target.id, task.percent);
+        suspicion.stuck(task.target, now);
+        stop(task, now);
+    }
+
+    private void release(TaskRun task, Phase phase) {
+        if (task.target != null) {
+            task.target.remove(task, phase);
+        }
+        task.phase = phase;
+        task.confirmedNanos = 0;
+    }
+}
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Moment.java
@@ -0,0 +1,23 @@
+package org.acaciaport.pool;
+
+/**
+ * One instant on both clocks.
+ *
+ * <p>Immutable.
+ *
+ * @param nanos reading of the steady clock, in nanoseconds; compares only with other readings of this process
+ * @param millis time of day, in milliseconds since 1970
+ */
+public record Moment(long nanos, long millis) {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** Returns the steady reading {@code millis} milliseconds later. */
+    public long nanosAfter(long millis) {
+        return nanos + millis * NANOS_PER_MILLI;
+    }
+
+    /** Returns the milliseconds since the steady reading {@code earlier}. */
+    public long millisSince(long earlier) {
+        return (nanos - earlier) / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -0,0 +1,334 @@
+package org.acaciaport.pool;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.jboss.logging.Logger;
+
+/**
+ * Gives waiting work its places, in order of priority.
+ *
+ * <p>For the pool's thread only; holds no state between passes but its collaborators.
+ */
+final class PlacementPass {
+    private static final Logger LOG = Logger.getLogger(PlacementPass.class);
+
+    /** Time within its guarantee after which a gang no longer waits for one rack, in milliseconds. */
+    private static final long CLAIM_PATIENCE_MILLIS = 1_000;
+
+    /** Time after which a unit that does not fit has room set aside, in milliseconds. */
+    private static final long SET_ASIDE_MILLIS = 1_500;
+
+    /** Most units that have room set aside while they wait. */
+    private static final int MOST_SET_ASIDE = 2;
+
+    /** How many times its estimated duration a task waits for the rack of its data. */
+    private static final double NEAR_PATIENCE = 1.0;
+
+    private final Outbox outbox;
+    private final Suspicion suspicion;
+
+    private Collection<TargetRun> targets;
+    private Placement placement;
+    private Accounts accounts;
+    private Moment now;
+    private final Set<Shape> full = new HashSet<>();
+    private int setAside;
+
+    PlacementPass(Outbox outbox, Suspicion suspicion) {
+        this.outbox = outbox;
+        this.suspicion = suspicion;
+    }
+
+    /** A demand that found no room in this pass; others like it need not be tried. */
+    private record Shape(String service, Resources demand, String label, String nearRack) {}
+
+    void run(Collection<JobRun> jobs, Collection<TargetRun> targets, PoolSettings settings, Moment now) {
+        this.targets = targets;
+        this.now = now;
+        placement = new Placement(targets, settings);
+        accounts = Accounts.of(jobs, settings);
+        full.clear();
+        List<Unit> waiting = new ArrayList<>();
+        setAside = 0;
+        for (JobRun job : jobs) {
+            if (!job.state.terminal()) {
+                collect(job, waiting);
+            }
+        }
+        waiting.sort(order());
+        for (Unit unit : waiting) {
+            place(unit);
+        }
+        startAssigned(jobs);
+    }
+
+    private Comparator<Unit> order() {
+        return Comparator.comparingInt(Unit::priority)
+                .thenComparing(unit ->
+                        unit.priority() == 0 && !accounts.within(unit.job().account()))
+                .thenComparing(unit -> Objective.missed(unit.job(), unit.step().occurrence, now.millis()))
+                .thenComparingLong(unit -> unit.job().dueMillis(unit.step().occurrence))
+                .thenComparing(unit -> unit.job().id());
+    }
+
+    private void collect(JobRun job, List<Unit> waiting) {
+        job.beginDue(now.millis());
+        for (List<StepRun> steps : job.open()) {
+            for (StepRun step : steps) {
+                if (step.done() || !mayRun(step, steps)) {
+                    continue;
+                }
+                if (step.readyNanos == 0) {
+                    step.readyNanos = now.nanos();
+                }
+                collect(step, waiting);
+            }
+        }
+    }
+
+    private static boolean mayRun(StepRun step, List<StepRun> steps) {
+        for (int earlier : step.spec.after()) {
+            if (!steps.get(earlier).done()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void collect(StepRun step, List<Unit> waiting) {
+        if (!step.spec.mode().gang()) {
+            for (TaskRun task : step.tasks) {
+                if (task.phase == Phase.WAITING) {
+                    waiting.add(new Unit(step, List.of(task)));
+                }
+            }
+            return;
+        }
+        if (step.tasks.stream().allMatch(task -> task.phase == Phase.WAITING)) {
+            waiting.add(new Unit(step, step.tasks));
+        } else if (step.tasks.get(0).phase == Phase.ASSIGNED
+                && step.job.job.terms().priority() > 0) {
+            setAside++;
+        }
+    }
+
+    private void place(Unit unit) {
+        Step.Constraints limits = unit.step().spec.constraints();
+        Shape shape = new Shape(unit.job().service(), unit.demand(), limits.label(), limits.nearRack());
+        boolean plain = unit.size() == 1 && limits.spreadLimit() == 0;
+        if (plain && full.contains(shape)) {
+            return;
+        }
+        Map<String, List<TargetRun>> racks = placement.racks(unit, now.nanos());
+        racks.values()
+                .forEach(rack ->
+                        rack.removeIf(target -> suspicion.shuns(unit.job().id(), target, targets)));
+        List<List<TargetRun>> scopes = scopes(unit, racks);
+        if (placeFree(unit, scopes) || stopOthers(unit, scopes) || waitForRoom(unit, scopes)) {
+            return;
+        }
+        if (plain) {
+            full.add(shape);
+        }
+    }
+
+    /** Returns the groups of targets that may take the whole unit. */
+    private List<List<TargetRun>> scopes(Unit unit, Map<String, List<TargetRun>> racks) {
+        Step.Constraints limits = unit.step().spec.constraints();
+        List<TargetRun> all = new ArrayList<>();
+        racks.values().forEach(all::addAll);
+        if (limits.tight() && unit.size() > 1 && !overdueClaim(unit) && Placement.fitsOneRack(unit, racks)) {
+            return List.copyOf(racks.values());
+        }
+        if (limits.nearRack().isEmpty() || !racks.containsKey(limits.nearRack())) {
+            return List.of(all);
+        }
+        List<List<TargetRun>> scopes = new ArrayList<>();
+        scopes.add(racks.get(limits.nearRack()));
+        long patience = (long) (NEAR_PATIENCE * unit.step().spec.estimateMillis());
+        if (overdueClaim(unit) || waited(unit) > patience) {
+            scopes.add(all);
+        }
+        return scopes;
+    }
+
+    private long waited(Unit unit) {
+        return now.millisSince(unit.step().readyNanos);
+    }
+
+    private boolean overdueClaim(Unit unit) {
+        return claims(unit) && waited(unit) > CLAIM_PATIENCE_MILLIS;
+    }
+
+    private boolean claims(Unit unit) {
+        return unit.priority() == 0 && accounts.within(unit.job().account());
+    }
+
+    private boolean placeFree(Unit unit, List<List<TargetRun>> scopes) {
+        List<TargetRun> best = null;
+        long bestLeft = Long.MAX_VALUE;
+        for (List<TargetRun> scope : scopes) {
+            List<TargetRun> places = Placement.choose(unit, scope, TargetRun::freeSoon);
+            if (places == null) {
+                continue;
+            }
+            long left = 0;
+            for (TargetRun target : scope) {
+                left += target.freeSoon().accelerators();
+            }
+            if (left < bestLeft) {
+                best = places;
+                bestLeft = left;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        assign(unit, best, "free");
+        return true;
+    }
+
+    private boolean stopOthers(Unit unit, List<List<TargetRun>> scopes) {
+        if (unit.priority() != 0) {
+            return false;
+        }
+        boolean claim = claims(unit);
+        Predicate<TaskRun> allowed = task -> task.job().terms().priority() > 0
+                || claim && !accounts.within(task.job().account());
+        Victims.Choice best = null;
+        for (List<TargetRun> scope : scopes) {
+            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.LOST_WORK, now.nanos());
+            if (choice != null && (best == null || choice.loss() < best.loss())) {
+                best = choice;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        for (TaskRun task : best.stops()) {
+            if (task.phase == Phase.ASSIGNED) {
+                task.target.remove(task, Phase.WAITING);
+                continue;
+            }
+            LOG.infof(
+                    "stop: request=%s task=%s run=%s target=%s why=claim for=%s",
+                    task.id.job(),
+                    task.id,
+                    task.lastRun,
+                    task.target.id,
+                    unit.job().id());
+            task.stopNanos = now.nanos();
+            task.target.put(task, Phase.STOPPING);
+            outbox.stop(task.target.id, task.incarnation, task.id, task.lastRun);
+        }
+        assign(unit, best.places(), claim ? "claim" : "priority");
+        return true;
+    }
+
+    /** Sets room aside that frees up as running work ends, so that large units are not passed over for ever. */
+    private boolean waitForRoom(Unit unit, List<List<TargetRun>> scopes) {
+        if (setAside >= MOST_SET_ASIDE
+                || waited(unit) < SET_ASIDE_MILLIS
+                || !unit.step().spec.mode().gang()) {
+            return false;
+        }
+        Predicate<TaskRun> allowed =
+                task -> task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
+        Victims.Choice best = null;
+        for (List<TargetRun> scope : scopes) {
+            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.TIME_LEFT, now.nanos());
+            if (choice != null && (best == null || choice.loss() < best.loss())) {
+                best = choice;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        setAside++;
+        assign(unit, best.places(), "set-aside");
+        return true;
+    }
+
+    private void assign(Unit unit, List<TargetRun> places, String why) {
+        for (int i = 0; i < unit.size(); i++) {
+            places.get(i).put(unit.tasks().get(i), Phase.ASSIGNED);
+        }
+        LOG.infof(
+                "place: request=%s step=%s tasks=%s account=%s target=%s why=%s waited_ms=%s",
+                unit.job().id(),
+                unit.step().number,
+                unit.size(),
+                unit.job().account(),
+                places.get(0).id,
+                why,
+                waited(unit));
+    }
+
+    private void startAssigned(Collection<JobRun> jobs) {
+        for (JobRun job : jobs) {
+            if (job.state.terminal()) {
+                continue;
+            }
+            for (List<StepRun> steps : job.open()) {
+                for (StepRun step : steps) {
+                    startAssigned(step);
+                }
+            }
+        }
+    }
+
+    private void startAssigned(StepRun step) {
+        List<TaskRun> assigned =
+                step.tasks.stream().filter(task -> task.phase == Phase.ASSIGNED).toList();
+        if (assigned.isEmpty()) {
+            return;
+        }
+        if (!step.spec.mode().gang()) {
+            for (TaskRun task : assigned) {
+                start(new Unit(step, List.of(task)));
+            }
+        } else if (assigned.size() == step.tasks.size()) {
+            start(new Unit(step, assigned));
+        } else {
+            assigned.forEach(task -> task.target.remove(task, Phase.WAITING));
+        }
+    }
+
+    private void start(Unit unit) {
+        Map<TargetRun, Resources> room = new HashMap<>();
+        boolean enough = true;
+        for (TaskRun task : unit.tasks()) {
+            if (!placement.allowed(unit, task.target, now.nanos())) {
+                unit.tasks().forEach(each -> each.target.remove(each, Phase.WAITING));
+                return;
+            }
+            Resources left =
+                    room.getOrDefault(task.target, task.target.freeNow()).minus(task.demand());
+            room.put(task.target, left);
+            enough &= Resources.NONE.fitsIn(left);
+        }
+        if (!enough) {
+            return;
+        }
+        int run = 0;
+        for (TaskRun task : unit.tasks()) {
+            run = Math.max(run, task.lastRun + 1);
+        }
+        for (TaskRun task : unit.tasks()) {
+            task.lastRun = run;
+            task.incarnation = task.target.incarnation;
+            task.target.put(task, Phase.STARTING);
+            outbox.start(task);
+        }
+        if (unit.step().job.state == JobState.QUEUED) {
+            unit.step().job.state = JobState.RUNNING;
+        }
+    }
+}
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PoolSettings.java
@@ -0,0 +1,25 @@
+package org.acaciaport.pool;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What operators have configured for the pool.
+ *
+ * <p>Immutable.
+ *
+ * @param guarantees guaranteed accelerators of each client account
+ * @param evacuated data centres that take no new work
+ * @param services names of the services that exist
+ */
+public record PoolSettings(Map<String, Long> guarantees, Set<String> evacuated, Set<String> services) {
+    /** Nothing configured yet. */
+    public static final PoolSettings EMPTY = new PoolSettings(Map.of(), Set.of(), Set.of());
+
+    /** Copies the collections. */
+    public PoolSettings {
+        guarantees = Map.copyOf(guarantees);
+        evacuated = Set.copyOf(evacuated);
+        services = Set.copyOf(services);
+    }
+}
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Unit.java
@@ -0,0 +1,29 @@
+package org.acaciaport.pool;
+
+import java.util.List;
+
+/**
+ * Tasks that are placed together: all of a gang, or one task.
+ *
+ * <p>Immutable.
+ *
+ * @param step their step
+ * @param tasks the tasks, all waiting
+ */
+record Unit(StepRun step, List<TaskRun> tasks) {
+    Job job() {
+        return step.job.job;
+    }
+
+    int priority() {
+        return job().terms().priority();
+    }
+
+    Resources demand() {
+        return step.spec.charged();
+    }
+
+    int size() {
+        return tasks.size();
+    }
+}
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestDesk.java
@@ -87,6 +87,7 @@
             case Message.Explanation explanation -> misdirected();
             case Message.View view -> misdirected();
             case Message.Targets targets -> misdirected();
+            case Message.LogMessage other -> misdirected();
         };
     }
 
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
@@ -17,6 +17,10 @@
 import com.fasterxml.jackson.databind.type.LogicalType;
 import org.acaciaport.config.Adjacency;
 import org.acaciaport.config.Treatment;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.NewestOutcome;
+import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.record.LogRecord;
 import org.acaciaport.request.Outcome;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -62,7 +66,11 @@
                 .addMixIn(Adjacency.class, AdjacencyNames.class)
                 .addMixIn(Treatment.class, TreatmentNames.class)
                 .addMixIn(Outcome.class, OutcomeNames.class)
-                .addMixIn(LogRecord.class, LogRecordNames.class);
+                .addMixIn(LogRecord.class, LogRecordNames.class)
+                .addMixIn(Append.Condition.class, ConditionNames.class)
+                .addMixIn(AppendOutcome.class, AppendOutcomeNames.class)
+                .addMixIn(ReadOutcome.class, ReadOutcomeNames.class)
+                .addMixIn(NewestOutcome.class, NewestOutcomeNames.class);
     }
 
     private static void onlyText(MutableCoercionConfig coercions) {
@@ -119,4 +127,38 @@
         @JsonSubTypes.Type(value = LogRecord.HandedOver.class, name = "handed-over")
     })
     private interface LogRecordNames {}
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "condition")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = Append.Always.class, name = "always"),
+        @JsonSubTypes.Type(value = Append.AtEnd.class, name = "at-end"),
+        @JsonSubTypes.Type(value = Append.Writer.class, name = "writer")
+    })
+    private interface ConditionNames {}
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "outcome")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = AppendOutcome.Appended.class, name = "appended"),
+        @JsonSubTypes.Type(value = AppendOutcome.NotAtEnd.class, name = "not-at-end"),
+        @JsonSubTypes.Type(value = AppendOutcome.Deposed.class, name = "deposed"),
+        @JsonSubTypes.Type(value = AppendOutcome.OutOfSequence.class, name = "out-of-sequence"),
+        @JsonSubTypes.Type(value = AppendOutcome.Refused.class, name = "refused"),
+        @JsonSubTypes.Type(value = AppendOutcome.Unknown.class, name = "unknown")
+    })
+    private interface AppendOutcomeNames {}
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "outcome")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = ReadOutcome.Records.class, name = "records"),
+        @JsonSubTypes.Type(value = ReadOutcome.Expired.class, name = "expired"),
+        @JsonSubTypes.Type(value = ReadOutcome.Unavailable.class, name = "unavailable")
+    })
+    private interface ReadOutcomeNames {}
+
+    @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "outcome")
+    @JsonSubTypes({
+        @JsonSubTypes.Type(value = NewestOutcome.Page.class, name = "page"),
+        @JsonSubTypes.Type(value = NewestOutcome.Unavailable.class, name = "unavailable")
+    })
+    private interface NewestOutcomeNames {}
 }
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Message.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Message.java
@@ -4,6 +4,10 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.acaciaport.config.ActiveConfiguration;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.NewestOutcome;
+import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.request.Outcome;
 
 /**
@@ -27,7 +31,13 @@
     @JsonSubTypes.Type(value = Message.Refused.class, name = "refused"),
     @JsonSubTypes.Type(value = Message.Explanation.class, name = "explanation"),
     @JsonSubTypes.Type(value = Message.View.class, name = "view"),
-    @JsonSubTypes.Type(value = Message.Targets.class, name = "targets")
+    @JsonSubTypes.Type(value = Message.Targets.class, name = "targets"),
+    @JsonSubTypes.Type(value = Message.AppendLog.class, name = "append-log"),
+    @JsonSubTypes.Type(value = Message.ReadLog.class, name = "read-log"),
+    @JsonSubTypes.Type(value = Message.ReadNewest.class, name = "read-newest"),
+    @JsonSubTypes.Type(value = Message.LogAppended.class, name = "log-appended"),
+    @JsonSubTypes.Type(value = Message.LogRead.class, name = "log-read"),
+    @JsonSubTypes.Type(value = Message.NewestRead.class, name = "newest-read")
 })
 public sealed interface Message {
     /** Asks whether the other end is alive. */
@@ -36,6 +46,38 @@
     /** Answers {@link Ping}. */
     record Pong() implements Message {}
 
+    /** What the nodes say to each other so that one of them reaches the log through another. */
+    sealed interface LogMessage extends Message {}
+
+    /** Asks the peer to append for a process that cannot reach the log; answered by {@link LogAppended}. */
+    record AppendLog(Append append) implements LogMessage {}
+
+    /**
+     * Asks the peer to read for a process that cannot reach the log; answered by {@link LogRead}.
+     *
+     * @param topic name of the topic
+     * @param from first offset wanted
+     * @param waitMillis how long to wait for a record, in milliseconds
+     */
+    record ReadLog(String topic, long from, long waitMillis) implements LogMessage {}
+
+    /**
+     * Asks the peer for the newest records; answered by {@link NewestRead}.
+     *
+     * @param topic name of the topic
+     * @param after the last key already seen; empty for the first page
+     */
+    record ReadNewest(String topic, String after) implements LogMessage {}
+
+    /** Answers {@link AppendLog}. */
+    record LogAppended(AppendOutcome outcome) implements LogMessage {}
+
+    /** Answers {@link ReadLog}. */
+    record LogRead(ReadOutcome outcome) implements LogMessage {}
+
+    /** Answers {@link ReadNewest}. */
+    record NewestRead(NewestOutcome outcome) implements LogMessage {}
+
     /**
      * Hands in a request; answered by {@link Status}, {@link Elsewhere} or {@link Refused}.
      *
