A silent target is not asked to extend its lease, so that it lapses

Each unanswered report asked for a lease and counted it as perhaps granted, so the lease never ended. Ruled out: a lost registration (the unregistering is in the log), a stuck session (it went on asking).

--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -21,8 +21,11 @@
 public final class Node {
     private static final Logger LOG = Logger.getLogger(Node.class);
 
-    /** How long a read of the log waits for news, in milliseconds. */
-    private static final long READ_WAIT_MILLIS = 400;
+    /** How long a read of the jobs waits for news, in milliseconds. */
+    private static final long JOBS_WAIT_MILLIS = 400;
+
+    /** How long a read of the operators' publications waits for news, in milliseconds. */
+    private static final long OPERATORS_WAIT_MILLIS = 1_000;
 
     private static final long RESIGN_MILLIS = 1_000;
     private static final long ANNOUNCE_PAUSE_MILLIS = 300;
@@ -64,9 +67,9 @@
         log = new LogRoutes(ports.log(), new Peers(address(settings.wire()), this::others));
         OperatorView operators = new OperatorView(ports.operators());
         Term.Parts parts = new Term.Parts(replica, operators, ports.calls(), settings.topics(), log, ports.targets());
-        Follower.Pace pace = new Follower.Pace(READ_WAIT_MILLIS, 0);
-        jobs = new Follower(settings.topics().jobs(), log, pace, replica);
-        operatorFollower = new Follower(settings.topics().operators(), log, pace, operators);
+        jobs = new Follower(settings.topics().jobs(), log, new Follower.Pace(JOBS_WAIT_MILLIS, 0), replica);
+        Follower.Pace operatorPace = new Follower.Pace(OPERATORS_WAIT_MILLIS, 0);
+        operatorFollower = new Follower(settings.topics().operators(), log, operatorPace, operators);
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
         leadership = new Leadership(self, parts, jobs, random);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -13,7 +13,8 @@
  *
  * <p>Safe for use by several threads. Invariants: an order is sent only with this term's fence; after an order without
  * an answer the fence is raised before its outcome is judged, so that a delayed copy of it does nothing; nothing counts
- * as lapsed before the last lease that may have been granted is over on the target's own clock.
+ * as lapsed before the last lease that may have been granted is over on the target's own clock; a target that does not
+ * answer is not asked to extend its lease, so that it lapses in the end.
  */
 final class TargetSession {
     private static final Logger LOG = Logger.getLogger(TargetSession.class);
@@ -186,7 +187,8 @@
         TargetCalls.ReportCall call;
         TargetCalls.Address to;
         synchronized (this) {
-            call = new TargetCalls.ReportCall(fence, acknowledged, lease(), waitMillis);
+            OptionalLong lease = silent ? OptionalLong.empty() : lease();
+            call = new TargetCalls.ReportCall(fence, acknowledged, lease, waitMillis);
             to = address;
         }
         TargetCalls.Reply reply = calls.report(to, call, waitMillis + ANSWER_MILLIS);
