Ways to the log with adaptive waits; requests refused at once while no way works; archived classes

Cause: during store outages and zone cuts callers waited out their deadline or got 504, after which requests that are not idempotent cannot come again. Ruled out: lost answers of accepted work (append outcomes in the log show the waits).

--- a/acacia-node/src/main/java/org/acaciaport/node/Desk.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Desk.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
-import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobState;
@@ -24,20 +23,26 @@
     /** Age up to which the copy of the jobs may be used to say that there is no such job, in milliseconds. */
     private static final long FRESH_MILLIS = 1_000;
 
+    /** Age of the copy of the jobs from which on callers are better served elsewhere, in milliseconds. */
+    private static final long READY_MILLIS = 1_500;
+
+    /** Pause before an append whose outcome is not known is sent again, in milliseconds. */
+    private static final long AGAIN_MILLIS = 80;
+
     /** Time left to a caller to receive an answer, in milliseconds. */
     private static final long ANSWER_MILLIS = 150;
 
     private final Topics topics;
-    private final KeyedLog log;
+    private final LogRoutes log;
     private final Replica replica;
     private final Follower jobs;
     private final OperatorView operators;
     private final long evidenceMillis;
     private final MetricRegistry metrics;
 
-    Desk(Term.Parts parts, Follower jobs, long evidenceMillis, MetricRegistry metrics) {
+    Desk(Term.Parts parts, LogRoutes log, Follower jobs, long evidenceMillis, MetricRegistry metrics) {
         this.topics = parts.topics();
-        this.log = parts.log();
+        this.log = log;
         this.replica = parts.replica();
         this.operators = parts.operators();
         this.jobs = jobs;
@@ -129,7 +134,7 @@
                 && copy != null
                 && operators.accessList() != null
                 && Clocks.age(asOf) < evidenceMillis
-                && Clocks.age(copy) < evidenceMillis;
+                && Clocks.age(copy) < READY_MILLIS;
     }
 
     /** Takes a job in. {@code deadline} is a reading of the steady clock. */
@@ -157,8 +162,17 @@
 
     private Answer write(KeyedRecord record, long deadline) {
         long until = deadline - ANSWER_MILLIS * Clocks.NANOS_PER_MILLI;
+        if (!log.reachable()) {
+            return new Answer.Refused("the log cannot be reached now");
+        }
         Append append = new Append(topics.jobs(), List.of(record), new Append.Always());
         AppendOutcome outcome = metrics.timer("append").timeSupplier(() -> log.append(append, until));
+        while (outcome instanceof AppendOutcome.Unknown
+                && Clocks.millisUntil(until) > AGAIN_MILLIS
+                && Clocks.sleep(AGAIN_MILLIS)) {
+            AppendOutcome again = log.append(append, until);
+            outcome = again instanceof AppendOutcome.Refused ? outcome : again;
+        }
         return switch (outcome) {
             case AppendOutcome.Appended appended -> new Answer.Accepted();
             case AppendOutcome.Refused refused -> new Answer.Refused(refused.reason());
--- a/acacia-node/src/main/java/org/acaciaport/node/Follower.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Follower.java
@@ -18,7 +18,7 @@
     private static final Logger LOG = Logger.getLogger(Follower.class);
 
     /** Time allowed to an answer beyond the wait that was asked for, in milliseconds. */
-    private static final long ANSWER_MILLIS = 1_500;
+    private static final long ANSWER_MILLIS = 2_500;
 
     /** Pause after a read that failed, in milliseconds. */
     private static final long RETRY_MILLIS = 60;
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -3,9 +3,13 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.Step;
 import org.acaciaport.wire.Codecs;
 
 /**
@@ -58,4 +62,16 @@
     static <T> T read(KeyedRecord record, Class<T> type) throws IOException {
         return Codecs.messagePack().readValue(record.value(), type);
     }
+
+    /** Encodes and decodes a record of each kind. */
+    static void warmUp() throws IOException {
+        Step step = new Step(1, Resources.NONE, 1, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job job = new Job("j", "q", "s", "a", new Job.Terms(0, 1, 1, 1), "", List.of(step), Job.Schedule.NOW, 0);
+        read(job(job), Job.class);
+        JobProgress.Task task = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
+        read(progress(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of(task))), JobProgress.class);
+        read(cancel(new CancelRecord("j", 0)), CancelRecord.class);
+        read(node(new NodeRecord("n", "a")), NodeRecord.class);
+        read(leader(new LeaderRecord("n", 0, false)), LeaderRecord.class);
+    }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
@@ -1,6 +1,9 @@
 package org.acaciaport.node;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -21,15 +24,15 @@
 public final class LogRoutes implements KeyedLog, WireServer.Handler {
     private static final Logger LOG = Logger.getLogger(LogRoutes.class);
 
-    /** Longest wait for the answer to one try, in milliseconds. */
-    private static final long TRY_MILLIS = 1_200;
-
     /** Pause between two probes of the direct way while it fails, in milliseconds. */
     private static final long PROBE_MILLIS = 400;
 
     private final KeyedLog direct;
     private final Peers peers;
+    private final AnswerTime directTime = new AnswerTime();
+    private final AnswerTime peerTime = new AnswerTime();
     private volatile boolean directFails;
+    private volatile boolean reachable = true;
     private volatile long probeAt;
 
     LogRoutes(KeyedLog direct, Peers peers) {
@@ -37,19 +40,76 @@
         this.peers = peers;
     }
 
-    /** Returns whether the next call should try the direct way first. */
-    private boolean directFirst() {
-        if (!directFails) {
-            return true;
+    /** One way to the log: null stands for the direct one. */
+    private record Way(String peer) {
+        boolean isDirect() {
+            return peer == null;
+        }
+    }
+
+    /** Returns whether the newest call found some way to the log. */
+    boolean reachable() {
+        return reachable;
+    }
+
+    /** Returns the ways to try in order; while the direct one fails, it is probed now and then. */
+    private List<Way> ways() {
+        List<Way> ways = new ArrayList<>();
+        boolean probe = directFails && System.nanoTime() >= probeAt;
+        if (probe) {
+            probeAt = Clocks.in(PROBE_MILLIS);
         }
-        if (System.nanoTime() < probeAt) {
-            return false;
+        if (!directFails || probe) {
+            ways.add(new Way(null));
         }
-        probeAt = Clocks.in(PROBE_MILLIS);
-        return true;
+        peers.candidates().forEach(peer -> ways.add(new Way(peer)));
+        return ways;
     }
 
-    private void note(boolean answered) {
+    /** Makes one call on one way; returns null if there was no usable answer in time. */
+    private <T> T call(Way way, long waitMillis, long deadline, Call<T> call) {
+        AnswerTime time = way.isDirect() ? directTime : peerTime;
+        long millis = Math.min(waitMillis + time.millis(), Clocks.millisUntil(deadline));
+        if (millis <= 0) {
+            return null;
+        }
+        long begun = System.nanoTime();
+        T outcome = way.isDirect() ? call.direct().apply(Clocks.in(millis)) : ask(way.peer(), call, millis);
+        boolean answered = outcome != null && call.answered().test(outcome);
+        double took = (double) (System.nanoTime() - begun) / Clocks.NANOS_PER_MILLI;
+        if (answered && took < time.millis()) {
+            time.answered(took);
+        } else if (took >= waitMillis + time.millis()) {
+            time.missed();
+        }
+        if (way.isDirect()) {
+            noteDirect(answered);
+        } else if (!answered) {
+            peers.demote(way.peer());
+        }
+        return outcome;
+    }
+
+    /**
+     * One kind of call, direct and through a peer.
+     *
+     * @param direct makes the direct call until a deadline
+     * @param query what a peer is asked
+     * @param read takes the outcome out of a peer's reply; null if it is of another kind
+     * @param answered whether an outcome shows that the log answered
+     */
+    private record Call<T>(Function<Long, T> direct, Message query, Function<Message, T> read, Predicate<T> answered) {}
+
+    private <T> T ask(String peer, Call<T> call, long millis) {
+        try {
+            return call.read().apply(peers.ask(peer, call.query(), millis));
+        } catch (WireException e) {
+            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, e.getMessage());
+            return null;
+        }
+    }
+
+    private void noteDirect(boolean answered) {
         if (answered == directFails) {
             directFails = !answered;
             probeAt = Clocks.in(PROBE_MILLIS);
@@ -57,52 +117,43 @@
         }
     }
 
-    /** Returns the deadline of one try. */
-    private static long tryUntil(long deadline, long waitMillis) {
-        return Math.min(deadline, Clocks.in(waitMillis + TRY_MILLIS));
+    private void noteReachable(boolean now) {
+        if (reachable != now) {
+            reachable = now;
+            LOG.infof("dependency: log way=any outcome=%s", now ? "regained" : "lost");
+        }
     }
 
     @Override
     public AppendOutcome append(Append append, long deadline) {
         boolean repeatable = !(append.condition() instanceof Append.AtEnd);
-        AppendOutcome first = new AppendOutcome.Refused("not tried");
-        boolean directFirst = directFirst();
-        if (directFirst) {
-            first = direct.append(append, tryUntil(deadline, 0));
-            note(!(first instanceof AppendOutcome.Refused || first instanceof AppendOutcome.Unknown));
-            if (settled(first, repeatable)) {
-                return first;
-            }
-        }
-        boolean unknown = first instanceof AppendOutcome.Unknown;
-        for (String peer : peers.candidates()) {
-            AppendOutcome outcome =
-                    ask(peer, new Message.AppendLog(append), tryUntil(deadline, 0), LogRoutes::appended);
-            if (outcome == null) {
-                unknown = true;
-                outcome = new AppendOutcome.Unknown("no reply from peer " + peer);
-            }
-            if (settled(outcome, repeatable)) {
+        Call<AppendOutcome> call = new Call<>(
+                until -> direct.append(append, until),
+                new Message.AppendLog(append),
+                reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
+                LogRoutes::answered);
+        boolean unknown = false;
+        String reason = "no way to the log";
+        for (Way way : ways()) {
+            AppendOutcome outcome = call(way, 0, deadline, call);
+            if (outcome != null && answered(outcome)) {
+                noteReachable(true);
                 return outcome;
             }
-            unknown |= outcome instanceof AppendOutcome.Unknown;
-            first = outcome;
-            if (Clocks.millisUntil(deadline) <= 0) {
+            unknown |= !(outcome instanceof AppendOutcome.Refused);
+            reason = outcome == null ? "no answer" : outcome.toString();
+            if (unknown && !repeatable) {
                 break;
             }
         }
-        if (!directFirst && !unknown && Clocks.millisUntil(deadline) > 0) {
-            first = direct.append(append, tryUntil(deadline, 0));
-            note(!(first instanceof AppendOutcome.Refused || first instanceof AppendOutcome.Unknown));
-        }
-        boolean hide = unknown && first instanceof AppendOutcome.Refused;
-        return hide ? new AppendOutcome.Unknown("a try had no answer") : first;
+        noteReachable(false);
+        return unknown ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused(reason);
     }
 
-    private static boolean settled(AppendOutcome outcome, boolean repeatable) {
+    private static boolean answered(AppendOutcome outcome) {
         return switch (outcome) {
             case AppendOutcome.Refused refused -> false;
-            case AppendOutcome.Unknown unknown -> !repeatable;
+            case AppendOutcome.Unknown unknown -> false;
             case AppendOutcome.Appended appended -> true;
             case AppendOutcome.NotAtEnd other -> true;
             case AppendOutcome.Deposed deposed -> true;
@@ -110,70 +161,39 @@
         };
     }
 
-    private static AppendOutcome appended(Message reply) {
-        return reply instanceof Message.LogAppended answer ? answer.outcome() : null;
-    }
-
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
-        boolean directFirst = directFirst();
-        if (directFirst) {
-            ReadOutcome outcome = direct.read(topic, from, waitMillis, tryUntil(deadline, waitMillis));
-            note(!(outcome instanceof ReadOutcome.Unavailable));
-            if (!(outcome instanceof ReadOutcome.Unavailable)) {
-                return outcome;
-            }
-        }
-        for (String peer : peers.candidates()) {
-            ReadOutcome outcome = ask(
-                    peer,
-                    new Message.ReadLog(topic, from, waitMillis),
-                    tryUntil(deadline, waitMillis),
-                    reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null);
-            if (outcome != null && !(outcome instanceof ReadOutcome.Unavailable)) {
-                return outcome;
-            }
-            peers.demote(peer);
-        }
-        return new ReadOutcome.Unavailable("neither the log nor a peer answered");
+        Call<ReadOutcome> call = new Call<>(
+                until -> direct.read(topic, from, waitMillis, until),
+                new Message.ReadLog(topic, from, waitMillis),
+                reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
+                outcome -> !(outcome instanceof ReadOutcome.Unavailable));
+        ReadOutcome outcome = first(waitMillis, deadline, call);
+        return outcome == null ? new ReadOutcome.Unavailable("neither the log nor a peer answered") : outcome;
     }
 
     @Override
     public NewestOutcome newest(String topic, String after, long deadline) {
-        if (directFirst()) {
-            NewestOutcome outcome = direct.newest(topic, after, tryUntil(deadline, 0));
-            note(outcome instanceof NewestOutcome.Page);
-            if (outcome instanceof NewestOutcome.Page) {
-                return outcome;
-            }
-        }
-        for (String peer : peers.candidates()) {
-            NewestOutcome outcome = ask(
-                    peer,
-                    new Message.ReadNewest(topic, after),
-                    tryUntil(deadline, 0),
-                    reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null);
-            if (outcome instanceof NewestOutcome.Page) {
-                return outcome;
-            }
-            peers.demote(peer);
-        }
-        return new NewestOutcome.Unavailable("neither the log nor a peer answered");
+        Call<NewestOutcome> call = new Call<>(
+                until -> direct.newest(topic, after, until),
+                new Message.ReadNewest(topic, after),
+                reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
+                outcome -> outcome instanceof NewestOutcome.Page);
+        NewestOutcome outcome = first(0, deadline, call);
+        return outcome == null ? new NewestOutcome.Unavailable("neither the log nor a peer answered") : outcome;
     }
 
-    /** Returns null if no usable reply came. */
-    private <T> T ask(String peer, Message query, long deadline, Function<Message, T> read) {
-        long millis = Clocks.millisUntil(deadline);
-        if (millis <= 0) {
-            return null;
-        }
-        try {
-            return read.apply(peers.ask(peer, query, millis));
-        } catch (WireException e) {
-            peers.demote(peer);
-            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, e.getMessage());
-            return null;
+    /** Returns the first answer on any way, or null. */
+    private <T> T first(long waitMillis, long deadline, Call<T> call) {
+        for (Way way : ways()) {
+            T outcome = call(way, waitMillis, deadline, call);
+            if (outcome != null && call.answered().test(outcome)) {
+                noteReachable(true);
+                return outcome;
+            }
         }
+        noteReachable(false);
+        return null;
     }
 
     /** Answers a peer that the log turns away. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -73,7 +73,7 @@
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
         leadership = new Leadership(self, parts, jobs, random);
-        desk = new Desk(parts, jobs, settings.evidenceMillis(), metrics);
+        desk = new Desk(parts, log, jobs, settings.evidenceMillis(), metrics);
     }
 
     private static String address(InetSocketAddress address) {
@@ -112,6 +112,15 @@
         LOG.infof("announce: node=%s address=%s", record.name(), record.address());
     }
 
+    /**
+     * Encodes and decodes the product's own records once, for a build that archives classes.
+     *
+     * @throws IOException if they do not survive it
+     */
+    public static void warmUp() throws IOException {
+        JobRecords.warmUp();
+    }
+
     /** Returns what answers callers. */
     public Desk desk() {
         return desk;
--- a/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
@@ -24,7 +24,7 @@
  * keeps its connection.
  */
 public final class WireClient implements Closeable {
-    private static final int CONNECT_MILLIS = 1_000;
+    private static final int CONNECT_MILLIS = 400;
     private static final long PROBE_MILLIS = 1_000;
 
     /** Longest time without a word from a connection on which queries wait, in milliseconds. */
