--- a/acacia-node/src/main/java/org/acaciaport/node/Desk.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Desk.java
@@ -30,7 +30,7 @@
     private static final long AGAIN_MILLIS = 80;
 
     /** Time left to a caller to receive an answer, in milliseconds. */
-    private static final long ANSWER_MILLIS = 150;
+    private static final long ANSWER_MILLIS = 40;
 
     private final Topics topics;
     private final LogRoutes log;
--- a/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
@@ -69,10 +69,7 @@
     /** Makes one call on one way; returns null if there was no usable answer in time. */
     private <T> T call(Way way, long waitMillis, long deadline, Call<T> call) {
         AnswerTime time = way.isDirect() ? directTime : peerTime;
-        long millis = Math.min(waitMillis + time.millis(), Clocks.millisUntil(deadline));
-        if (millis <= 0) {
-            return null;
-        }
+        long millis = Math.max(1, Math.min(waitMillis + time.millis(), Clocks.millisUntil(deadline)));
         long begun = System.nanoTime();
         T outcome = way.isDirect() ? call.direct().apply(Clocks.in(millis)) : ask(way.peer(), call, millis);
         boolean answered = outcome != null && call.answered().test(outcome);
@@ -135,6 +132,9 @@
         boolean unknown = false;
         String reason = "no way to the log";
         for (Way way : ways()) {
+            if (Clocks.millisUntil(deadline) <= 0) {
+                return unknown ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused("no time left");
+            }
             AppendOutcome outcome = call(way, 0, deadline, call);
             if (outcome != null && answered(outcome)) {
                 noteReachable(true);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
@@ -30,8 +30,27 @@
         return (long) (job.terms().stretch() * chainMillis(job)) + job.terms().objectiveMillis();
     }
 
-    /** Returns whether an occurrence can no longer end in useful time. */
-    static boolean missed(Job job, int occurrence, long nowMillis) {
-        return nowMillis > job.dueMillis(occurrence) + LATE_FACTOR * millis(job);
+    /** What an end of an occurrence is still worth, if it began now. The order is that in which work is taken up. */
+    enum Outlook {
+        /** It can still be done within its objective. */
+        IN_TIME,
+        /** It can still be of use. */
+        LATE,
+        /** It is only owed. */
+        MISSED
+    }
+
+    /** Returns the outlook of an occurrence of {@code job} that would begin at {@code nowMillis}. */
+    static Outlook outlook(Job job, int occurrence, long nowMillis) {
+        if (slackMillis(job, occurrence, nowMillis) >= 0) {
+            return Outlook.IN_TIME;
+        }
+        boolean late = nowMillis <= job.dueMillis(occurrence) + LATE_FACTOR * millis(job);
+        return late ? Outlook.LATE : Outlook.MISSED;
+    }
+
+    /** Returns how long an occurrence can wait and still be done within its objective, in milliseconds. */
+    static long slackMillis(Job job, int occurrence, long nowMillis) {
+        return job.dueMillis(occurrence) + millis(job) - chainMillis(job) - nowMillis;
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -23,10 +23,10 @@
     private static final long CLAIM_PATIENCE_MILLIS = 1_000;
 
     /** Time after which a unit that does not fit has room set aside, in milliseconds. */
-    private static final long SET_ASIDE_MILLIS = 1_500;
+    private static final long SET_ASIDE_MILLIS = 3_000;
 
     /** Most units that have room set aside while they wait. */
-    private static final int MOST_SET_ASIDE = 2;
+    private static final int MOST_SET_ASIDE = 1;
 
     /** How many times its estimated duration a task waits for the rack of its data. */
     private static final double NEAR_PATIENCE = 1.0;
@@ -73,8 +73,8 @@
         return Comparator.comparingInt(Unit::priority)
                 .thenComparing(unit ->
                         unit.priority() == 0 && !accounts.within(unit.job().account()))
-                .thenComparing(unit -> Objective.missed(unit.job(), unit.step().occurrence, now.millis()))
-                .thenComparingLong(unit -> unit.job().dueMillis(unit.step().occurrence))
+                .thenComparing(unit -> Objective.outlook(unit.job(), unit.step().occurrence, now.millis()))
+                .thenComparingLong(unit -> Objective.slackMillis(unit.job(), unit.step().occurrence, now.millis()))
                 .thenComparing(unit -> unit.job().id());
     }
 
@@ -204,7 +204,7 @@
                 || claim && !accounts.within(task.job().account());
         Victims.Choice best = null;
         for (List<TargetRun> scope : scopes) {
-            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.LOST_WORK, now.nanos());
+            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.LOST_WORK, now);
             if (choice != null && (best == null || choice.loss() < best.loss())) {
                 best = choice;
             }
@@ -243,7 +243,7 @@
                 task -> task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
         Victims.Choice best = null;
         for (List<TargetRun> scope : scopes) {
-            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.TIME_LEFT, now.nanos());
+            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.TIME_LEFT, now);
             if (choice != null && (best == null || choice.loss() < best.loss())) {
                 best = choice;
             }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
@@ -23,6 +23,9 @@
     /** Work between two checkpoints that a stop loses at most, in seconds. */
     private static final double CHECKPOINTED_LOSS_SECONDS = 0.5;
 
+    /** Usual time until stopped work runs again, in seconds. */
+    private static final double STOP_DELAY_SECONDS = 4.0;
+
     /** Keeps a victim that has only begun from counting as free, in core-seconds. */
     private static final double LEAST_LOSS = 1.0;
 
@@ -32,11 +35,11 @@
     private final Unit unit;
     private final List<TargetRun> scope;
     private final Cost cost;
-    private final long now;
+    private final Moment now;
     private final Map<TargetRun, Resources> freed = new HashMap<>();
     private final Set<Victim> chosen = new LinkedHashSet<>();
 
-    private Victims(Unit unit, List<TargetRun> scope, Cost cost, long now) {
+    private Victims(Unit unit, List<TargetRun> scope, Cost cost, Moment now) {
         this.unit = unit;
         this.scope = scope;
         this.cost = cost;
@@ -64,7 +67,7 @@
     private record Victim(List<TaskRun> tasks, double loss) {}
 
     /** Returns the choice among {@code scope}, or null if stopping all that is allowed is not enough. */
-    static Choice find(Unit unit, List<TargetRun> scope, Predicate<TaskRun> allowed, Cost cost, long now) {
+    static Choice find(Unit unit, List<TargetRun> scope, Predicate<TaskRun> allowed, Cost cost, Moment now) {
         return new Victims(unit, scope, cost, now).search(allowed);
     }
 
@@ -134,7 +137,7 @@
             if (task.phase != Phase.RUNNING) {
                 continue;
             }
-            double seconds = (now - task.confirmedNanos) / NANOS_PER_SECOND;
+            double seconds = (now.nanos() - task.confirmedNanos) / NANOS_PER_SECOND;
             loss = switch (cost) {
                 case LOST_WORK -> loss + lostWork(task, seconds);
                 case TIME_LEFT -> Math.max(loss, task.step.spec.estimateMillis() / MILLIS_PER_SECOND - seconds);
@@ -143,9 +146,20 @@
         return new Victim(tasks, loss);
     }
 
-    private static double lostWork(TaskRun task, double seconds) {
+    private double lostWork(TaskRun task, double seconds) {
         boolean saves = task.step.spec.mode().checkpoint();
-        return task.demand().cores() * (saves ? Math.min(seconds, CHECKPOINTED_LOSS_SECONDS) : seconds);
+        double lost = saves ? Math.min(seconds, CHECKPOINTED_LOSS_SECONDS) : seconds;
+        return task.demand().cores() * (lost + delayLoss(task, seconds));
+    }
+
+    /** Returns what the delay of a stop costs: most for a job that would still be in time without it. */
+    private double delayLoss(TaskRun task, double seconds) {
+        long slack = Objective.slackMillis(task.job(), task.step.occurrence, now.millis());
+        double left = slack / MILLIS_PER_SECOND + seconds;
+        if (left < 0) {
+            return 0;
+        }
+        return left < STOP_DELAY_SECONDS ? STOP_DELAY_SECONDS : STOP_DELAY_SECONDS * STOP_DELAY_SECONDS / left;
     }
 
     private Victim best(List<Victim> candidates) {
--- /dev/null
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -0,0 +1,133 @@
+package org.acaciaport.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A pool with targets of 8 accelerators and 32 cores in virtual time. What the pool wants is made durable at once; the
+ * targets do as told, and tests say when runs end.
+ */
+final class PoolFixture {
+    static final String SERVICE = "render";
+    static final Resources TARGET = new Resources(32_000, 64_000, 8);
+
+    final Pool pool = new Pool();
+    final Map<TaskId, Order.Start> running = new HashMap<>();
+    final List<Order.Start> starts = new ArrayList<>();
+    final List<Order.Stop> stops = new ArrayList<>();
+    final Map<String, JobProgress> durable = new HashMap<>();
+    private final Map<String, Long> ends = new HashMap<>();
+    private final Map<String, Long> lives = new HashMap<>();
+    private long millis = 1_000_000;
+
+    Moment now() {
+        return new Moment(millis * 1_000_000, millis);
+    }
+
+    /** Adds a target and lets it report once. */
+    void target(String id, String rack) {
+        lives.put(id, 1L);
+        pool.register(new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, 1));
+        report(id);
+    }
+
+    void drain(String id, String rack) {
+        pool.register(new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, true, 1));
+    }
+
+    void guarantee(String account, long accelerators) {
+        pool.configure(new PoolSettings(Map.of(account, accelerators), Set.of(), Set.of(SERVICE)));
+    }
+
+    static Step step(int count, long accelerators, Step.Mode mode, boolean tight) {
+        Step.Constraints limits = new Step.Constraints("", "", 0, tight);
+        return new Step(count, new Resources(1_000, 1_000, accelerators), 5_000, List.of(), limits, mode);
+    }
+
+    static Step gang(int count, long accelerators, boolean tight) {
+        return step(count, accelerators, new Step.Mode(true, false, false, false, false, 0), tight);
+    }
+
+    static Step plain(int count, long accelerators) {
+        return step(count, accelerators, Step.Mode.PLAIN, false);
+    }
+
+    Job job(String id, String account, int priority, Step... steps) {
+        Job.Terms terms = new Job.Terms(priority, 2, 3.0, 1_000);
+        return new Job(id, "queue", SERVICE, account, terms, "payload", List.of(steps), Job.Schedule.NOW, millis);
+    }
+
+    void submit(Job job) {
+        pool.submit(job);
+        settle();
+    }
+
+    /** Lets time pass and the pool decide. */
+    void pass(long passed) {
+        millis += passed;
+        settle();
+    }
+
+    /** Decides, makes durable, and lets the targets confirm starts. */
+    void settle() {
+        pool.schedule(now());
+        for (Order.Stop stop : pool.takeStops()) {
+            stops.add(stop);
+        }
+        Batch batch = pool.takeBatch();
+        batch.records().forEach(record -> durable.put(record.id(), record));
+        for (Order.Start start : batch.starts()) {
+            starts.add(start);
+            running.put(start.task(), start);
+            pool.started(start, now());
+        }
+    }
+
+    /** The target lists the end of every run that was told to stop. */
+    void obeyStops() {
+        List<Order.Stop> told = List.copyOf(stops);
+        stops.clear();
+        told.forEach(stop -> end(stop.task(), TargetReport.How.STOPPED));
+        settle();
+    }
+
+    /** A running task ends. */
+    void end(TaskId task, TargetReport.How how) {
+        Order.Start start = running.remove(task);
+        if (start == null) {
+            return;
+        }
+        long number = ends.merge(start.target(), 1L, Long::sum);
+        report(start.target(), new TargetReport.Ended(number, task, start.run(), how, ""));
+        settle();
+    }
+
+    void report(String target, TargetReport.Ended... ended) {
+        millis++;
+        long asked = now().nanos();
+        millis++;
+        pool.report(new TargetReport(target, lives.get(target), asked, runningOn(target), List.of(ended)), now());
+    }
+
+    /** The target starts again under its id, with nothing running. */
+    void restart(String target, String rack) {
+        long life = lives.merge(target, 1L, Long::sum);
+        running.values().removeIf(start -> start.target().equals(target));
+        ends.remove(target);
+        pool.register(new TargetInfo(target, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, life));
+    }
+
+    private List<TargetReport.Running> runningOn(String target) {
+        return running.values().stream()
+                .filter(start -> start.target().equals(target))
+                .map(start -> new TargetReport.Running(start.task(), start.run(), "", (int) (millis % 100)))
+                .toList();
+    }
+
+    static TaskId task(String job, int index) {
+        return new TaskId(job, 0, 0, index);
+    }
+}
--- /dev/null
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -0,0 +1,216 @@
+package org.acaciaport.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Placement, ends and recovery of single jobs. */
+final class PoolTest {
+    private final PoolFixture fixture = new PoolFixture();
+
+    private JobState state(String job) {
+        return fixture.durable.get(job).state();
+    }
+
+    @Test
+    void aStartLeavesOnlyWithTheRecordThatNamesIt() {
+        fixture.target("t1", "r1");
+        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 1)));
+        fixture.pool.schedule(fixture.now());
+        Batch batch = fixture.pool.takeBatch();
+        assertThat(batch.starts()).hasSize(1);
+        JobProgress.Task task = batch.records().get(0).tasks().get(0);
+        assertThat(task.target()).isEqualTo("t1");
+        assertThat(task.lastRun()).isEqualTo(batch.starts().get(0).run());
+    }
+
+    @Test
+    void aJobIsDoneOnceEveryTaskOfEveryStepIsDone() {
+        fixture.target("t1", "r1");
+        Step second = new Step(1, new Resources(1, 1, 1), 10, List.of(0), Step.Constraints.NONE, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(2, 1), second));
+        assertThat(fixture.starts).hasSize(2);
+        fixture.end(PoolFixture.task("a", 0), TargetReport.How.DONE);
+        assertThat(fixture.starts).hasSize(2);
+        fixture.end(PoolFixture.task("a", 1), TargetReport.How.DONE);
+        assertThat(fixture.starts).hasSize(3);
+        assertThat(state("a")).isEqualTo(JobState.RUNNING);
+        fixture.end(new TaskId("a", 0, 1, 0), TargetReport.How.DONE);
+        assertThat(state("a")).isEqualTo(JobState.DONE);
+    }
+
+    @Test
+    void aGangStartsWholeOrNotAtAll() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.gang(2, 8, false)));
+        assertThat(fixture.starts).isEmpty();
+        fixture.target("t2", "r2");
+        fixture.settle();
+        assertThat(fixture.starts).hasSize(2);
+        assertThat(fixture.starts.get(0).run()).isEqualTo(fixture.starts.get(1).run());
+    }
+
+    @Test
+    void aTightGangRunsOnOneRack() {
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r2");
+        fixture.target("t3", "r2");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.gang(2, 8, true)));
+        Set<String> targets = new HashSet<>();
+        fixture.starts.forEach(start -> targets.add(start.target()));
+        assertThat(targets).containsExactly("t2", "t3");
+    }
+
+    @Test
+    void oneEndDoneStandsForTheWholeGang() {
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.gang(2, 8, false)));
+        fixture.end(PoolFixture.task("a", 1), TargetReport.How.DONE);
+        assertThat(state("a")).isEqualTo(JobState.DONE);
+    }
+
+    @Test
+    void aFailureOfOneGangMemberStopsTheOthersAndCountsOnce() {
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r1");
+        fixture.target("t3", "r1");
+        fixture.target("t4", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.gang(2, 8, false)));
+        fixture.end(PoolFixture.task("a", 0), TargetReport.How.FAILED);
+        assertThat(fixture.stops).hasSize(1);
+        fixture.end(PoolFixture.task("a", 1), TargetReport.How.FAILED);
+        assertThat(state("a")).isNotEqualTo(JobState.FAILED);
+        assertThat(fixture.starts).hasSize(4);
+        fixture.end(PoolFixture.task("a", 0), TargetReport.How.FAILED);
+        assertThat(state("a")).isEqualTo(JobState.FAILED);
+    }
+
+    @Test
+    void aClaimWithinTheGuaranteeStopsOthersWorkAtOnce() {
+        fixture.guarantee("owner", 8);
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("borrower", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
+        assertThat(fixture.stops).hasSize(1);
+        assertThat(fixture.starts).hasSize(1);
+        fixture.obeyStops();
+        assertThat(fixture.starts.get(1).task().job()).isEqualTo("claim");
+    }
+
+    @Test
+    void workOfPriorityZeroBeyondItsGuaranteeYieldsToAClaimWithin() {
+        fixture.guarantee("owner", 8);
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("borrower", "x", 0, PoolFixture.plain(1, 8)));
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+    }
+
+    @Test
+    void aTargetThatStartsAgainHasLostItsRuns() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.restart("t1", "r1");
+        fixture.settle();
+        assertThat(fixture.starts).hasSize(1);
+        fixture.report("t1");
+        fixture.settle();
+        assertThat(fixture.starts).hasSize(2);
+        assertThat(fixture.starts.get(1).run()).isEqualTo(2);
+    }
+
+    @Test
+    void workOfASilentTargetRunsElsewhereOnlyAfterItsLeaseIsOver() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        fixture.pool.avoid("t1", 1_000, fixture.now());
+        fixture.pool.unregister("t1");
+        fixture.pass(5_000);
+        assertThat(fixture.starts).hasSize(1);
+        fixture.pool.lapsed("t1", fixture.now());
+        fixture.settle();
+        assertThat(fixture.starts).hasSize(2);
+        assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
+    }
+
+    @Test
+    void aRestoredRunIsKeptIfItsTargetStillReportsIt() {
+        fixture.target("t1", "r1");
+        Job job = fixture.job("a", "x", 1, PoolFixture.plain(1, 8));
+        fixture.submit(job);
+        PoolFixture successor = new PoolFixture();
+        successor.running.putAll(fixture.running);
+        successor.pool.restore(job, fixture.durable.get("a"), successor.now());
+        successor.target("t1", "r1");
+        successor.settle();
+        assertThat(successor.starts).isEmpty();
+        successor.end(PoolFixture.task("a", 0), TargetReport.How.DONE);
+        assertThat(successor.durable.get("a").state()).isEqualTo(JobState.DONE);
+    }
+
+    @Test
+    void aRestoredRunThatItsTargetDoesNotKnowStartsAgainUnderAHigherNumber() {
+        fixture.target("t1", "r1");
+        Job job = fixture.job("a", "x", 1, PoolFixture.plain(1, 8));
+        fixture.submit(job);
+        PoolFixture successor = new PoolFixture();
+        successor.pool.restore(job, fixture.durable.get("a"), successor.now());
+        successor.target("t1", "r1");
+        successor.settle();
+        assertThat(successor.starts).hasSize(1);
+        assertThat(successor.starts.get(0).run()).isEqualTo(2);
+    }
+
+    @Test
+    void aRunThatNobodyAskedForIsStopped() {
+        fixture.target("t1", "r1");
+        fixture.running.put(
+                PoolFixture.task("a", 0), new Order.Start("t1", 1, PoolFixture.task("a", 0), 7, "payload", ""));
+        fixture.report("t1");
+        fixture.settle();
+        assertThat(fixture.stops).containsExactly(new Order.Stop("t1", 1, PoolFixture.task("a", 0), 7));
+    }
+
+    @Test
+    void aCancelledJobStopsAndStartsNothing() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(2, 5)));
+        assertThat(fixture.starts).hasSize(1);
+        fixture.pool.cancel("a", fixture.now());
+        fixture.settle();
+        fixture.obeyStops();
+        assertThat(state("a")).isEqualTo(JobState.CANCELLED);
+        assertThat(fixture.starts).hasSize(1);
+    }
+
+    @Test
+    void nothingStartsOnATargetThatDrains() {
+        fixture.target("t1", "r1");
+        fixture.drain("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 1)));
+        assertThat(fixture.starts).isEmpty();
+    }
+
+    @Test
+    void aRunWithoutProgressGoesOnElsewhere() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        Order.Start start = fixture.starts.get(0);
+        for (int i = 0; i < 8; i++) {
+            fixture.pass(500);
+            TargetReport.Running still = new TargetReport.Running(start.task(), start.run(), "", 10);
+            fixture.pool.report(
+                    new TargetReport("t1", 1, fixture.now().nanos(), List.of(still), List.of()), fixture.now());
+        }
+        fixture.settle();
+        assertThat(fixture.stops).isNotEmpty();
+        fixture.obeyStops();
+        assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
+    }
+}
--- a/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
@@ -27,12 +27,19 @@
     private static final int CONNECT_MILLIS = 400;
     private static final long PROBE_MILLIS = 1_000;
 
+    /** Pause after a failed connection in which further queries fail at once, in milliseconds. */
+    private static final long RECONNECT_MILLIS = 300;
+
     /** Longest time without a word from a connection on which queries wait, in milliseconds. */
     private static final long SILENCE_MILLIS = 2_000;
 
     private final InetSocketAddress address;
     private final Object lock = new Object();
     private Link link;
+    private boolean failed;
+
+    /** When the next connection may be tried after one failed, as a reading of {@link System#nanoTime}. */
+    private long retryAt;
 
     private WireClient(InetSocketAddress address) {
         this.address = address;
@@ -102,10 +109,17 @@
             if (link != null && !link.closed()) {
                 return link;
             }
+            if (failed && System.nanoTime() - retryAt < 0) {
+                throw new WireException(
+                        WireException.Kind.NOT_SENT, "could not connect to " + address + " just now", null);
+            }
             try {
                 link = new Link(address);
+                failed = false;
                 return link;
             } catch (IOException e) {
+                failed = true;
+                retryAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RECONNECT_MILLIS);
                 throw new WireException(
                         WireException.Kind.NOT_SENT,
                         "cannot connect to " + address + " (" + e.getMessage() + "); check that it runs",
