--- a/acacia-node/src/main/java/org/acaciaport/node/AnswerTime.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/AnswerTime.java
@@ -18,7 +18,9 @@
     /** Weight of the newest duration. */
     private static final double WEIGHT = 0.25;
 
-    private double usualMillis;
+    /** Usual duration; long before the first answer, since a first call also loads classes. */
+    private double usualMillis = 250;
+
     private long backedOffMillis;
 
     /** Returns how long to wait for the next answer, in milliseconds. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Follower.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Follower.java
@@ -51,6 +51,7 @@
     private final KeyedLog log;
     private final Sink sink;
     private final Pace pace;
+    private volatile long pauseMillis;
     private final Object lock = new Object();
     private final Thread thread;
     private volatile boolean stopped;
@@ -61,6 +62,7 @@
         this.topic = topic;
         this.log = log;
         this.pace = pace;
+        pauseMillis = pace.pauseMillis();
         this.sink = sink;
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
@@ -78,7 +80,7 @@
         while (!stopped) {
             boolean answered = step(pace.waitMillis());
             noteAnswer(answered);
-            long pause = answered ? pace.pauseMillis() : RETRY_MILLIS;
+            long pause = answered ? pauseMillis : RETRY_MILLIS;
             if (pause > 0 && !Clocks.sleep(pause)) {
                 return;
             }
@@ -92,6 +94,11 @@
         }
     }
 
+    /** Reads without a pause from now on, or with the usual one. */
+    void hurry(boolean now) {
+        pauseMillis = now ? 0 : pace.pauseMillis();
+    }
+
     /** Reads up to the end as of now or later; returns false if that was not possible by {@code deadline}. */
     boolean catchUp(long deadline) {
         while (Clocks.millisUntil(deadline) > 0) {
--- a/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
@@ -103,9 +103,11 @@
         }
         Term next = new Term(self, epoch, termLog, parts);
         term = next;
+        jobs.hurry(true);
         if (!stopped) {
             next.run();
         }
+        jobs.hurry(false);
     }
 
     /** Gives up the lead, if it is here, and takes it no more. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -24,6 +24,9 @@
     /** How long a read of the jobs waits for news, in milliseconds. */
     private static final long JOBS_WAIT_MILLIS = 400;
 
+    /** Pause between two reads of the jobs on a node that does not lead, in milliseconds. */
+    private static final long JOBS_PAUSE_MILLIS = 100;
+
     /** How long a read of the operators' publications waits for news, in milliseconds. */
     private static final long OPERATORS_WAIT_MILLIS = 1_000;
 
@@ -67,7 +70,8 @@
         log = new LogRoutes(ports.log(), new Peers(address(settings.wire()), this::others));
         OperatorView operators = new OperatorView(ports.operators());
         Term.Parts parts = new Term.Parts(replica, operators, ports.calls(), settings.topics(), log, ports.targets());
-        jobs = new Follower(settings.topics().jobs(), log, new Follower.Pace(JOBS_WAIT_MILLIS, 0), replica);
+        jobs = new Follower(
+                settings.topics().jobs(), log, new Follower.Pace(JOBS_WAIT_MILLIS, JOBS_PAUSE_MILLIS), replica);
         Follower.Pace operatorPace = new Follower.Pace(OPERATORS_WAIT_MILLIS, 0);
         operatorFollower = new Follower(settings.topics().operators(), log, operatorPace, operators);
         SplittableRandom random = new SplittableRandom(System.nanoTime());
--- /dev/null
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -0,0 +1,178 @@
+package org.acaciaport.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.log.ReadOutcome;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.Step;
+import org.acaciaport.wire.WireServer;
+import org.junit.jupiter.api.Test;
+
+/** Ways to the log, the copy of the jobs, and what callers are told, against a log in memory. */
+final class LogTest {
+    private static final String TOPIC = "jobs";
+    private static final Topics TOPICS = new Topics(TOPIC, "operators", "targets");
+    private static final List<Step> STEPS =
+            List.of(new Step(1, Resources.NONE, 1, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN));
+    private static final AccessList.Queue QUEUE =
+            new AccessList.Queue("q", "host", "/p/", "s", false, new Job.Terms(0, 3, 1.5, 250));
+    private static final Desk.Access.Granted ACCESS = new Desk.Access.Granted(QUEUE, "account", "");
+
+    private final MemoryLog log = new MemoryLog();
+    private final Replica replica = new Replica();
+    private final LogRoutes routes = new LogRoutes(log, new Peers("self:1", List::of));
+    private final Follower follower = new Follower(TOPIC, routes, new Follower.Pace(0, 0), replica);
+
+    private static long soon() {
+        return Clocks.in(300);
+    }
+
+    private Desk desk(KeyedRecord published) {
+        OperatorView operators = new OperatorView(record -> new OperatorCodec.Published(
+                new AccessList(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
+        operators.apply(published, 0);
+        operators.caughtUp(Clocks.now(), 1);
+        Term.Parts parts = new Term.Parts(replica, operators, null, TOPICS, routes, null);
+        return new Desk(parts, routes, follower, 4_000, new MetricRegistry());
+    }
+
+    private Desk.Answer submit(Desk desk, String id) {
+        return desk.submit(ACCESS, id, "payload", STEPS, Job.Schedule.NOW, soon());
+    }
+
+    private AppendOutcome append(KeyedRecord record) {
+        return log.append(new Append(TOPIC, List.of(record), new Append.Always()), soon());
+    }
+
+    @Test
+    void aPeerIsAskedWhileTheLogTurnsThisNodeAway() throws Exception {
+        MemoryLog shared = new MemoryLog();
+        LogRoutes peerRoutes = new LogRoutes(shared, new Peers("peer", List::of));
+        try (WireServer peer = WireServer.start(new InetSocketAddress("127.0.0.1", 0), peerRoutes)) {
+            log.failure = MemoryLog.Failure.REFUSE;
+            List<String> peers = List.of("127.0.0.1:" + peer.port());
+            LogRoutes turnedAway = new LogRoutes(log, new Peers("self:1", () -> peers));
+            Append append = new Append(TOPIC, List.of(KeyedRecord.drop("k")), new Append.Always());
+            assertThat(turnedAway.append(append, Clocks.in(5_000))).isInstanceOf(AppendOutcome.Appended.class);
+            assertThat(turnedAway.reachable()).isTrue();
+            ReadOutcome read = turnedAway.read(TOPIC, 0, 0, Clocks.in(5_000));
+            assertThat(((ReadOutcome.Records) read).records()).hasSize(1);
+        }
+    }
+
+    /**
+     * Pattern: an outage of the store. Requests used to wait out their deadline and end with an answer after which the
+     * caller may not repeat them.
+     */
+    @Test
+    void requestsAreRefusedAtOnceWhileNoWayToTheLogWorks() {
+        log.failure = MemoryLog.Failure.REFUSE;
+        Desk desk = desk(KeyedRecord.drop("config"));
+        assertThat(submit(desk, "a")).isInstanceOf(Desk.Answer.Refused.class);
+        int calls = log.calls;
+        assertThat(submit(desk, "b")).isInstanceOf(Desk.Answer.Refused.class);
+        assertThat(log.calls).isEqualTo(calls);
+    }
+
+    @Test
+    void aLostAnswerIsNeverARefusal() {
+        log.failure = MemoryLog.Failure.LOSE_ANSWER;
+        assertThat(submit(desk(KeyedRecord.drop("config")), "a")).isInstanceOf(Desk.Answer.Undetermined.class);
+    }
+
+    /** Pattern: retries arrive with a few milliseconds left; they used to be answered as if something had been sent. */
+    @Test
+    void withoutTimeLeftNothingIsSentAndTheRequestIsRefused() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        Desk.Answer answer = desk.submit(ACCESS, "a", "payload", STEPS, Job.Schedule.NOW, System.nanoTime());
+        assertThat(answer).isInstanceOf(Desk.Answer.Refused.class);
+        assertThat(log.calls).isEqualTo(0);
+    }
+
+    @Test
+    void aRepeatedSubmissionIsOneJobAndKeepsItsProgress() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        assertThat(submit(desk, "a")).isInstanceOf(Desk.Answer.Accepted.class);
+        append(JobRecords.progress(new JobProgress("a", JobState.DONE, 1, List.of(), List.of())));
+        submit(desk, "a");
+        assertThat(follower.catchUp(soon())).isTrue();
+        assertThat(desk.state(ACCESS, "a", soon())).isEqualTo(new Desk.Answer.State(JobState.DONE));
+    }
+
+    @Test
+    void aJobOfAnotherAccountIsNotShown() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        submit(desk, "a");
+        Desk.Access.Granted other = new Desk.Access.Granted(QUEUE, "other", "a");
+        assertThat(desk.state(other, "a", soon())).isInstanceOf(Desk.Answer.NoJob.class);
+        assertThat(desk.cancel(other, "a", soon())).isInstanceOf(Desk.Answer.NoJob.class);
+    }
+
+    @Test
+    void aJobIsSaidNotToExistOnlyByACurrentCopy() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        assertThat(desk.state(ACCESS, "none", soon())).isInstanceOf(Desk.Answer.NoJob.class);
+        log.failure = MemoryLog.Failure.REFUSE;
+        assertThat(desk.state(ACCESS, "none", soon())).isInstanceOf(Desk.Answer.Refused.class);
+    }
+
+    @Test
+    void theCopyIsMadeAnewWhenHistoryIsForgotten() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        submit(desk, "a");
+        assertThat(follower.catchUp(soon())).isTrue();
+        submit(desk, "b");
+        submit(desk, "c");
+        log.forgetHistory();
+        assertThat(follower.catchUp(soon())).isTrue();
+        assertThat(replica.find("a")).isNotNull();
+        assertThat(replica.find("c")).isNotNull();
+    }
+
+    @Test
+    void aDeposedLeaderWritesNothingMore() {
+        TermLog first = new TermLog(log, TOPIC, 5);
+        assertThat(first.bar()).isTrue();
+        assertThat(first.append(List.of(KeyedRecord.drop("a")))).isTrue();
+        assertThat(new TermLog(log, TOPIC, 9).bar()).isTrue();
+        assertThat(first.append(List.of(KeyedRecord.drop("b")))).isFalse();
+    }
+
+    @Test
+    void anAppendOfTheLeaderWhoseAnswerWasLostIsAppliedOnce() throws Exception {
+        TermLog term = new TermLog(log, TOPIC, 5);
+        assertThat(term.bar()).isTrue();
+        log.failure = MemoryLog.Failure.LOSE_ANSWER;
+        Thread append = Thread.ofVirtual().start(() -> term.append(List.of(KeyedRecord.drop("a"))));
+        while (log.calls < 3) {
+            Thread.onSpinWait();
+        }
+        log.failure = MemoryLog.Failure.NONE;
+        append.join();
+        ReadOutcome read = log.read(TOPIC, 0, 0, soon());
+        assertThat(((ReadOutcome.Records) read).records()).hasSize(1);
+    }
+
+    @Test
+    void keysAreServedOnlyWhileTheConfigurationIsCurrent() {
+        OperatorView operators = new OperatorView(record -> new OperatorCodec.Published(
+                new AccessList(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
+        Term.Parts parts = new Term.Parts(replica, operators, null, TOPICS, routes, null);
+        Desk desk = new Desk(parts, routes, follower, 1, new MetricRegistry());
+        assertThat(desk.access("host", "/p/a", "key")).isInstanceOf(Desk.Access.NotCurrent.class);
+        operators.apply(KeyedRecord.drop("config"), 0);
+        operators.caughtUp(new org.acaciaport.pool.Moment(System.nanoTime(), 0), 1);
+        assertThat(desk.access("host", "/p/a", "key")).isInstanceOf(Desk.Access.NotCurrent.class);
+    }
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -25,6 +25,20 @@
     /** Time after which a unit that does not fit has room set aside, in milliseconds. */
     private static final long SET_ASIDE_MILLIS = 3_000;
 
+    /** Longest wait for running work to end before other work is stopped, in seconds. */
+    private static final double SOON_SECONDS = 0.6;
+
+    /** Time within which a unit may choose to wait for running work, in milliseconds. */
+    private static final long SOON_CHOICE_MILLIS = 200;
+
+    /** Time after which a unit no longer waits for work that was about to end, in milliseconds. */
+    private static final long SOON_OVER_MILLIS = 1_000;
+
+    /** Most work that may be lost for a unit beyond its guarantee, as a multiple of its own. */
+    private static final double MOST_LOSS = 2.0;
+
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     /** Most units that have room set aside while they wait. */
     private static final int MOST_SET_ASIDE = 1;
 
@@ -131,7 +145,10 @@
                 .forEach(rack ->
                         rack.removeIf(target -> suspicion.shuns(unit.job().id(), target, targets)));
         List<List<TargetRun>> scopes = scopes(unit, racks);
-        if (placeFree(unit, scopes) || stopOthers(unit, scopes) || waitForRoom(unit, scopes)) {
+        if (placeFree(unit, scopes)
+                || waitForEnds(unit, scopes)
+                || stopOthers(unit, scopes)
+                || waitForRoom(unit, scopes)) {
             return;
         }
         if (plain) {
@@ -195,21 +212,49 @@
         return true;
     }
 
-    private boolean stopOthers(Unit unit, List<List<TargetRun>> scopes) {
-        if (unit.priority() != 0) {
+    /** Waits for work that is about to end rather than stop any. */
+    private boolean waitForEnds(Unit unit, List<List<TargetRun>> scopes) {
+        if (unit.priority() != 0 || waited(unit) > SOON_CHOICE_MILLIS) {
             return false;
         }
-        boolean claim = claims(unit);
-        Predicate<TaskRun> allowed = task -> task.job().terms().priority() > 0
-                || claim && !accounts.within(task.job().account());
+        Victims.Choice best = cheapest(unit, scopes, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
+        if (best == null || best.loss() > SOON_SECONDS) {
+            return false;
+        }
+        assign(unit, best.places(), "soon");
+        return true;
+    }
+
+    private static boolean endsByItself(TaskRun task) {
+        return task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
+    }
+
+    private Victims.Choice cheapest(
+            Unit unit, List<List<TargetRun>> scopes, Predicate<TaskRun> allowed, Victims.Cost cost) {
         Victims.Choice best = null;
         for (List<TargetRun> scope : scopes) {
-            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.LOST_WORK, now);
+            Victims.Choice choice = Victims.find(unit, scope, allowed, cost, now);
             if (choice != null && (best == null || choice.loss() < best.loss())) {
                 best = choice;
             }
         }
-        if (best == null) {
+        return best;
+    }
+
+    /** Returns the estimated work of a unit, in core-seconds. */
+    private static double work(Unit unit) {
+        return unit.size() * unit.demand().cores() * unit.step().spec.estimateMillis() / MILLIS_PER_SECOND;
+    }
+
+    private boolean stopOthers(Unit unit, List<List<TargetRun>> scopes) {
+        if (unit.priority() != 0) {
+            return false;
+        }
+        boolean claim = claims(unit);
+        Predicate<TaskRun> allowed = task -> task.job().terms().priority() > 0
+                || claim && !accounts.within(task.job().account());
+        Victims.Choice best = cheapest(unit, scopes, allowed, Victims.Cost.LOST_WORK);
+        if (best == null || !claim && best.loss() > MOST_LOSS * work(unit)) {
             return false;
         }
         for (TaskRun task : best.stops()) {
@@ -239,15 +284,7 @@
                 || !unit.step().spec.mode().gang()) {
             return false;
         }
-        Predicate<TaskRun> allowed =
-                task -> task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
-        Victims.Choice best = null;
-        for (List<TargetRun> scope : scopes) {
-            Victims.Choice choice = Victims.find(unit, scope, allowed, Victims.Cost.TIME_LEFT, now);
-            if (choice != null && (best == null || choice.loss() < best.loss())) {
-                best = choice;
-            }
-        }
+        Victims.Choice best = cheapest(unit, scopes, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
         if (best == null) {
             return false;
         }
@@ -315,6 +352,7 @@
             enough &= Resources.NONE.fitsIn(left);
         }
         if (!enough) {
+            giveUpWaiting(unit);
             return;
         }
         int run = 0;
@@ -331,4 +369,17 @@
             unit.step().job.state = JobState.RUNNING;
         }
     }
+
+    /** A unit of the highest priority whose room does not come free chooses anew. */
+    private void giveUpWaiting(Unit unit) {
+        if (unit.priority() != 0 || waited(unit) < SOON_OVER_MILLIS) {
+            return;
+        }
+        for (TaskRun task : unit.tasks()) {
+            if (task.target.occupants.values().stream().anyMatch(other -> other.phase == Phase.STOPPING)) {
+                return;
+            }
+        }
+        unit.tasks().forEach(task -> task.target.remove(task, Phase.WAITING));
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -186,10 +186,7 @@
             }
             return;
         }
-        if (run.percent() != task.percent) {
-            task.percent = run.percent();
-            task.advancedNanos = now.nanos();
-        }
+        task.advance(run.percent(), now.nanos());
         ends.stopIfStuck(task, now);
     }
 
@@ -197,6 +194,7 @@
         task.confirmedNanos = now.nanos();
         task.advancedNanos = now.nanos();
         task.percent = 0;
+        task.firstPercent = -1;
         if (task.phase == Phase.STARTING) {
             target.put(task, Phase.RUNNING);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
@@ -6,6 +6,13 @@
  * <p>Mutable, for the pool's thread only. {@code target} is null exactly in the phases WAITING and DONE.
  */
 final class TaskRun {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+    private static final int ALL_DONE_PERCENT = 100;
+
+    /** Progress from which on a run's own rate is used, in percent. */
+    private static final int LEAST_GAIN_PERCENT = 5;
+
     final TaskId id;
     final StepRun step;
     Phase phase = Phase.WAITING;
@@ -25,6 +32,12 @@
 
     int percent;
 
+    /** First percentage that was reported of the newest run; negative before. */
+    int firstPercent = -1;
+
+    /** When {@code firstPercent} was reported, on the steady clock, in nanoseconds. */
+    long firstPercentNanos;
+
     /** When {@code percent} last rose, on the steady clock, in nanoseconds. */
     long advancedNanos;
 
@@ -33,6 +46,30 @@
         this.step = step;
     }
 
+    /** Takes note of how far the newest run is. */
+    void advance(int reported, long nowNanos) {
+        if (firstPercent < 0) {
+            firstPercent = reported;
+            firstPercentNanos = nowNanos;
+        }
+        if (reported != percent) {
+            percent = reported;
+            advancedNanos = nowNanos;
+        }
+    }
+
+    /** Returns the time that the newest run still needs, in seconds, by its rate or else by the estimate. */
+    double secondsLeft(long nowNanos) {
+        int gained = percent - firstPercent;
+        if (firstPercent < 0 || gained < LEAST_GAIN_PERCENT) {
+            double elapsed = (nowNanos - confirmedNanos) / NANOS_PER_SECOND;
+            return Math.max(0, step.spec.estimateMillis() / MILLIS_PER_SECOND - elapsed);
+        }
+        double perPercent = (advancedNanos - firstPercentNanos) / NANOS_PER_SECOND / gained;
+        double since = (nowNanos - advancedNanos) / NANOS_PER_SECOND;
+        return Math.max(0, (ALL_DONE_PERCENT - percent) * perPercent - since);
+    }
+
     Resources demand() {
         return step.spec.charged();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
@@ -24,7 +24,7 @@
     private static final double CHECKPOINTED_LOSS_SECONDS = 0.5;
 
     /** Usual time until stopped work runs again, in seconds. */
-    private static final double STOP_DELAY_SECONDS = 4.0;
+    private static final double STOP_DELAY_SECONDS = 1.5;
 
     /** Keeps a victim that has only begun from counting as free, in core-seconds. */
     private static final double LEAST_LOSS = 1.0;
@@ -59,7 +59,7 @@
      *
      * @param places a target for each task
      * @param stops tasks to stop or to unassign
-     * @param loss work that is lost, in core-seconds
+     * @param loss work that is lost, in core-seconds, or the time until the last one ends, in seconds
      */
     record Choice(List<TargetRun> places, List<TaskRun> stops, double loss) {}
 
@@ -89,7 +89,7 @@
         double loss = 0;
         for (Victim victim : chosen) {
             stops.addAll(victim.tasks);
-            loss += victim.loss;
+            loss = cost == Cost.LOST_WORK ? loss + victim.loss : Math.max(loss, victim.loss);
         }
         return new Choice(places(), stops, loss);
     }
@@ -132,7 +132,7 @@
     }
 
     private Victim victim(List<TaskRun> tasks) {
-        double loss = LEAST_LOSS;
+        double loss = cost == Cost.LOST_WORK ? LEAST_LOSS : 0;
         for (TaskRun task : tasks) {
             if (task.phase != Phase.RUNNING) {
                 continue;
@@ -140,7 +140,7 @@
             double seconds = (now.nanos() - task.confirmedNanos) / NANOS_PER_SECOND;
             loss = switch (cost) {
                 case LOST_WORK -> loss + lostWork(task, seconds);
-                case TIME_LEFT -> Math.max(loss, task.step.spec.estimateMillis() / MILLIS_PER_SECOND - seconds);
+                case TIME_LEFT -> Math.max(loss, task.secondsLeft(now.nanos()));
             };
         }
         return new Victim(tasks, loss);
