Work that saves its progress is moved off a target before it leaves

Change: while a target drains, its report's least remaining time is kept as a deadline; 0.8 s before it, work that saves and would not be done is stopped, so that it goes on elsewhere. Tests name the patterns.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
@@ -1,5 +1,6 @@
 package org.acaciaport.pool;
 
+import java.util.List;
 import org.jboss.logging.Logger;
 
 /**
@@ -17,6 +18,10 @@
     private static final double STUCK_SHARE = 0.1;
 
     private static final int ALL_DONE_PERCENT = 100;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** Time before a target leaves at which its unfinished work is stopped, in seconds; enough for the stop. */
+    private static final double MOVE_OFF_SECONDS = 0.8;
 
     private final Outbox outbox;
     private final Suspicion suspicion;
@@ -169,6 +174,30 @@
         stop(task, now);
     }
 
+    /**
+     * Stops work on a target that is about to leave, if it would not be done in time and saves its progress: it goes on
+     * elsewhere from there instead of being lost.
+     */
+    void moveOff(TargetRun target, Moment now) {
+        if (target.info == null || !target.info.draining() || target.info.leavesNanos() == 0) {
+            return;
+        }
+        double left = (target.info.leavesNanos() - now.nanos()) / NANOS_PER_SECOND;
+        if (left > MOVE_OFF_SECONDS) {
+            return;
+        }
+        for (TaskRun task : List.copyOf(target.occupants.values())) {
+            boolean saves = task.step.spec.mode().checkpoint();
+            if (task.phase != Phase.RUNNING || !saves || task.secondsLeft(now.nanos()) < left) {
+                continue;
+            }
+            LOG.infof(
+                    "stop: request=%s task=%s run=%s target=%s why=leaving",
+                    task.id.job(), task.id, task.lastRun, target.id);
+            stop(task, now);
+        }
+    }
+
     private void release(TaskRun task, Phase phase) {
         if (task.target != null) {
             task.target.remove(task, phase);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -273,6 +273,7 @@
 
     /** Decides what runs next. */
     public void schedule(Moment now) {
+        targets.values().forEach(target -> ends.moveOff(target, now));
         pass.run(jobs.values(), targets.values(), settings, now);
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -30,12 +30,13 @@
     /** Adds a target and lets it report once. */
     void target(String id, String rack) {
         lives.put(id, 1L);
-        pool.register(new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, 1));
+        pool.register(new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, 0, 1));
         report(id);
     }
 
-    void drain(String id, String rack) {
-        pool.register(new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, true, 1));
+    void drain(String id, String rack, long leavesNanos) {
+        pool.register(
+                new TargetInfo(id, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, true, leavesNanos, 1));
     }
 
     void guarantee(String account, long accelerators) {
@@ -117,7 +118,8 @@
         long life = lives.merge(target, 1L, Long::sum);
         running.values().removeIf(start -> start.target().equals(target));
         ends.remove(target);
-        pool.register(new TargetInfo(target, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, life));
+        pool.register(
+                new TargetInfo(target, SERVICE, "address", "zone", rack, Set.of("a", rack), TARGET, false, 0, life));
     }
 
     private List<TargetReport.Running> runningOn(String target) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -110,6 +110,33 @@
         assertThat(fixture.stops).hasSize(1);
     }
 
+    /** Pattern: a claim arrives while others' work is about to end; stopping it would lose nearly all of it. */
+    @Test
+    void aClaimWaitsForWorkThatIsAboutToEnd() {
+        fixture.guarantee("owner", 8);
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("borrower", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.pass(4_700);
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
+        assertThat(fixture.stops).isEmpty();
+        fixture.pass(1_100);
+        fixture.pass(10);
+        assertThat(fixture.stops).hasSize(1);
+    }
+
+    /** Pattern: short urgent work beyond its guarantee arrives while long work without checkpoints is nearly done. */
+    @Test
+    void workBeyondTheGuaranteeDoesNotThrowAwayMuchMoreThanItDoes() {
+        fixture.target("t1", "r1");
+        Step lengthy =
+                new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("borrower", "x", 1, lengthy));
+        fixture.pass(20_000);
+        fixture.submit(fixture.job("beyond", "owner", 0, PoolFixture.plain(1, 8)));
+        fixture.pass(3_000);
+        assertThat(fixture.stops).isEmpty();
+    }
+
     @Test
     void aTargetThatStartsAgainHasLostItsRuns() {
         fixture.target("t1", "r1");
@@ -191,11 +218,29 @@
     @Test
     void nothingStartsOnATargetThatDrains() {
         fixture.target("t1", "r1");
-        fixture.drain("t1", "r1");
+        fixture.drain("t1", "r1", 0);
         fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 1)));
         assertThat(fixture.starts).isEmpty();
     }
 
+    /** Pattern: workers leave with short notice. Work that saves its progress used to run until it was lost. */
+    @Test
+    void workThatSavesIsMovedOffATargetBeforeItLeaves() {
+        fixture.target("t1", "r1");
+        Step.Mode saving = new Step.Mode(false, true, false, false, false, 0);
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.step(1, 8, saving, false)));
+        fixture.submit(fixture.job("b", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        fixture.settle();
+        fixture.drain("t1", "r1", fixture.now().nanosAfter(2_000));
+        fixture.drain("t2", "r1", fixture.now().nanosAfter(2_000));
+        fixture.settle();
+        assertThat(fixture.stops).isEmpty();
+        fixture.pass(1_500);
+        assertThat(fixture.stops).hasSize(1);
+        assertThat(fixture.stops.get(0).task().job()).isEqualTo("a");
+    }
+
     @Test
     void aRunWithoutProgressGoesOnElsewhere() {
         fixture.target("t1", "r1");
