Fill racks in use before opening others; refuse as soon as the direct way fails

Change: among equal targets the fullest rack is taken first; a node refuses new requests from the first failure of the direct way until another way answers. Test shown failing first: smallWorkFillsOneRackBeforeItOpensAnother.

--- a/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
@@ -47,7 +47,7 @@
         }
     }
 
-    /** Returns whether the newest call found some way to the log. */
+    /** Returns whether the newest call found some way to the log; false also while other ways are being tried. */
     boolean reachable() {
         return reachable;
     }
@@ -81,6 +81,7 @@
         }
         if (way.isDirect()) {
             noteDirect(answered);
+            noteReachable(answered);
         } else if (!answered) {
             peers.demote(way.peer());
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -43,7 +43,8 @@
     }
 
     /**
-     * Returns a target for every task of {@code unit}, or null if there is not enough room.
+     * Returns a target for every task of {@code unit}, or null if there is not enough room. Fills targets, and then
+     * racks, that are in use already, so that whole ones stay free for large units.
      *
      * @param room the room of a target that the search may use
      * @param scope the targets to choose from
@@ -63,11 +64,15 @@
         }
         List<TargetRun> order = new ArrayList<>(slots.keySet());
         Map<TargetRun, Resources> rooms = new HashMap<>();
-        for (TargetRun target : order) {
-            rooms.put(target, room.apply(target));
+        Map<String, Long> rackRooms = new HashMap<>();
+        for (TargetRun target : scope) {
+            Resources free = room.apply(target);
+            rooms.put(target, free);
+            rackRooms.merge(target.rack(), Math.max(0, free.accelerators()), Long::sum);
         }
         order.sort(
                 Comparator.comparingLong((TargetRun target) -> rooms.get(target).accelerators())
+                        .thenComparingLong(target -> rackRooms.get(target.rack()))
                         .thenComparingLong(target -> rooms.get(target).cpuMillis())
                         .thenComparing(target -> target.id));
         return fill(unit.size(), order, slots);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -64,6 +64,20 @@
         assertThat(targets).containsExactly("t2", "t3");
     }
 
+    /** Pattern: small long work spread over all racks leaves none whole for a tight gang, which then stops others. */
+    @Test
+    void smallWorkFillsOneRackBeforeItOpensAnother() {
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r2");
+        fixture.target("t3", "r1");
+        fixture.target("t4", "r2");
+        fixture.submit(fixture.job("small", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.submit(fixture.job("more", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.submit(fixture.job("large", "x", 0, PoolFixture.gang(2, 8, true)));
+        assertThat(fixture.stops).isEmpty();
+        assertThat(fixture.starts).hasSize(4);
+    }
+
     @Test
     void oneEndDoneStandsForTheWholeGang() {
         fixture.target("t1", "r1");
