--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -12,9 +12,9 @@
 import org.jboss.logging.Logger;
 
 /**
- * Gives waiting work its places, in order of priority.
+ * One pass that gives waiting work its places, in order of priority.
  *
- * <p>For the pool's thread only; holds no state between passes but its collaborators.
+ * <p>Made anew for each pass; for the pool's thread only.
  */
 final class PlacementPass {
     private static final Logger LOG = Logger.getLogger(PlacementPass.class);
@@ -45,32 +45,39 @@
     /** How many times its estimated duration a task waits for the rack of its data. */
     private static final double NEAR_PATIENCE = 1.0;
 
-    private final Outbox outbox;
-    private final Suspicion suspicion;
-
-    private Collection<TargetRun> targets;
-    private Placement placement;
-    private Accounts accounts;
-    private Moment now;
+    private final Parts parts;
+    private final Collection<JobRun> jobs;
+    private final Collection<TargetRun> targets;
+    private final Placement placement;
+    private final Accounts accounts;
+    private final Moment now;
     private final Set<Shape> full = new HashSet<>();
     private int setAside;
 
-    PlacementPass(Outbox outbox, Suspicion suspicion) {
-        this.outbox = outbox;
-        this.suspicion = suspicion;
+    PlacementPass(
+            Parts parts, Collection<JobRun> jobs, Collection<TargetRun> targets, PoolSettings settings, Moment now) {
+        this.parts = parts;
+        this.jobs = jobs;
+        this.targets = targets;
+        this.now = now;
+        placement = new Placement(targets, settings);
+        accounts = Accounts.of(jobs, settings);
     }
 
+    /**
+     * What outlives a pass.
+     *
+     * @param outbox takes starts
+     * @param suspicion knows where a job failed
+     * @param ends stops runs
+     */
+    record Parts(Outbox outbox, Suspicion suspicion, Ends ends) {}
+
     /** A demand that found no room in this pass; others like it need not be tried. */
     private record Shape(String service, Resources demand, String label, String nearRack) {}
 
-    void run(Collection<JobRun> jobs, Collection<TargetRun> targets, PoolSettings settings, Moment now) {
-        this.targets = targets;
-        this.now = now;
-        placement = new Placement(targets, settings);
-        accounts = Accounts.of(jobs, settings);
-        full.clear();
+    void run() {
         List<Unit> waiting = new ArrayList<>();
-        setAside = 0;
         for (JobRun job : jobs) {
             if (!job.state.terminal()) {
                 collect(job, waiting);
@@ -80,7 +87,7 @@
         for (Unit unit : waiting) {
             place(unit);
         }
-        startAssigned(jobs);
+        startAssigned();
     }
 
     private Comparator<Unit> order() {
@@ -142,8 +149,8 @@
         }
         Map<String, List<TargetRun>> racks = placement.racks(unit, now.nanos());
         racks.values()
-                .forEach(rack ->
-                        rack.removeIf(target -> suspicion.shuns(unit.job().id(), target, targets)));
+                .forEach(rack -> rack.removeIf(
+                        target -> parts.suspicion().shuns(unit.job().id(), target, targets)));
         List<List<TargetRun>> scopes = scopes(unit, racks);
         if (placeFree(unit, scopes)
                 || waitForEnds(unit, scopes)
@@ -269,9 +276,7 @@
                     task.lastRun,
                     task.target.id,
                     unit.job().id());
-            task.stopNanos = now.nanos();
-            task.target.put(task, Phase.STOPPING);
-            outbox.stop(task.target.id, task.incarnation, task.id, task.lastRun);
+            parts.ends().stop(task, now);
         }
         assign(unit, best.places(), claim ? "claim" : "priority");
         return true;
@@ -308,7 +313,7 @@
                 waited(unit));
     }
 
-    private void startAssigned(Collection<JobRun> jobs) {
+    private void startAssigned() {
         for (JobRun job : jobs) {
             if (job.state.terminal()) {
                 continue;
@@ -363,7 +368,7 @@
             task.lastRun = run;
             task.incarnation = task.target.incarnation;
             task.target.put(task, Phase.STARTING);
-            outbox.start(task);
+            parts.outbox().start(task);
         }
         if (unit.step().job.state == JobState.QUEUED) {
             unit.step().job.state = JobState.RUNNING;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -27,7 +27,7 @@
     private final Suspicion suspicion = new Suspicion();
     private final Outbox outbox = new Outbox();
     private final Ends ends = new Ends(outbox, suspicion);
-    private final PlacementPass pass = new PlacementPass(outbox, suspicion);
+    private final PlacementPass.Parts parts = new PlacementPass.Parts(outbox, suspicion, ends);
     private PoolSettings settings = PoolSettings.EMPTY;
 
     /** Replaces what operators have configured. */
@@ -274,7 +274,7 @@
     /** Decides what runs next. */
     public void schedule(Moment now) {
         targets.values().forEach(target -> ends.moveOff(target, now));
-        pass.run(jobs.values(), targets.values(), settings, now);
+        new PlacementPass(parts, jobs.values(), targets.values(), settings, now).run();
     }
 
     /** Returns what is to be made durable now, and what depends on it. */
