--- a/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
@@ -163,6 +163,11 @@
         if (step.mode().lasting() || step.mode().filling() || task.percent >= ALL_DONE_PERCENT) {
             return;
         }
+        if (!task.step.movedOffSlow && task.crawls(now.nanos())) {
+            task.step.movedOffSlow = true;
+            moveOffSlow(task, now);
+            return;
+        }
         long patience = STUCK_MILLIS + (long) (STUCK_SHARE * step.estimateMillis());
         if (now.millisSince(task.advancedNanos) < patience) {
             return;
@@ -174,6 +179,19 @@
         stop(task, now);
     }
 
+    /** A slow target gets no new work for a while; urgent work, and work that saves its progress, goes on elsewhere. */
+    private void moveOffSlow(TaskRun task, Moment now) {
+        boolean moves =
+                task.job().terms().priority() == 0 || task.step.spec.mode().checkpoint();
+        LOG.infof(
+                "%s: request=%s task=%s run=%s target=%s why=slow percent=%s",
+                moves ? "stop" : "keep", task.id.job(), task.id, task.lastRun, task.target.id, task.percent);
+        suspicion.stuck(task.target, now);
+        if (moves) {
+            stop(task, now);
+        }
+    }
+
     /**
      * Stops work on a target that is about to leave, if it would not be done in time and saves its progress: it goes on
      * elsewhere from there instead of being lost.
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
@@ -19,6 +19,9 @@
     /** Newest run of a gang that failed; several members may report the same failure. */
     int failedRun;
 
+    /** Whether a run of it was moved off a slow target already; estimates may be wrong, so that is done once. */
+    boolean movedOffSlow;
+
     /** When its tasks' turn came, on the steady clock, in nanoseconds; 0 before. */
     long readyNanos;
 
@@ -32,6 +35,23 @@
         }
     }
 
+    /** Returns whether {@code task} runs away from its data, or from the rest of a gang that should be on one rack. */
+    boolean farApart(TaskRun task) {
+        String near = spec.constraints().nearRack();
+        if (!near.isEmpty() && !near.equals(task.target.rack())) {
+            return true;
+        }
+        if (!spec.constraints().tight()) {
+            return false;
+        }
+        for (TaskRun other : tasks) {
+            if (other.target != null && !other.target.rack().equals(task.target.rack())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     boolean done() {
         return doneTasks == tasks.size();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
@@ -10,6 +10,12 @@
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final int ALL_DONE_PERCENT = 100;
 
+    /** Time after which a run's rate is judged, in seconds. */
+    private static final double LEAST_OBSERVED_SECONDS = 0.8;
+
+    /** How many times its estimate a run may take; estimates are rough. */
+    private static final double CRAWL_FACTOR = 3.0;
+
     /** Progress from which on a run's own rate is used, in percent. */
     private static final int LEAST_GAIN_PERCENT = 5;
 
@@ -58,6 +64,17 @@
         }
     }
 
+    /** Returns whether the newest run is much slower than estimated, once its rate is known. */
+    boolean crawls(long nowNanos) {
+        double observed = (nowNanos - confirmedNanos) / NANOS_PER_SECOND;
+        int gained = percent - firstPercent;
+        if (firstPercent < 0 || gained < 1 || observed < LEAST_OBSERVED_SECONDS || step.farApart(this)) {
+            return false;
+        }
+        double whole = ALL_DONE_PERCENT * (advancedNanos - firstPercentNanos) / NANOS_PER_SECOND / gained;
+        return whole > CRAWL_FACTOR * step.spec.estimateMillis() / MILLIS_PER_SECOND + LEAST_OBSERVED_SECONDS;
+    }
+
     /** Returns the time that the newest run still needs, in seconds, by its rate or else by the estimate. */
     double secondsLeft(long nowNanos) {
         int gained = percent - firstPercent;
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -255,6 +255,32 @@
         assertThat(fixture.stops.get(0).task().job()).isEqualTo("a");
     }
 
+    /** Pattern: some workers turn several times slower. Urgent work used to stay there until it was late. */
+    @Test
+    void urgentWorkLeavesATargetThatIsMuchSlowerThanEstimatedOnce() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        crawl("t1", 2);
+        assertThat(fixture.stops).hasSize(1);
+        fixture.obeyStops();
+        assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
+        crawl("t2", 4);
+        assertThat(fixture.stops).isEmpty();
+    }
+
+    /** The newest run gains two percent each half second, so it takes five times its estimate. */
+    private void crawl(String target, int reports) {
+        Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
+        for (int i = 1; i <= reports; i++) {
+            fixture.pass(500);
+            TargetReport.Running slow = new TargetReport.Running(start.task(), start.run(), "", 2 * i);
+            fixture.pool.report(
+                    new TargetReport(target, 1, fixture.now().nanos(), List.of(slow), List.of()), fixture.now());
+        }
+        fixture.settle();
+    }
+
     @Test
     void aRunWithoutProgressGoesOnElsewhere() {
         fixture.target("t1", "r1");
