Work restored on unregistered targets is over once no earlier lease can run

Ruled out: the lease of silent targets (no session existed). Change: Orphans judges such targets by the time at which the leases of earlier leaders are over.

--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -61,6 +61,7 @@
     private final Map<String, TargetInfo> registered = new HashMap<>();
     private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
     private final long begunInheritedNanos;
+    private final Orphans orphans;
     private final List<KeyedRecord> extra = new ArrayList<>();
     private volatile boolean over;
     private volatile boolean resigning;
@@ -79,6 +80,7 @@
         registry = new Follower(parts.topics().targets(), parts.log(), pace, new Registry(parts.codec(), this));
         Moment now = Clocks.now();
         begunInheritedNanos = TargetSession.inherited(now, UNCONFIRMED_MILLIS);
+        orphans = new Orphans(begunInheritedNanos);
         purgeNanos = now.nanos();
     }
 
@@ -165,6 +167,7 @@
         }
         Set<String> occupied = new HashSet<>(pool.occupied());
         occupied.forEach(this::session);
+        orphans.over(occupied, sessions.keySet(), now).forEach(id -> pool.lapsed(id, now));
         sessions.forEach((id, session) -> session.need(occupied.contains(id)));
     }
 
