--- a/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
@@ -31,6 +31,12 @@
         return DROPPED.get();
     }
 
+    /** Writes the lines that wait, as far as the reader takes them within a second, and ends logging. */
+    public static void close() {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).detachAndStopAllAppenders();
+    }
+
     /** Drops lines instead of blocking, and counts them. */
     private static final class BoundedAppender extends AsyncAppender {
         BoundedAppender() {
--- a/acacia-platform/src/main/java/org/acaciaport/program/ServerProgram.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/ServerProgram.java
@@ -87,6 +87,7 @@
                 Logger.getLogger(ServerProgram.class).warn("program: stop was interrupted");
             }
             drained.countDown();
+            Logs.close();
             Runtime.getRuntime().halt(ExitCode.OK.code());
         }));
         try {
