--- a/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
@@ -118,9 +118,4 @@
             current.resign(millis);
         }
     }
-
-    /** Returns whether this node leads. */
-    boolean leads() {
-        return term != null;
-    }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -130,11 +130,6 @@
         return desk;
     }
 
-    /** Returns whether this node leads. */
-    public boolean leads() {
-        return leadership.leads();
-    }
-
     /** Hands the lead over, if it is here. Callers are still answered. */
     public void resign() {
         leadership.stop(RESIGN_MILLIS);
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -59,7 +59,7 @@
     private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
     private final Map<String, TargetSession> sessions = new HashMap<>();
     private final Map<String, TargetInfo> registered = new HashMap<>();
-    private final ExecutorService workers = Executors.newVirtualThreadPerTaskExecutor();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final long begunInheritedNanos;
     private final Orphans orphans;
     private final List<KeyedRecord> extra = new ArrayList<>();
@@ -158,7 +158,7 @@
         for (Order.Stop stop : pool.takeStops()) {
             TargetSession session = session(stop.target());
             if (session != null) {
-                workers.execute(() -> session.stop(stop));
+                executor.execute(() -> session.stop(stop));
             }
         }
         purge(now);
@@ -186,7 +186,7 @@
             records.add(JobRecords.leader(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
         }
         appending = true;
-        workers.execute(() -> {
+        executor.execute(() -> {
             boolean done = termLog.append(records);
             events.add(() -> appended(done, batch));
         });
@@ -207,7 +207,7 @@
             if (session == null) {
                 pool.notStarted(start, "no address", 0, Clocks.now());
             } else {
-                workers.execute(() -> session.start(start));
+                executor.execute(() -> session.start(start));
             }
         }
         batch.acknowledgements().forEach((target, ends) -> {
@@ -341,6 +341,6 @@
         replica.detach();
         operators.listen(() -> {});
         sessions.values().forEach(TargetSession::close);
-        workers.shutdownNow();
+        executor.shutdownNow();
     }
 }
