--- a/acacia-pool/src/main/java/org/acaciaport/pool/Batch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Batch.java
@@ -28,9 +28,4 @@
      * @param upTo number of the last one
      */
     public record Acknowledgement(long incarnation, long upTo) {}
-
-    /** Returns whether there is nothing to do. */
-    public boolean isEmpty() {
-        return records.isEmpty() && starts.isEmpty() && acknowledgements.isEmpty();
-    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
@@ -18,7 +18,6 @@
     private static final double STUCK_SHARE = 0.1;
 
     private static final int ALL_DONE_PERCENT = 100;
-    private static final double NANOS_PER_SECOND = 1e9;
 
     /** Time before a target leaves at which its unfinished work is stopped, in seconds; enough for the stop. */
     private static final double MOVE_OFF_SECONDS = 0.8;
@@ -31,9 +30,8 @@
         this.suspicion = suspicion;
     }
 
-    /** Takes note of an end that {@code target} lists. Ends of older runs change nothing. */
-    void settle(JobRun job, TargetRun target, TargetReport.Ended end, Moment now) {
-        TaskRun task = job == null ? null : job.task(end.task());
+    /** Takes note of an end that {@code target} lists. Ends of older runs, or of a null task, change nothing. */
+    void settle(TaskRun task, TargetRun target, TargetReport.Ended end, Moment now) {
         boolean here = task != null && task.lastRun == end.run() && task.phase.occupies() && task.target == target;
         boolean gone = task != null && task.lastRun == end.run() && !task.phase.occupies();
         LOG.infof(
@@ -45,7 +43,7 @@
         if (!end.saved().isEmpty()) {
             save(task, end.saved());
         }
-        outbox.changed(job);
+        outbox.changed(task.step.job);
         switch (end.how()) {
             case DONE -> {
                 suspicion.succeeded(target);
@@ -130,10 +128,8 @@
             return;
         }
         for (TaskRun member : task.step.tasks) {
-            if (member.phase == Phase.ASSIGNED) {
-                release(member, Phase.WAITING);
-            } else if (ran && (member.phase == Phase.STARTING || member.phase == Phase.RUNNING)) {
-                stop(member, now);
+            if (ran || member.phase == Phase.ASSIGNED) {
+                withdraw(member, now);
             }
         }
     }
@@ -141,15 +137,23 @@
     /** Stops every run of {@code job} and gives back what it was promised. */
     void stopAll(JobRun job, Moment now) {
         suspicion.forget(job.job.id());
-        for (TaskRun task : job.tasks()) {
-            if (task.phase == Phase.ASSIGNED) {
-                release(task, Phase.WAITING);
-            } else if (task.phase == Phase.STARTING || task.phase == Phase.RUNNING) {
-                stop(task, now);
-            }
+        job.tasks().forEach(task -> withdraw(task, now));
+    }
+
+    /** Gives back what the task was promised, or stops its run unless that was done. */
+    private void withdraw(TaskRun task, Moment now) {
+        if (task.phase == Phase.ASSIGNED) {
+            unassign(task);
+        } else if (task.phase == Phase.STARTING || task.phase == Phase.RUNNING) {
+            stop(task, now);
         }
     }
 
+    /** Gives back the place that the task was promised; it waits again. */
+    void unassign(TaskRun task) {
+        release(task, Phase.WAITING);
+    }
+
     /** Tells the target to stop the task's run. */
     void stop(TaskRun task, Moment now) {
         task.stopNanos = now.nanos();
@@ -163,7 +167,7 @@
         if (step.mode().lasting() || step.mode().filling() || task.percent >= ALL_DONE_PERCENT) {
             return;
         }
-        if (!task.step.movedOffSlow && task.crawls(now.nanos())) {
+        if (!task.step.movedOffSlow && task.crawls(now)) {
             task.step.movedOffSlow = true;
             moveOffSlow(task, now);
             return;
@@ -200,13 +204,13 @@
         if (target.info == null || !target.info.draining() || target.info.leavesNanos() == 0) {
             return;
         }
-        double left = (target.info.leavesNanos() - now.nanos()) / NANOS_PER_SECOND;
+        double left = -now.secondsSince(target.info.leavesNanos());
         if (left > MOVE_OFF_SECONDS) {
             return;
         }
         for (TaskRun task : List.copyOf(target.occupants.values())) {
             boolean saves = task.step.spec.mode().checkpoint();
-            if (task.phase != Phase.RUNNING || !saves || task.secondsLeft(now.nanos()) < left) {
+            if (task.phase != Phase.RUNNING || !saves || task.secondsLeft(now) < left) {
                 continue;
             }
             LOG.infof(
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -63,9 +63,4 @@
     public long dueMillis(int number) {
         return schedule.times() == 0 ? acceptedMillis : schedule.firstMillis() + number * schedule.intervalMillis();
     }
-
-    /** Returns whether any task runs until the job is cancelled. */
-    public boolean lasts() {
-        return steps.stream().anyMatch(step -> step.mode().lasting());
-    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobRun.java
@@ -15,6 +15,7 @@
  */
 final class JobRun {
     final Job job;
+    final Objective objective;
     final Set<Integer> doneOccurrences = new TreeSet<>();
     private final TreeMap<Integer, List<StepRun>> open = new TreeMap<>();
     JobState state = JobState.QUEUED;
@@ -22,6 +23,7 @@
 
     JobRun(Job job) {
         this.job = job;
+        objective = Objective.of(job);
     }
 
     /** Returns the steps of an occurrence, begun now if it was not. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Moment.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Moment.java
@@ -10,12 +10,18 @@
  */
 public record Moment(long nanos, long millis) {
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     /** Returns the steady reading {@code millis} milliseconds later. */
     public long nanosAfter(long millis) {
         return nanos + millis * NANOS_PER_MILLI;
     }
 
+    /** Returns the seconds since the steady reading {@code earlier}. */
+    double secondsSince(long earlier) {
+        return (nanos - earlier) / NANOS_PER_SECOND;
+    }
+
     /** Returns the milliseconds since the steady reading {@code earlier}. */
     public long millisSince(long earlier) {
         return (nanos - earlier) / NANOS_PER_MILLI;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -50,10 +50,15 @@
      * @param scope the targets to choose from
      */
     static List<TargetRun> choose(Unit unit, List<TargetRun> scope, Function<TargetRun, Resources> room) {
+        Map<TargetRun, Resources> rooms = new HashMap<>();
         Map<TargetRun, Integer> slots = new HashMap<>();
+        Map<String, Long> rackRooms = new HashMap<>();
         int sum = 0;
         for (TargetRun target : scope) {
-            int count = slots(unit, target, room.apply(target));
+            Resources free = room.apply(target);
+            rooms.put(target, free);
+            rackRooms.merge(target.rack(), Math.max(0, free.accelerators()), Long::sum);
+            int count = slots(unit, target, free);
             if (count > 0) {
                 slots.put(target, count);
                 sum += count;
@@ -63,13 +68,6 @@
             return null;
         }
         List<TargetRun> order = new ArrayList<>(slots.keySet());
-        Map<TargetRun, Resources> rooms = new HashMap<>();
-        Map<String, Long> rackRooms = new HashMap<>();
-        for (TargetRun target : scope) {
-            Resources free = room.apply(target);
-            rooms.put(target, free);
-            rackRooms.merge(target.rack(), Math.max(0, free.accelerators()), Long::sum);
-        }
         order.sort(
                 Comparator.comparingLong((TargetRun target) -> rooms.get(target).accelerators())
                         .thenComparingLong(target -> rackRooms.get(target.rack()))
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -37,8 +37,6 @@
     /** Most work that may be lost for a unit beyond its guarantee, as a multiple of its own. */
     private static final double MOST_LOSS = 2.0;
 
-    private static final double MILLIS_PER_SECOND = 1e3;
-
     /** Most units that have room set aside while they wait. */
     private static final int MOST_SET_ASIDE = 1;
 
@@ -94,8 +92,8 @@
         return Comparator.comparingInt(Unit::priority)
                 .thenComparing(unit ->
                         unit.priority() == 0 && !accounts.within(unit.job().account()))
-                .thenComparing(unit -> Objective.outlook(unit.job(), unit.step().occurrence, now.millis()))
-                .thenComparingLong(unit -> Objective.slackMillis(unit.job(), unit.step().occurrence, now.millis()))
+                .thenComparing(unit -> unit.step().job.objective.outlook(unit.step().occurrence, now.millis()))
+                .thenComparingLong(unit -> unit.step().slackMillis(now))
                 .thenComparing(unit -> unit.job().id());
     }
 
@@ -250,7 +248,7 @@
 
     /** Returns the estimated work of a unit, in core-seconds. */
     private static double work(Unit unit) {
-        return unit.size() * unit.demand().cores() * unit.step().spec.estimateMillis() / MILLIS_PER_SECOND;
+        return unit.size() * unit.demand().cores() * unit.step().spec.estimateSeconds();
     }
 
     private boolean stopOthers(Unit unit, List<List<TargetRun>> scopes) {
@@ -266,7 +264,7 @@
         }
         for (TaskRun task : best.stops()) {
             if (task.phase == Phase.ASSIGNED) {
-                task.target.remove(task, Phase.WAITING);
+                parts.ends().unassign(task);
                 continue;
             }
             LOG.infof(
@@ -339,7 +337,7 @@
         } else if (assigned.size() == step.tasks.size()) {
             start(new Unit(step, assigned));
         } else {
-            assigned.forEach(task -> task.target.remove(task, Phase.WAITING));
+            assigned.forEach(parts.ends()::unassign);
         }
     }
 
@@ -348,7 +346,7 @@
         boolean enough = true;
         for (TaskRun task : unit.tasks()) {
             if (!placement.allowed(unit, task.target, now.nanos())) {
-                unit.tasks().forEach(each -> each.target.remove(each, Phase.WAITING));
+                unit.tasks().forEach(parts.ends()::unassign);
                 return;
             }
             Resources left =
@@ -385,6 +383,6 @@
                 return;
             }
         }
-        unit.tasks().forEach(task -> task.target.remove(task, Phase.WAITING));
+        unit.tasks().forEach(parts.ends()::unassign);
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -119,7 +119,7 @@
         reborn(target, report.incarnation(), now);
         long upTo = 0;
         for (TargetReport.Ended end : report.ended()) {
-            ends.settle(jobs.get(end.task().job()), target, end, now);
+            ends.settle(find(end.task()), target, end, now);
             upTo = end.number();
         }
         if (upTo > 0) {
@@ -142,8 +142,7 @@
         Set<TaskId> seen = new HashSet<>();
         target.strays = Resources.NONE;
         for (TargetReport.Running run : report.running()) {
-            JobRun job = jobs.get(run.task().job());
-            TaskRun task = job == null ? null : job.task(run.task());
+            TaskRun task = find(run.task());
             if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.occupies()) {
                 stray(target, task, run);
                 continue;
@@ -224,9 +223,14 @@
         }
     }
 
+    /** Returns the task, or null if there is none of that name. */
+    private TaskRun find(TaskId id) {
+        JobRun job = jobs.get(id.job());
+        return job == null ? null : job.task(id);
+    }
+
     private TaskRun current(Order.Start start) {
-        JobRun job = jobs.get(start.task().job());
-        TaskRun task = job == null ? null : job.task(start.task());
+        TaskRun task = find(start.task());
         boolean same = task != null
                 && task.phase.occupies()
                 && task.lastRun == start.run()
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Step.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Step.java
@@ -16,6 +16,8 @@
  */
 public record Step(
         int count, Resources demand, long estimateMillis, List<Integer> after, Constraints constraints, Mode mode) {
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     /** Copies the list. */
     public Step {
         after = List.copyOf(after);
@@ -50,6 +52,11 @@
         public static final Mode PLAIN = new Mode(false, false, false, false, false, 0);
     }
 
+    /** Returns the rough duration of a task, in seconds. */
+    double estimateSeconds() {
+        return estimateMillis / MILLIS_PER_SECOND;
+    }
+
     /** Returns what one task takes from a target's capacity. */
     public Resources charged() {
         return mode.filling() ? new Resources(0, demand.memoryMb(), demand.accelerators()) : demand;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
@@ -52,17 +52,12 @@
         return false;
     }
 
-    boolean done() {
-        return doneTasks == tasks.size();
+    /** Returns how long its occurrence can wait and still be done within its objective, in milliseconds. */
+    long slackMillis(Moment now) {
+        return job.objective.slackMillis(occurrence, now.millis());
     }
 
-    /** Returns whether no task of the step has a run that may still be there. */
-    boolean quiet() {
-        for (TaskRun task : tasks) {
-            if (task.phase.occupies()) {
-                return false;
-            }
-        }
-        return true;
+    boolean done() {
+        return doneTasks == tasks.size();
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
@@ -7,7 +7,6 @@
  */
 final class TaskRun {
     private static final double NANOS_PER_SECOND = 1e9;
-    private static final double MILLIS_PER_SECOND = 1e3;
     private static final int ALL_DONE_PERCENT = 100;
 
     /** Time after which a run's rate is judged, in seconds. */
@@ -65,26 +64,31 @@
     }
 
     /** Returns whether the newest run is much slower than estimated, once its rate is known. */
-    boolean crawls(long nowNanos) {
-        double observed = (nowNanos - confirmedNanos) / NANOS_PER_SECOND;
-        int gained = percent - firstPercent;
-        if (firstPercent < 0 || gained < 1 || observed < LEAST_OBSERVED_SECONDS || step.farApart(this)) {
+    boolean crawls(Moment now) {
+        boolean observed = now.secondsSince(confirmedNanos) >= LEAST_OBSERVED_SECONDS;
+        if (gained() < 1 || !observed || step.farApart(this)) {
             return false;
         }
-        double whole = ALL_DONE_PERCENT * (advancedNanos - firstPercentNanos) / NANOS_PER_SECOND / gained;
-        return whole > CRAWL_FACTOR * step.spec.estimateMillis() / MILLIS_PER_SECOND + LEAST_OBSERVED_SECONDS;
+        double whole = ALL_DONE_PERCENT * secondsPerPercent();
+        return whole > CRAWL_FACTOR * step.spec.estimateSeconds() + LEAST_OBSERVED_SECONDS;
     }
 
     /** Returns the time that the newest run still needs, in seconds, by its rate or else by the estimate. */
-    double secondsLeft(long nowNanos) {
-        int gained = percent - firstPercent;
-        if (firstPercent < 0 || gained < LEAST_GAIN_PERCENT) {
-            double elapsed = (nowNanos - confirmedNanos) / NANOS_PER_SECOND;
-            return Math.max(0, step.spec.estimateMillis() / MILLIS_PER_SECOND - elapsed);
+    double secondsLeft(Moment now) {
+        if (gained() < LEAST_GAIN_PERCENT) {
+            return Math.max(0, step.spec.estimateSeconds() - now.secondsSince(confirmedNanos));
         }
-        double perPercent = (advancedNanos - firstPercentNanos) / NANOS_PER_SECOND / gained;
-        double since = (nowNanos - advancedNanos) / NANOS_PER_SECOND;
-        return Math.max(0, (ALL_DONE_PERCENT - percent) * perPercent - since);
+        double left = (ALL_DONE_PERCENT - percent) * secondsPerPercent();
+        return Math.max(0, left - now.secondsSince(advancedNanos));
+    }
+
+    /** Returns the progress of the newest run since its first report, in percent; 0 before. */
+    private int gained() {
+        return firstPercent < 0 ? 0 : percent - firstPercent;
+    }
+
+    private double secondsPerPercent() {
+        return (advancedNanos - firstPercentNanos) / NANOS_PER_SECOND / gained();
     }
 
     Resources demand() {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
@@ -16,8 +16,6 @@
  * to be needless. A gang is stopped whole. For the pool's thread only.
  */
 final class Victims {
-    private static final double NANOS_PER_SECOND = 1e9;
-
     private static final double MILLIS_PER_SECOND = 1e3;
 
     /** Work between two checkpoints that a stop loses at most, in seconds. */
@@ -137,10 +135,10 @@
             if (task.phase != Phase.RUNNING) {
                 continue;
             }
-            double seconds = (now.nanos() - task.confirmedNanos) / NANOS_PER_SECOND;
+            double seconds = now.secondsSince(task.confirmedNanos);
             loss = switch (cost) {
                 case LOST_WORK -> loss + lostWork(task, seconds);
-                case TIME_LEFT -> Math.max(loss, task.secondsLeft(now.nanos()));
+                case TIME_LEFT -> Math.max(loss, task.secondsLeft(now));
             };
         }
         return new Victim(tasks, loss);
@@ -154,8 +152,7 @@
 
     /** Returns what the delay of a stop costs: most for a job that would still be in time without it. */
     private double delayLoss(TaskRun task, double seconds) {
-        long slack = Objective.slackMillis(task.job(), task.step.occurrence, now.millis());
-        double left = slack / MILLIS_PER_SECOND + seconds;
+        double left = task.step.slackMillis(now) / MILLIS_PER_SECOND + seconds;
         if (left < 0) {
             return 0;
         }
