Node: replies that cannot occur have no type; one reading of a record, of a job and of what a session still asks

Cause: on re-reading, one reply type served two calls, so each had a branch that cannot happen; a session's reasons to ask stood twice; the copy of the jobs took keys apart twice a record; callers' state and cancelling found and hid jobs each in its own way; the log was handed over beside the parts that hold it. Change: OrderReply and ReportReply with a common Failure; hasQuestions and recent in TargetSession; Desk.find answers for the account; Replica reads a record in one place. Behaviour and assertions are as they were; test comments use our words.

--- a/acacia-node/src/main/java/org/acaciaport/node/Desk.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Desk.java
@@ -40,9 +40,9 @@
     private final long evidenceMillis;
     private final MetricRegistry metrics;
 
-    Desk(Term.Parts parts, LogRoutes log, Follower jobs, long evidenceMillis, MetricRegistry metrics) {
+    Desk(Term.Parts parts, Follower jobs, long evidenceMillis, MetricRegistry metrics) {
         this.topics = parts.topics();
-        this.log = log;
+        this.log = parts.log();
         this.replica = parts.replica();
         this.operators = parts.operators();
         this.jobs = jobs;
@@ -183,46 +183,53 @@
         };
     }
 
-    /** Returns what the log says of a job, made current if the copy has none; null if there is none for sure. */
-    private JobEntry find(String id, long deadline) throws NotCurrentException {
+    /**
+     * Returns what the log says of the account's job; null if there is none for sure.
+     *
+     * @throws NotCurrentException if the copy has no such job and cannot be made current in time
+     */
+    private JobEntry find(Access.Granted access, String id, long deadline) throws NotCurrentException {
         JobEntry entry = replica.find(id);
-        if (entry != null) {
-            return entry;
-        }
-        if (!jobs.catchUp(deadline - ANSWER_MILLIS * Clocks.NANOS_PER_MILLI)) {
-            throw new NotCurrentException();
+        if (entry == null) {
+            if (!jobs.catchUp(deadline - ANSWER_MILLIS * Clocks.NANOS_PER_MILLI)) {
+                throw new NotCurrentException();
+            }
+            entry = replica.find(id);
         }
-        return replica.find(id);
+        return entry == null || !entry.job().account().equals(access.account()) ? null : entry;
     }
 
     /** Thrown when this node cannot tell whether a job exists. */
     private static final class NotCurrentException extends Exception {
         private static final long serialVersionUID = 1L;
+
+        Answer answer() {
+            return new Answer.Refused("this node's copy of the jobs is not current");
+        }
     }
 
     /** Says how far a job is. */
     public Answer state(Access.Granted access, String id, long deadline) {
         try {
-            JobEntry entry = find(id, deadline);
-            boolean visible = entry != null && entry.job().account().equals(access.account());
-            return visible ? new Answer.State(entry.state()) : new Answer.NoJob();
+            JobEntry entry = find(access, id, deadline);
+            return entry == null ? new Answer.NoJob() : new Answer.State(entry.state());
         } catch (NotCurrentException e) {
-            return new Answer.Refused("this node's copy of the jobs is not current");
+            return e.answer();
         }
     }
 
     /** Cancels a job. */
     public Answer cancel(Access.Granted access, String id, long deadline) {
         try {
-            JobEntry entry = find(id, deadline);
-            if (entry == null || !entry.job().account().equals(access.account())) {
+            JobEntry entry = find(access, id, deadline);
+            if (entry == null) {
                 return new Answer.NoJob();
             }
             if (entry.state().terminal()) {
                 return new Answer.Accepted();
             }
         } catch (NotCurrentException e) {
-            return new Answer.Refused("this node's copy of the jobs is not current");
+            return e.answer();
         }
         Answer answer = write(JobRecords.cancel(new CancelRecord(id, System.currentTimeMillis())), deadline);
         LOG.infof("cancel: request=%s account=%s outcome=%s", id, access.account(), answer);
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -77,7 +77,7 @@
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
         leadership = new Leadership(self, parts, jobs, random);
-        desk = new Desk(parts, log, jobs, settings.evidenceMillis(), metrics);
+        desk = new Desk(parts, jobs, settings.evidenceMillis(), metrics);
     }
 
     private static String address(InetSocketAddress address) {
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -35,10 +35,9 @@
      * The leader's newest record.
      *
      * @param record what it says
-     * @param offset where it stands
      * @param heardNanos when it arrived here, on the steady clock, in nanoseconds
      */
-    record Leader(LeaderRecord record, long offset, long heardNanos) {}
+    record Leader(LeaderRecord record, long heardNanos) {}
 
     private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
     private final Map<String, NodeRecord> nodes = new HashMap<>();
@@ -58,7 +57,7 @@
     @Override
     public synchronized void apply(KeyedRecord record, long offset) {
         try {
-            take(record, offset);
+            take(record);
         } catch (IOException e) {
             LOG.errorf("log: key=%s offset=%s outcome=skipped reason=%s", record.key(), offset, e.getMessage());
         }
@@ -71,53 +70,52 @@
         next = end;
     }
 
-    private void take(KeyedRecord record, long offset) throws IOException {
+    private void take(KeyedRecord record) throws IOException {
         String key = record.key();
         if (key.startsWith(JobRecords.JOB)) {
-            job(record);
+            job(key.substring(JobRecords.JOB.length()), read(record, Job.class));
         } else if (key.startsWith(JobRecords.PROGRESS)) {
-            JobProgress progress = gone(record) ? null : JobRecords.read(record, JobProgress.class);
-            update(
-                    key.substring(JobRecords.PROGRESS.length()),
-                    entry(key, JobRecords.PROGRESS).with(progress));
+            String id = key.substring(JobRecords.PROGRESS.length());
+            update(id, entry(id).with(read(record, JobProgress.class)));
         } else if (key.startsWith(JobRecords.CANCEL)) {
-            CancelRecord cancel = gone(record) ? null : JobRecords.read(record, CancelRecord.class);
-            update(
-                    key.substring(JobRecords.CANCEL.length()),
-                    entry(key, JobRecords.CANCEL).with(cancel));
-            if (cancel != null && listener != null) {
-                listener.cancelled(cancel);
-            }
+            cancel(key.substring(JobRecords.CANCEL.length()), read(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE) && !gone(record)) {
             NodeRecord node = JobRecords.read(record, NodeRecord.class);
             nodes.put(node.name(), node);
         } else if (key.equals(JobRecords.LEADER) && !gone(record)) {
-            leader = new Leader(JobRecords.read(record, LeaderRecord.class), offset, System.nanoTime());
+            leader = new Leader(JobRecords.read(record, LeaderRecord.class), System.nanoTime());
         }
     }
 
-    private void job(KeyedRecord record) throws IOException {
-        JobEntry entry = entry(record.key(), JobRecords.JOB);
-        if (gone(record)) {
-            update(record.key().substring(JobRecords.JOB.length()), entry.with((Job) null));
-            return;
-        }
-        Job job = JobRecords.read(record, Job.class);
-        if (entry.job() != null) {
+    private void job(String id, Job job) {
+        JobEntry entry = entry(id);
+        if (job != null && entry.job() != null) {
             return;
         }
-        update(job.id(), entry.with(job));
-        if (listener != null) {
+        update(id, entry.with(job));
+        if (job != null && listener != null) {
             listener.submitted(job);
         }
     }
 
+    private void cancel(String id, CancelRecord cancel) {
+        update(id, entry(id).with(cancel));
+        if (cancel != null && listener != null) {
+            listener.cancelled(cancel);
+        }
+    }
+
+    /** Returns what the record says, or null if it drops its key. */
+    private static <T> T read(KeyedRecord record, Class<T> type) throws IOException {
+        return gone(record) ? null : JobRecords.read(record, type);
+    }
+
     private static boolean gone(KeyedRecord record) {
         return record.value().length == 0;
     }
 
-    private JobEntry entry(String key, String prefix) {
-        return jobs.getOrDefault(key.substring(prefix.length()), JobEntry.NONE);
+    private JobEntry entry(String id) {
+        return jobs.getOrDefault(id, JobEntry.NONE);
     }
 
     private void update(String id, JobEntry entry) {
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetCalls.java
@@ -37,23 +37,29 @@
     record ReportCall(long fence, long acknowledged, OptionalLong leaseMillis, long waitMillis) {}
 
     /** Starts a run; waits up to {@code millis} milliseconds. */
-    Reply start(Address target, StartCall call, long millis);
+    OrderReply start(Address target, StartCall call, long millis);
 
     /** Stops a run, and bars it if it has not begun; waits up to {@code millis} milliseconds. */
-    Reply stop(Address target, TaskId task, int run, long fence, long millis);
+    OrderReply stop(Address target, TaskId task, int run, long fence, long millis);
 
     /** Asks for a report; waits up to {@code millis} milliseconds. */
-    Reply report(Address target, ReportCall call, long millis);
+    ReportReply report(Address target, ReportCall call, long millis);
 
-    /** What came back. */
-    sealed interface Reply {}
+    /** What came back for an order. */
+    sealed interface OrderReply {}
+
+    /** What came back when a report was asked for. */
+    sealed interface ReportReply {}
+
+    /** What came back instead, for an order as for a report. */
+    sealed interface Failure extends OrderReply, ReportReply {}
 
     /**
      * The order was carried out.
      *
      * @param clockMillis reading of the target's clock
      */
-    record Done(long clockMillis) implements Reply {}
+    record Done(long clockMillis) implements OrderReply {}
 
     /**
      * A report.
@@ -61,7 +67,7 @@
      * @param clockMillis reading of the target's clock
      * @param report what runs and what ended
      */
-    record Reported(long clockMillis, TargetReport report) implements Reply {}
+    record Reported(long clockMillis, TargetReport report) implements ReportReply {}
 
     /**
      * The order was not carried out and will not be.
@@ -69,14 +75,14 @@
      * @param why the kind of refusal
      * @param clockMillis reading of the target's clock, if it said so
      */
-    record Refused(Why why, OptionalLong clockMillis) implements Reply {}
+    record Refused(Why why, OptionalLong clockMillis) implements Failure {}
 
     /**
      * The order may have been carried out, or may be later.
      *
      * @param reason what is known
      */
-    record NoAnswer(String reason) implements Reply {}
+    record NoAnswer(String reason) implements Failure {}
 
     /** Why a target refuses. */
     enum Why {
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -110,12 +110,16 @@
     /** Asks for reports while something may run there; a target that is not verified yet is asked at least once. */
     synchronized void need(boolean occupied) {
         needed = occupied;
-        boolean look = occupied || incarnation == 0 || listed > acknowledged || !uncertain.isEmpty();
-        if (look && thread == null && !closed) {
+        if (hasQuestions() && thread == null && !closed) {
             thread = Thread.ofVirtual().name("target-" + id).start(this::run);
         }
     }
 
+    /** Returns whether there is something to learn from the target. */
+    private boolean hasQuestions() {
+        return needed || incarnation == 0 || listed > acknowledged || !uncertain.isEmpty();
+    }
+
     /** The target announced a later life; it is asked before it gets work. */
     synchronized void verify(long announced) {
         if (announced > incarnation && incarnation != 0) {
@@ -144,8 +148,7 @@
     }
 
     private synchronized boolean goOn() {
-        boolean look = needed || incarnation == 0 || listed > acknowledged || !uncertain.isEmpty();
-        if (closed || !look) {
+        if (closed || !hasQuestions()) {
             thread = null;
             return false;
         }
@@ -191,14 +194,12 @@
             call = new TargetCalls.ReportCall(fence, acknowledged, lease, waitMillis);
             to = address;
         }
-        TargetCalls.Reply reply = calls.report(to, call, waitMillis + ANSWER_MILLIS);
-        switch (reply) {
+        switch (calls.report(to, call, waitMillis + ANSWER_MILLIS)) {
             case TargetCalls.Reported reported -> {
                 take(reported, fence);
                 return true;
             }
             case TargetCalls.Refused refused -> refused(refused, fence);
-            case TargetCalls.Done done -> LOG.errorf("report: target=%s outcome=no-report", id);
             case TargetCalls.NoAnswer none -> noAnswer(none.reason());
         }
         return false;
@@ -263,13 +264,17 @@
                 start.task().job(), start.task(), start.run(), id, there ? "found" : ended ? "ended" : "absent");
         if (there) {
             events.started(start);
-        } else if (!ended && System.nanoTime() - each.sentNanos() < RESEND_MILLIS * Clocks.NANOS_PER_MILLI) {
+        } else if (!ended && recent(each.sentNanos())) {
             send(start, each.sentNanos());
         } else if (!ended) {
             events.notStarted(start, "no answer", AVOID_MILLIS);
         }
     }
 
+    private static boolean recent(long firstNanos) {
+        return System.nanoTime() - firstNanos < RESEND_MILLIS * Clocks.NANOS_PER_MILLI;
+    }
+
     private synchronized void clock(long millis) {
         clockMillis = millis;
         clockNanos = System.nanoTime();
@@ -305,8 +310,11 @@
 
     private boolean over() {
         long now = System.nanoTime();
-        if (inheritedNanos != 0 || !clockKnown) {
-            return inheritedNanos != 0 && now > inheritedNanos;
+        if (inheritedNanos != 0) {
+            return now > inheritedNanos;
+        }
+        if (!clockKnown) {
+            return false;
         }
         double least = clockMillis + SLOWEST_CLOCK * (now - clockNanos) / Clocks.NANOS_PER_MILLI;
         return least > grantedMillis + LAPSE_SLACK_MILLIS;
@@ -337,7 +345,6 @@
             }
             case TargetCalls.Refused refused -> startRefused(start, call, refused, firstNanos);
             case TargetCalls.NoAnswer none -> unanswered(start, call.fence(), firstNanos, none.reason());
-            case TargetCalls.Reported other -> unanswered(start, call.fence(), firstNanos, "wrong answer");
         }
     }
 
@@ -355,10 +362,9 @@
     private void startRefused(
             Order.Start start, TargetCalls.StartCall call, TargetCalls.Refused refused, long firstNanos) {
         refused.clockMillis().ifPresent(this::clock);
-        boolean recent = System.nanoTime() - firstNanos < RESEND_MILLIS * Clocks.NANOS_PER_MILLI;
         switch (refused.why()) {
             case FENCE -> {
-                if (call.fence() < fence() && recent) {
+                if (call.fence() < fence() && recent(firstNanos)) {
                     send(start, firstNanos);
                     return;
                 }
@@ -368,7 +374,7 @@
                 }
             }
             case LATE -> {
-                if (recent) {
+                if (recent(firstNanos)) {
                     send(start, firstNanos);
                 } else {
                     events.notStarted(start, "late", AVOID_MILLIS);
@@ -391,7 +397,7 @@
         if (!events.leads()) {
             return;
         }
-        TargetCalls.Reply reply = calls.stop(to, stop.task(), stop.run(), fence(), ANSWER_MILLIS);
+        TargetCalls.OrderReply reply = calls.stop(to, stop.task(), stop.run(), fence(), ANSWER_MILLIS);
         LOG.infof(
                 "stop: request=%s task=%s run=%s target=%s outcome=%s",
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.Job;
@@ -99,7 +98,7 @@
             OperatorView operators,
             TargetCalls calls,
             Topics topics,
-            KeyedLog log,
+            LogRoutes log,
             TargetCodec codec) {}
 
     /** Leads until the term is over. */
--- a/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -44,7 +44,7 @@
         operators.apply(published, 0);
         operators.caughtUp(Clocks.now(), 1);
         Term.Parts parts = new Term.Parts(replica, operators, null, TOPICS, routes, null);
-        return new Desk(parts, routes, follower, 4_000, new MetricRegistry());
+        return new Desk(parts, follower, 4_000, new MetricRegistry());
     }
 
     private Desk.Answer submit(Desk desk, String id) {
@@ -169,7 +169,7 @@
         OperatorView operators = new OperatorView(record -> new OperatorCodec.Published(
                 new AccessList(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
         Term.Parts parts = new Term.Parts(replica, operators, null, TOPICS, routes, null);
-        Desk desk = new Desk(parts, routes, follower, 1, new MetricRegistry());
+        Desk desk = new Desk(parts, follower, 1, new MetricRegistry());
         assertThat(desk.access("host", "/p/a", "key")).isInstanceOf(Desk.Access.NotCurrent.class);
         operators.apply(KeyedRecord.drop("config"), 0);
         operators.caughtUp(new org.acaciaport.pool.Moment(System.nanoTime(), 0), 1);
--- a/acacia-node/src/test/java/org/acaciaport/node/OrphansTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/OrphansTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Pattern: a worker leaves during a cut, then all nodes lose power. The next leader finds work on a target that is not
+ * Pattern: a target leaves during a cut, then all nodes lose power. The next leader finds work on a target that is not
  * registered; it used to wait for its report for ever.
  */
 final class OrphansTest {
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -35,7 +35,7 @@
     }
 
     /**
-     * Pattern: a worker is gone for good while work is on it. Each unanswered report used to ask for a longer lease, so
+     * Pattern: a target is gone for good while work is on it. Each unanswered report used to ask for a longer lease, so
      * that the lease never ended and the work never ran again.
      */
     @Test
@@ -91,7 +91,7 @@
         }
 
         @Override
-        public Reply start(Address address, StartCall call, long millis) {
+        public OrderReply start(Address address, StartCall call, long millis) {
             starts.add(call);
             if (loseNextStart.getAndSet(false)) {
                 return new NoAnswer("lost");
@@ -100,12 +100,12 @@
         }
 
         @Override
-        public Reply stop(Address address, TaskId id, int run, long token, long millis) {
+        public OrderReply stop(Address address, TaskId id, int run, long token, long millis) {
             return new Done(clock());
         }
 
         @Override
-        public Reply report(Address address, ReportCall call, long millis) {
+        public ReportReply report(Address address, ReportCall call, long millis) {
             Clocks.sleep(5);
             if (silent.get()) {
                 return new NoAnswer("silent");
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -237,7 +237,7 @@
         assertThat(fixture.starts).isEmpty();
     }
 
-    /** Pattern: workers leave with short notice. Work that saves its progress used to run until it was lost. */
+    /** Pattern: targets leave with short notice. Work that saves its progress used to run until it was lost. */
     @Test
     void workThatSavesIsMovedOffATargetBeforeItLeaves() {
         fixture.target("t1", "r1");
@@ -255,7 +255,7 @@
         assertThat(fixture.stops.get(0).task().job()).isEqualTo("a");
     }
 
-    /** Pattern: some workers turn several times slower. Urgent work used to stay there until it was late. */
+    /** Pattern: some targets turn several times slower. Urgent work used to stay there until it was late. */
     @Test
     void urgentWorkLeavesATargetThatIsMuchSlowerThanEstimatedOnce() {
         fixture.target("t1", "r1");
