--- /dev/null
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JettyParts.java
@@ -0,0 +1,37 @@
+package org.acaciaport.http;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executors;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/** Makes the parts that all our HTTP servers have in common. */
+public final class JettyParts {
+    private JettyParts() {}
+
+    /** Returns a server without addresses that handles each request on a virtual thread. */
+    public static Server server(int maxThreads, int minThreads) {
+        QueuedThreadPool threads = new QueuedThreadPool(maxThreads, minThreads);
+        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        return new Server(threads);
+    }
+
+    /**
+     * Adds an address to {@code server}.
+     *
+     * @param idleMillis time after which a connection without a word is closed, in milliseconds
+     */
+    public static ServerConnector listen(Server server, InetSocketAddress address, long idleMillis) {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+        connector.setHost(address.getAddress().getHostAddress());
+        connector.setPort(address.getPort());
+        connector.setIdleTimeout(idleMillis);
+        server.addConnector(connector);
+        return connector;
+    }
+}
--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -12,7 +12,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -22,6 +21,8 @@
  * on which a call timed out is closed, so the next call uses another one.
  */
 public final class JsonClient implements AutoCloseable {
+    private static final String JSON = "application/json";
+    private static final byte[] NO_BODY = {};
     private static final int MAX_CONNECTIONS = 64;
     private static final int MAX_WAITING = 1_024;
     private static final int MAX_ANSWER_BYTES = 16 << 20;
@@ -90,7 +91,7 @@
      * @throws PlatformException if no answer came within {@code millis} milliseconds
      */
     public Answer get(String uri, long millis) throws PlatformException {
-        return send(client.newRequest(uri).method(HttpMethod.GET), millis);
+        return exchange(new RawCall("GET", uri, Map.of(), JSON, NO_BODY), millis);
     }
 
     /**
@@ -101,8 +102,7 @@
     public Answer send(String method, String uri, Object body, long millis) throws PlatformException {
         try {
             byte[] bytes = Codecs.json().writeValueAsBytes(body);
-            BytesRequestContent content = new BytesRequestContent("application/json", bytes);
-            return send(client.newRequest(uri).method(method).body(content), millis);
+            return exchange(new RawCall(method, uri, Map.of(), JSON, bytes), millis);
         } catch (IOException e) {
             throw new PlatformException(
                     PlatformException.Kind.NOT_DONE, "cannot encode the request (" + e.getMessage() + ")", e);
--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonServer.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonServer.java
@@ -7,22 +7,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.acaciaport.wire.Codecs;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
-import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.jboss.logging.Logger;
 
 /**
@@ -38,6 +34,7 @@
     private static final Logger LOG = Logger.getLogger(JsonServer.class);
     private static final int MAX_CALLS = 4_096;
     private static final int MAX_THREADS = 16;
+    private static final int MIN_THREADS = 4;
     private static final long IDLE_MILLIS = 75_000;
     private static final long DRAIN_STEP_MILLIS = 20;
 
@@ -46,16 +43,8 @@
     private final AtomicInteger working = new AtomicInteger();
 
     private JsonServer(InetSocketAddress address, HttpService service) {
-        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
-        threads.setVirtualThreadsExecutor(Executors.newVirtualThreadPerTaskExecutor());
-        server = new Server(threads);
-        HttpConfiguration configuration = new HttpConfiguration();
-        configuration.setSendServerVersion(false);
-        connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
-        connector.setHost(address.getAddress().getHostAddress());
-        connector.setPort(address.getPort());
-        connector.setIdleTimeout(IDLE_MILLIS);
-        server.addConnector(connector);
+        server = JettyParts.server(MAX_THREADS, MIN_THREADS);
+        connector = JettyParts.listen(server, address, IDLE_MILLIS);
         server.setHandler(new JsonHandler(service));
     }
 
