--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -113,6 +113,12 @@
         pool.report(new TargetReport(target, lives.get(target), asked, runningOn(target), List.of(ended)), now());
     }
 
+    /** A target reports one run, {@code percent} done. */
+    void progress(Order.Start start, int percent) {
+        TargetReport.Running run = new TargetReport.Running(start.task(), start.run(), "", percent);
+        pool.report(new TargetReport(start.target(), 1, now().nanos(), List.of(run), List.of()), now());
+    }
+
     /** The target starts again under its id, with nothing running. */
     void restart(String target, String rack) {
         long life = lives.merge(target, 1L, Long::sum);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -261,22 +261,34 @@
         fixture.target("t1", "r1");
         fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
         fixture.target("t2", "r1");
-        crawl("t1", 2);
+        crawl(2);
         assertThat(fixture.stops).hasSize(1);
         fixture.obeyStops();
         assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
-        crawl("t2", 4);
+        crawl(4);
+        assertThat(fixture.stops).isEmpty();
+    }
+
+    /** Pattern: a calm day with an estimate far too low. A run past its middle is moved off a sound target. */
+    @Test
+    void aRunThatWouldEndSoonerHereThanAnewIsLeft() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        for (int percent = 50; percent <= 80; percent += 10) {
+            fixture.pass(2_000);
+            fixture.progress(fixture.starts.get(0), percent);
+            fixture.settle();
+        }
         assertThat(fixture.stops).isEmpty();
     }
 
     /** The newest run gains two percent each half second, so it takes five times its estimate. */
-    private void crawl(String target, int reports) {
+    private void crawl(int reports) {
         Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
         for (int i = 1; i <= reports; i++) {
             fixture.pass(500);
-            TargetReport.Running slow = new TargetReport.Running(start.task(), start.run(), "", 2 * i);
-            fixture.pool.report(
-                    new TargetReport(target, 1, fixture.now().nanos(), List.of(slow), List.of()), fixture.now());
+            fixture.progress(start, 2 * i);
         }
         fixture.settle();
     }
@@ -289,9 +301,7 @@
         Order.Start start = fixture.starts.get(0);
         for (int i = 0; i < 8; i++) {
             fixture.pass(500);
-            TargetReport.Running still = new TargetReport.Running(start.task(), start.run(), "", 10);
-            fixture.pool.report(
-                    new TargetReport("t1", 1, fixture.now().nanos(), List.of(still), List.of()), fixture.now());
+            fixture.progress(start, 10);
         }
         fixture.settle();
         assertThat(fixture.stops).isNotEmpty();
