Pool: slow runs are judged by what is left, near tiers go first, waits follow the time to spare, preempted work is spared

A slow run moves only if a run elsewhere, taken to last half-way between estimate and rate, would end sooner. Its rate is known from the first report. Groups of targets come in tiers; a farther one counts only if the nearer has no room even after stops. Urgent work waits up to half of what it has to spare (0.3 to 0.8 s) for work about to end. Each preemption makes the next one of the same step dearer. Log lines of stops say claim or priority.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Ends.java
@@ -185,8 +185,9 @@
 
     /** A slow target gets no new work for a while; urgent work, and work that saves its progress, goes on elsewhere. */
     private void moveOffSlow(TaskRun task, Moment now) {
-        boolean moves =
+        boolean mayMove =
                 task.job().terms().priority() == 0 || task.step.spec.mode().checkpoint();
+        boolean moves = mayMove && task.endsSoonerElsewhere();
         LOG.infof(
                 "%s: request=%s task=%s run=%s target=%s why=slow percent=%s",
                 moves ? "stop" : "keep", task.id.job(), task.id, task.lastRun, task.target.id, task.percent);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -26,7 +26,13 @@
     private static final long SET_ASIDE_MILLIS = 3_000;
 
     /** Longest wait for running work to end before other work is stopped, in seconds. */
-    private static final double SOON_SECONDS = 0.6;
+    private static final double SOON_SECONDS = 0.8;
+
+    /** Wait for running work to end that any unit can afford, in seconds. */
+    private static final double SHORT_SECONDS = 0.3;
+
+    /** Part of the time that a unit has to spare that it may wait for running work to end. */
+    private static final double SOON_SHARE = 0.5;
 
     /** Time within which a unit may choose to wait for running work, in milliseconds. */
     private static final long SOON_CHOICE_MILLIS = 200;
@@ -43,6 +49,8 @@
     /** How many times its estimated duration a task waits for the rack of its data. */
     private static final double NEAR_PATIENCE = 1.0;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     private final Parts parts;
     private final Collection<JobRun> jobs;
     private final Collection<TargetRun> targets;
@@ -149,36 +157,45 @@
         racks.values()
                 .forEach(rack -> rack.removeIf(
                         target -> parts.suspicion().shuns(unit.job().id(), target, targets)));
-        List<List<TargetRun>> scopes = scopes(unit, racks);
-        if (placeFree(unit, scopes)
-                || waitForEnds(unit, scopes)
-                || stopOthers(unit, scopes)
-                || waitForRoom(unit, scopes)) {
-            return;
+        List<Tier> tiers = tiers(unit, racks);
+        for (Tier tier : tiers) {
+            if (placeFree(unit, tier) || waitForEnds(unit, tier) || stopOthers(unit, tier)) {
+                return;
+            }
+        }
+        for (Tier tier : tiers) {
+            if (waitForRoom(unit, tier)) {
+                return;
+            }
         }
         if (plain) {
             full.add(shape);
         }
     }
 
-    /** Returns the groups of targets that may take the whole unit. */
-    private List<List<TargetRun>> scopes(Unit unit, Map<String, List<TargetRun>> racks) {
+    /**
+     * Groups of targets, each of which may take a whole unit. In another tier than the first, work takes several times
+     * as long, so a tier counts only where those before it have no room, not even after stops.
+     */
+    private record Tier(List<List<TargetRun>> groups) {}
+
+    /** Returns where {@code unit} may go, best first. */
+    private List<Tier> tiers(Unit unit, Map<String, List<TargetRun>> racks) {
         Step.Constraints limits = unit.step().spec.constraints();
         List<TargetRun> all = new ArrayList<>();
         racks.values().forEach(all::addAll);
-        if (limits.tight() && unit.size() > 1 && !overdueClaim(unit) && Placement.fitsOneRack(unit, racks)) {
-            return List.copyOf(racks.values());
+        Tier anywhere = new Tier(List.of(all));
+        if (limits.tight() && unit.size() > 1 && Placement.fitsOneRack(unit, racks)) {
+            Tier oneRack = new Tier(List.copyOf(racks.values()));
+            return overdueClaim(unit) ? List.of(oneRack, anywhere) : List.of(oneRack);
         }
         if (limits.nearRack().isEmpty() || !racks.containsKey(limits.nearRack())) {
-            return List.of(all);
+            return List.of(anywhere);
         }
-        List<List<TargetRun>> scopes = new ArrayList<>();
-        scopes.add(racks.get(limits.nearRack()));
+        Tier near = new Tier(List.of(racks.get(limits.nearRack())));
         long patience = (long) (NEAR_PATIENCE * unit.step().spec.estimateMillis());
-        if (overdueClaim(unit) || waited(unit) > patience) {
-            scopes.add(all);
-        }
-        return scopes;
+        boolean mayLeave = overdueClaim(unit) || waited(unit) > patience;
+        return mayLeave ? List.of(near, anywhere) : List.of(near);
     }
 
     private long waited(Unit unit) {
@@ -193,16 +210,16 @@
         return unit.priority() == 0 && accounts.within(unit.job().account());
     }
 
-    private boolean placeFree(Unit unit, List<List<TargetRun>> scopes) {
+    private boolean placeFree(Unit unit, Tier tier) {
         List<TargetRun> best = null;
         long bestLeft = Long.MAX_VALUE;
-        for (List<TargetRun> scope : scopes) {
-            List<TargetRun> places = Placement.choose(unit, scope, TargetRun::freeSoon);
+        for (List<TargetRun> group : tier.groups()) {
+            List<TargetRun> places = Placement.choose(unit, group, TargetRun::freeSoon);
             if (places == null) {
                 continue;
             }
             long left = 0;
-            for (TargetRun target : scope) {
+            for (TargetRun target : group) {
                 left += target.freeSoon().accelerators();
             }
             if (left < bestLeft) {
@@ -218,27 +235,32 @@
     }
 
     /** Waits for work that is about to end rather than stop any. */
-    private boolean waitForEnds(Unit unit, List<List<TargetRun>> scopes) {
+    private boolean waitForEnds(Unit unit, Tier tier) {
         if (unit.priority() != 0 || waited(unit) > SOON_CHOICE_MILLIS) {
             return false;
         }
-        Victims.Choice best = cheapest(unit, scopes, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
-        if (best == null || best.loss() > SOON_SECONDS) {
+        Victims.Choice best = cheapest(unit, tier, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
+        if (best == null || best.loss() > affordableSeconds(unit)) {
             return false;
         }
         assign(unit, best.places(), "soon");
         return true;
     }
 
+    /** Returns how long a unit can wait without being late for that, in seconds. */
+    private double affordableSeconds(Unit unit) {
+        double spare = unit.step().slackMillis(now) / MILLIS_PER_SECOND;
+        return Math.clamp(SOON_SHARE * spare, SHORT_SECONDS, SOON_SECONDS);
+    }
+
     private static boolean endsByItself(TaskRun task) {
         return task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
     }
 
-    private Victims.Choice cheapest(
-            Unit unit, List<List<TargetRun>> scopes, Predicate<TaskRun> allowed, Victims.Cost cost) {
+    private Victims.Choice cheapest(Unit unit, Tier tier, Predicate<TaskRun> allowed, Victims.Cost cost) {
         Victims.Choice best = null;
-        for (List<TargetRun> scope : scopes) {
-            Victims.Choice choice = Victims.find(unit, scope, allowed, cost, now);
+        for (List<TargetRun> group : tier.groups()) {
+            Victims.Choice choice = Victims.find(unit, group, allowed, cost, now);
             if (choice != null && (best == null || choice.loss() < best.loss())) {
                 best = choice;
             }
@@ -251,43 +273,55 @@
         return unit.size() * unit.demand().cores() * unit.step().spec.estimateSeconds();
     }
 
-    private boolean stopOthers(Unit unit, List<List<TargetRun>> scopes) {
+    private boolean stopOthers(Unit unit, Tier tier) {
         if (unit.priority() != 0) {
             return false;
         }
         boolean claim = claims(unit);
         Predicate<TaskRun> allowed = task -> task.job().terms().priority() > 0
                 || claim && !accounts.within(task.job().account());
-        Victims.Choice best = cheapest(unit, scopes, allowed, Victims.Cost.LOST_WORK);
+        Victims.Choice best = cheapest(unit, tier, allowed, Victims.Cost.LOST_WORK);
         if (best == null || !claim && best.loss() > MOST_LOSS * work(unit)) {
             return false;
         }
+        String why = claim ? "claim" : "priority";
         for (TaskRun task : best.stops()) {
             if (task.phase == Phase.ASSIGNED) {
                 parts.ends().unassign(task);
                 continue;
             }
             LOG.infof(
-                    "stop: request=%s task=%s run=%s target=%s why=claim for=%s",
+                    "stop: request=%s task=%s run=%s target=%s why=%s for=%s",
                     task.id.job(),
                     task.id,
                     task.lastRun,
                     task.target.id,
+                    why,
                     unit.job().id());
             parts.ends().stop(task, now);
         }
-        assign(unit, best.places(), claim ? "claim" : "priority");
+        countPreemptions(best.stops());
+        assign(unit, best.places(), why);
         return true;
     }
 
+    private static void countPreemptions(List<TaskRun> stopped) {
+        Set<StepRun> steps = new HashSet<>();
+        for (TaskRun task : stopped) {
+            if (task.phase == Phase.STOPPING && steps.add(task.step)) {
+                task.step.preemptions++;
+            }
+        }
+    }
+
     /** Sets room aside that frees up as running work ends, so that large units are not passed over for ever. */
-    private boolean waitForRoom(Unit unit, List<List<TargetRun>> scopes) {
+    private boolean waitForRoom(Unit unit, Tier tier) {
         if (setAside >= MOST_SET_ASIDE
                 || waited(unit) < SET_ASIDE_MILLIS
                 || !unit.step().spec.mode().gang()) {
             return false;
         }
-        Victims.Choice best = cheapest(unit, scopes, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
+        Victims.Choice best = cheapest(unit, tier, PlacementPass::endsByItself, Victims.Cost.TIME_LEFT);
         if (best == null) {
             return false;
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -190,10 +190,7 @@
     }
 
     private void confirm(TargetRun target, TaskRun task, Moment now) {
-        task.confirmedNanos = now.nanos();
-        task.advancedNanos = now.nanos();
-        task.percent = 0;
-        task.firstPercent = -1;
+        task.begin(now.nanos());
         if (task.phase == Phase.STARTING) {
             target.put(task, Phase.RUNNING);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
@@ -22,6 +22,9 @@
     /** Whether a run of it was moved off a slow target already; estimates may be wrong, so that is done once. */
     boolean movedOffSlow;
 
+    /** How often runs of it were stopped in favour of other work; each time makes the next dearer. */
+    int preemptions;
+
     /** When its tasks' turn came, on the steady clock, in nanoseconds; 0 before. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskRun.java
@@ -15,6 +15,9 @@
     /** How many times its estimate a run may take; estimates are rough. */
     private static final double CRAWL_FACTOR = 3.0;
 
+    /** Usual time between the stop of a run and the start of the next, in seconds. */
+    private static final double MOVE_SECONDS = 0.5;
+
     /** Progress from which on a run's own rate is used, in percent. */
     private static final int LEAST_GAIN_PERCENT = 5;
 
@@ -37,7 +40,7 @@
 
     int percent;
 
-    /** First percentage that was reported of the newest run; negative before. */
+    /** First percentage that is known of the newest run; negative before. */
     int firstPercent = -1;
 
     /** When {@code firstPercent} was reported, on the steady clock, in nanoseconds. */
@@ -51,6 +54,15 @@
         this.step = step;
     }
 
+    /** Takes note that the newest run is there. One that resumes saved progress begins at an unknown percentage. */
+    void begin(long nowNanos) {
+        confirmedNanos = nowNanos;
+        advancedNanos = nowNanos;
+        percent = 0;
+        firstPercent = saved.isEmpty() ? 0 : -1;
+        firstPercentNanos = nowNanos;
+    }
+
     /** Takes note of how far the newest run is. */
     void advance(int reported, long nowNanos) {
         if (firstPercent < 0) {
@@ -69,8 +81,23 @@
         if (gained() < 1 || !observed || step.farApart(this)) {
             return false;
         }
-        double whole = ALL_DONE_PERCENT * secondsPerPercent();
-        return whole > CRAWL_FACTOR * step.spec.estimateSeconds() + LEAST_OBSERVED_SECONDS;
+        return secondsAtThisRate() > CRAWL_FACTOR * step.spec.estimateSeconds() + LEAST_OBSERVED_SECONDS;
+    }
+
+    /**
+     * Returns whether a slow run would probably end sooner on another target. Either the target or the estimate may be
+     * the cause, so a run elsewhere is taken to last half-way between the estimate and this run.
+     */
+    boolean endsSoonerElsewhere() {
+        double anew = (step.spec.estimateSeconds() + secondsAtThisRate()) / 2;
+        double kept = step.spec.mode().checkpoint() ? (double) percent / ALL_DONE_PERCENT : 0;
+        double left = (ALL_DONE_PERCENT - percent) * secondsPerPercent();
+        return left > anew * (1 - kept) + MOVE_SECONDS;
+    }
+
+    /** Returns how long the whole of the newest run would take at its rate so far, in seconds. */
+    private double secondsAtThisRate() {
+        return ALL_DONE_PERCENT * secondsPerPercent();
     }
 
     /** Returns the time that the newest run still needs, in seconds, by its rate or else by the estimate. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
@@ -147,7 +147,7 @@
     private double lostWork(TaskRun task, double seconds) {
         boolean saves = task.step.spec.mode().checkpoint();
         double lost = saves ? Math.min(seconds, CHECKPOINTED_LOSS_SECONDS) : seconds;
-        return task.demand().cores() * (lost + delayLoss(task, seconds));
+        return task.demand().cores() * (lost + delayLoss(task, seconds)) * (1 + task.step.preemptions);
     }
 
     /** Returns what the delay of a stop costs: most for a job that would still be in time without it. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -283,6 +283,59 @@
         assertThat(fixture.stops).isEmpty();
     }
 
+    /**
+     * Pattern: a tight gang of an account within its guarantee was moved off a slow target, has waited long in all, and
+     * used to be spread over racks at once, though one rack had room: there it takes several times as long.
+     */
+    @Test
+    void aGangThatWaitedLongStillPrefersOneRack() {
+        fixture.guarantee("owner", 32);
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r2");
+        fixture.submit(fixture.job("first", "owner", 0, PoolFixture.plain(1, 4)));
+        fixture.submit(fixture.job("second", "owner", 0, PoolFixture.plain(1, 5)));
+        fixture.submit(fixture.job("gang", "owner", 0, PoolFixture.gang(2, 4, true)));
+        fixture.pass(2_000);
+        assertThat(fixture.starts).hasSize(2);
+        fixture.target("t3", "r3");
+        fixture.settle();
+        assertThat(fixture.starts).hasSize(4);
+        assertThat(fixture.starts.get(2).target()).isEqualTo("t3");
+        assertThat(fixture.starts.get(3).target()).isEqualTo("t3");
+    }
+
+    /** Pattern: slow targets. A run that began from nothing has a rate after one report; it used to take two. */
+    @Test
+    void aSlowRunIsKnownByItsFirstReport() {
+        fixture.target("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
+        fixture.target("t2", "r1");
+        fixture.pass(1_000);
+        fixture.progress(fixture.starts.get(0), 3);
+        fixture.settle();
+        assertThat(fixture.stops).hasSize(1);
+    }
+
+    /** Pattern: the same large job was stopped for urgent work again and again, while others were left alone. */
+    @Test
+    void workThatWasStoppedForOthersBeforeIsSparedNextTime() {
+        fixture.guarantee("owner", 64);
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r1");
+        fixture.submit(fixture.job("other", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.pass(400);
+        fixture.submit(fixture.job("large", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.pass(400);
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
+        assertThat(fixture.stops.get(0).task().job()).isEqualTo("large");
+        fixture.obeyStops();
+        fixture.target("t3", "r1");
+        fixture.settle();
+        fixture.pass(3_000);
+        fixture.submit(fixture.job("next", "owner", 0, PoolFixture.plain(1, 8)));
+        assertThat(fixture.stops.get(0).task().job()).isEqualTo("other");
+    }
+
     /** The newest run gains two percent each half second, so it takes five times its estimate. */
     private void crawl(int reports) {
         Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
