Keyed calls are served a second sooner after an outage; claims stop work that can wait rather than urgent work

In the pool: a claim took urgent work of another account as lightly as any other, though a stop makes urgent work late; and a unit without a place searched running work for victims every 20 ms.

After a failed read the next one does not wait. Urgent work weighs five times as victim. A step's search for victims pauses 100 ms.

Tests: theFirstReadAfterAnOutageDoesNotWaitForNews and aClaimStopsWorkThatCanWaitRatherThanUrgentWork failed first.

--- a/acacia-node/src/main/java/org/acaciaport/node/Follower.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Follower.java
@@ -12,7 +12,8 @@
  * Follows one topic of the log and hands its records to a sink, in order.
  *
  * <p>Runs on a thread of its own. Starts from the newest record of each key, and does so again whenever records it
- * needs have expired. {@link #catchUp} may be called by any thread.
+ * needs have expired. The first read after one that failed does not wait for news, so that the copy counts as current
+ * as soon as the log is back. {@link #catchUp} may be called by any thread.
  */
 final class Follower {
     private static final Logger LOG = Logger.getLogger(Follower.class);
@@ -78,7 +79,7 @@
 
     private void run() {
         while (!stopped) {
-            boolean answered = step(pace.waitMillis());
+            boolean answered = step(lost ? 0 : pace.waitMillis());
             noteAnswer(answered);
             long pause = answered ? pauseMillis : RETRY_MILLIS;
             if (pause > 0 && !Clocks.sleep(pause)) {
--- a/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedRecord;
@@ -140,6 +141,31 @@
         assertThat(replica.find("c")).isNotNull();
     }
 
+    /**
+     * Pattern: an outage of the store ends. Nodes used to refuse keyed calls for a second longer, since the first read
+     * waited for news before it showed that the copy is current.
+     */
+    @Test
+    void theFirstReadAfterAnOutageDoesNotWaitForNews() {
+        Follower waiting = new Follower(TOPIC, log, new Follower.Pace(1_000, 1), replica);
+        waiting.start();
+        await(() -> log.waits.contains(1_000L));
+        log.failure = MemoryLog.Failure.REFUSE;
+        int before = log.calls;
+        await(() -> log.calls > before + 1);
+        log.waits.clear();
+        log.failure = MemoryLog.Failure.NONE;
+        await(() -> !log.waits.isEmpty());
+        waiting.stop();
+        assertThat(log.waits.get(0)).isEqualTo(0);
+    }
+
+    private static void await(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            Thread.onSpinWait();
+        }
+    }
+
     @Test
     void aDeposedLeaderWritesNothingMore() {
         TermLog first = new TermLog(log, TOPIC, 5);
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -28,6 +29,9 @@
     volatile Failure failure = Failure.NONE;
     volatile int calls;
 
+    /** How long the answered reads were allowed to wait for news, in milliseconds. */
+    final List<Long> waits = new CopyOnWriteArrayList<>();
+
     @Override
     public synchronized AppendOutcome append(Append append, long deadline) {
         calls++;
@@ -76,6 +80,7 @@
         if (failure == Failure.REFUSE) {
             return new ReadOutcome.Unavailable("refusing");
         }
+        waits.add(waitMillis);
         if (from < first) {
             return new ReadOutcome.Expired(first);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -40,6 +40,9 @@
     /** Time after which a unit no longer waits for work that was about to end, in milliseconds. */
     private static final long SOON_OVER_MILLIS = 1_000;
 
+    /** Pause between two searches for running work that could make room for the same step, in milliseconds. */
+    private static final long SEARCH_PAUSE_MILLIS = 100;
+
     /** Most work that may be lost for a unit beyond its guarantee, as a multiple of its own. */
     private static final double MOST_LOSS = 2.0;
 
@@ -114,6 +117,7 @@
                 }
                 if (step.readyNanos == 0) {
                     step.readyNanos = now.nanos();
+                    step.searchAgainNanos = now.nanos();
                 }
                 collect(step, waiting);
             }
@@ -158,16 +162,20 @@
                 .forEach(rack -> rack.removeIf(
                         target -> parts.suspicion().shuns(unit.job().id(), target, targets)));
         List<Tier> tiers = tiers(unit, racks);
+        boolean search = now.nanos() - unit.step().searchAgainNanos >= 0;
         for (Tier tier : tiers) {
-            if (placeFree(unit, tier) || waitForEnds(unit, tier) || stopOthers(unit, tier)) {
+            if (placeFree(unit, tier) || search && (waitForEnds(unit, tier) || stopOthers(unit, tier))) {
                 return;
             }
         }
         for (Tier tier : tiers) {
-            if (waitForRoom(unit, tier)) {
+            if (search && waitForRoom(unit, tier)) {
                 return;
             }
         }
+        if (search) {
+            unit.step().searchAgainNanos = now.nanosAfter(SEARCH_PAUSE_MILLIS);
+        }
         if (plain) {
             full.add(shape);
         }
@@ -335,10 +343,11 @@
             places.get(i).put(unit.tasks().get(i), Phase.ASSIGNED);
         }
         LOG.infof(
-                "place: request=%s step=%s tasks=%s account=%s target=%s why=%s waited_ms=%s",
+                "place: request=%s step=%s tasks=%s cores=%.1f account=%s target=%s why=%s waited_ms=%s",
                 unit.job().id(),
                 unit.step().number,
                 unit.size(),
+                unit.demand().cores(),
                 unit.job().account(),
                 places.get(0).id,
                 why,
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
@@ -25,6 +25,9 @@
     /** How often runs of it were stopped in favour of other work; each time makes the next dearer. */
     int preemptions;
 
+    /** When running work is searched again for room, on the steady clock, in nanoseconds; a search costs much. */
+    long searchAgainNanos;
+
     /** When its tasks' turn came, on the steady clock, in nanoseconds; 0 before. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victims.java
@@ -24,6 +24,9 @@
     /** Usual time until stopped work runs again, in seconds. */
     private static final double STOP_DELAY_SECONDS = 1.5;
 
+    /** How many times dearer than other work it is to stop work of the highest priority. */
+    private static final int URGENT_WEIGHT = 5;
+
     /** Keeps a victim that has only begun from counting as free, in core-seconds. */
     private static final double LEAST_LOSS = 1.0;
 
@@ -147,7 +150,14 @@
     private double lostWork(TaskRun task, double seconds) {
         boolean saves = task.step.spec.mode().checkpoint();
         double lost = saves ? Math.min(seconds, CHECKPOINTED_LOSS_SECONDS) : seconds;
-        return task.demand().cores() * (lost + delayLoss(task, seconds)) * (1 + task.step.preemptions);
+        double cost = lost + delayLoss(task, seconds);
+        return task.demand().cores() * cost * weight(task);
+    }
+
+    /** Returns how dear the loss of a task's work is; urgent work has little to spare, so a stop makes it late. */
+    private static int weight(TaskRun task) {
+        int urgent = task.job().terms().priority() == 0 ? URGENT_WEIGHT : 1;
+        return urgent * (1 + task.step.preemptions);
     }
 
     /** Returns what the delay of a stop costs: most for a job that would still be in time without it. */
--- /dev/null
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/Loads.java
@@ -0,0 +1,62 @@
+package org.acaciaport.pool;
+
+import java.util.List;
+
+/** Deployments like those that the product was made for, with the work that comes there. */
+final class Loads {
+    private static final int[] ONE = {1};
+    private static final int[] MIXED = {1, 2, 4, 8, 8};
+
+    /** Rendering of plaques: short urgent previews, long proofs as gangs, wide batches of small tasks. */
+    static final PoolLoad.Deployment RENDERING = new PoolLoad.Deployment(
+            33,
+            8,
+            new Resources(32_000, 65_536, 8),
+            List.of(
+                    urgent("preview", 1.4, 3.7, 4_000),
+                    gangs("proof", 0.3, 3, 0.9, 5, 11, 13, 20_000),
+                    batches("batch", 0.34, 16, 7.6, 3, 5_000)),
+            0.62);
+
+    /** Matching of bookings: urgent matches, rosters as gangs, wide preparation of captions. */
+    static final PoolLoad.Deployment BOOKING = new PoolLoad.Deployment(
+            32,
+            6,
+            new Resources(128_000, 262_144, 8),
+            List.of(
+                    urgent("match", 1.8, 15, 31_000),
+                    gangs("roster", 0.63, 3, 0.9, 4, 6.8, 52, 140_000),
+                    batches("caption", 0.62, 12, 6.1, 11, 29_000)),
+            0.62);
+
+    private Loads() {}
+
+    private static WorkKind urgent(String name, double perSecond, double cores, int memoryMb) {
+        Job.Terms terms = new Job.Terms(0, 2, 1.5, 250);
+        return new WorkKind(
+                name, perSecond, 4, 0.8, terms, 1, 3, 18, 2.5, 0.5, 8, (int) cores, memoryMb, MIXED, true, 0.8, 0, 0.4);
+    }
+
+    private static WorkKind gangs(
+            String name,
+            double perSecond,
+            double worth,
+            double lateWorth,
+            double tasks,
+            double seconds,
+            int cores,
+            int memoryMb) {
+        Job.Terms terms = new Job.Terms(1, 2, 3, 1_000);
+        return new WorkKind(
+                name, perSecond, worth, lateWorth, terms, 1, tasks, 24, seconds, 0.3, 11, cores, memoryMb, MIXED, true,
+                0.6, 0.45, 0.5);
+    }
+
+    private static WorkKind batches(
+            String name, double perSecond, double tasks, double seconds, int cores, int memoryMb) {
+        Job.Terms terms = new Job.Terms(2, 2, 3, 3_000);
+        return new WorkKind(
+                name, perSecond, 1, 0.3, terms, 1.3, tasks, 72, seconds, 0.3, 11, cores, memoryMb, ONE, false, 0, 0.45,
+                0.5);
+    }
+}
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -336,6 +336,20 @@
         assertThat(fixture.stops.get(0).task().job()).isEqualTo("other");
     }
 
+    /** Pattern: a claim stopped another account's urgent work, which was late then, though other work could wait. */
+    @Test
+    void aClaimStopsWorkThatCanWaitRatherThanUrgentWork() {
+        fixture.guarantee("owner", 8);
+        fixture.target("t1", "r1");
+        fixture.target("t2", "r1");
+        fixture.submit(fixture.job("patient", "x", 1, PoolFixture.plain(1, 8)));
+        fixture.pass(1_500);
+        fixture.submit(fixture.job("urgent", "x", 0, PoolFixture.plain(1, 8)));
+        fixture.pass(1_000);
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
+        assertThat(fixture.stops.get(0).task().job()).isEqualTo("patient");
+    }
+
     /** The newest run gains two percent each half second, so it takes five times its estimate. */
     private void crawl(int reports) {
         Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
