After a restart the former leader claims at once; callers of a node that is cut off alone are sent on at once

With the store slow (0.3 s a call) a takeover allowed 1.2 s more silence than a living leader needs.

A leader's record of this node's own former program counts as no leader. Two instead of four read times are added to the silence allowed.

Ruled out: no pause at all in outages of the store: clients try five times in three seconds and would use them up.

--- a/acacia-node/src/main/java/org/acaciaport/node/Desk.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Desk.java
@@ -29,6 +29,9 @@
     /** Pause before an append whose outcome is not known is sent again, in milliseconds. */
     private static final long AGAIN_MILLIS = 80;
 
+    /** Pause of callers while the log cannot be reached by anybody, in seconds. */
+    private static final int OUTAGE_PAUSE_SECONDS = 1;
+
     /** Time left to a caller to receive an answer, in milliseconds. */
     private static final long ANSWER_MILLIS = 40;
 
@@ -137,6 +140,14 @@
                 && Clocks.age(copy) < READY_MILLIS;
     }
 
+    /**
+     * Returns when a refused caller should come back, in seconds: at once if only this node seems to be cut off, since
+     * the next try reaches another one; else after a pause in which the log may return.
+     */
+    public int retryAfterSeconds() {
+        return log.alone() ? 0 : OUTAGE_PAUSE_SECONDS;
+    }
+
     /** Takes a job in. {@code deadline} is a reading of the steady clock. */
     public Answer submit(
             Access.Granted access, String id, String payload, List<Step> steps, Job.Schedule schedule, long deadline) {
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderRecord.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderRecord.java
@@ -9,4 +9,9 @@
  * @param startedMillis when its process started, in milliseconds since 1970
  * @param resigned whether it has given up the lead
  */
-public record LeaderRecord(String node, long startedMillis, boolean resigned) {}
+public record LeaderRecord(String node, long startedMillis, boolean resigned) {
+    /** Returns whether {@code other} was written by the same node's program before it was started again. */
+    boolean replaces(LeaderRecord other) {
+        return node.equals(other.node) && startedMillis != other.startedMillis;
+    }
+}
--- a/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Leadership.java
@@ -21,7 +21,7 @@
     private static final long SILENCE_MILLIS = 3 * Term.BEAT_MILLIS;
 
     /** How much of a slow read's duration is added to the silence allowed. */
-    private static final int READ_FACTOR = 4;
+    private static final int READ_FACTOR = 2;
 
     /** Longest random delay of a claim, in milliseconds, so that nodes seldom claim at once. */
     private static final int JITTER_MILLIS = 60;
@@ -77,7 +77,7 @@
         Moment fresh = parts.replica().asOf();
         long took = Clocks.now().millisSince(asked.nanos());
         Replica.Leader leader = parts.replica().leader();
-        if (fresh == null || leader == null || leader.record().resigned()) {
+        if (fresh == null || over(leader)) {
             return fresh != null;
         }
         return fresh.millisSince(leader.heardNanos()) > SILENCE_MILLIS + READ_FACTOR * took;
@@ -85,7 +85,12 @@
 
     private boolean silent(Moment asOf) {
         Replica.Leader leader = parts.replica().leader();
-        return leader == null || leader.record().resigned() || asOf.millisSince(leader.heardNanos()) > SILENCE_MILLIS;
+        return over(leader) || asOf.millisSince(leader.heardNanos()) > SILENCE_MILLIS;
+    }
+
+    /** Returns whether the leader is surely gone: it never was, resigned, or was this node before it started again. */
+    private boolean over(Replica.Leader leader) {
+        return leader == null || leader.record().resigned() || self.replaces(leader.record());
     }
 
     private void lead() {
--- a/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
@@ -27,6 +27,9 @@
     /** Pause between two probes of the direct way while it fails, in milliseconds. */
     private static final long PROBE_MILLIS = 400;
 
+    /** Time without an answer from any peer after which this node counts as cut off alone, in milliseconds. */
+    private static final long ALONE_MILLIS = 1_000;
+
     private final KeyedLog direct;
     private final Peers peers;
     private final AnswerTime directTime = new AnswerTime();
@@ -35,6 +38,9 @@
     private volatile boolean reachable = true;
     private volatile long probeAt;
 
+    /** When a peer last answered or the log was last reached, on the steady clock, in nanoseconds. */
+    private volatile long companyNanos = System.nanoTime();
+
     LogRoutes(KeyedLog direct, Peers peers) {
         this.direct = direct;
         this.peers = peers;
@@ -52,6 +58,11 @@
         return reachable;
     }
 
+    /** Returns whether neither the log nor any peer has answered for a while, so that only this node may be cut off. */
+    boolean alone() {
+        return !reachable && Clocks.millisUntil(companyNanos) < -ALONE_MILLIS;
+    }
+
     /** Returns the ways to try in order; while the direct one fails, it is probed now and then. */
     private List<Way> ways() {
         List<Way> ways = new ArrayList<>();
@@ -79,6 +90,9 @@
         } else if (took >= waitMillis + time.millis()) {
             time.missed();
         }
+        if (answered) {
+            companyNanos = System.nanoTime();
+        }
         if (way.isDirect()) {
             noteDirect(answered);
             noteReachable(answered);
@@ -100,7 +114,9 @@
 
     private <T> T ask(String peer, Call<T> call, long millis) {
         try {
-            return call.read().apply(peers.ask(peer, call.query(), millis));
+            Message reply = peers.ask(peer, call.query(), millis);
+            companyNanos = System.nanoTime();
+            return call.read().apply(reply);
         } catch (WireException e) {
             LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, e.getMessage());
             return null;
--- a/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -86,6 +86,37 @@
         assertThat(log.calls).isEqualTo(calls);
     }
 
+    /** Pattern: one node is cut off. Its callers used to pause a second although the next try reaches another node. */
+    @Test
+    void callersOfANodeThatIsCutOffAloneNeedNotPause() {
+        Desk desk = desk(KeyedRecord.drop("config"));
+        assertThat(submit(desk, "a")).isInstanceOf(Desk.Answer.Accepted.class);
+        log.failure = MemoryLog.Failure.REFUSE;
+        submit(desk, "b");
+        assertThat(desk.retryAfterSeconds()).isEqualTo(1);
+        await(() -> desk.retryAfterSeconds() == 0);
+        log.failure = MemoryLog.Failure.NONE;
+        follower.catchUp(soon());
+        assertThat(desk.retryAfterSeconds()).isEqualTo(1);
+    }
+
+    /** Pattern: an outage of the log, in which the others are reachable and no better off. */
+    @Test
+    void callersPauseWhileNobodyReachesTheLog() throws Exception {
+        LogRoutes peerRoutes = new LogRoutes(log, new Peers("peer", List::of));
+        try (WireServer peer = WireServer.start(new InetSocketAddress("127.0.0.1", 0), peerRoutes)) {
+            List<String> peers = List.of("127.0.0.1:" + peer.port());
+            LogRoutes ways = new LogRoutes(log, new Peers("self:1", () -> peers));
+            log.failure = MemoryLog.Failure.REFUSE;
+            for (int i = 0; i < 15; i++) {
+                ways.read(TOPIC, 0, 0, Clocks.in(2_000));
+                Clocks.sleep(100);
+            }
+            assertThat(ways.reachable()).isFalse();
+            assertThat(ways.alone()).isFalse();
+        }
+    }
+
     @Test
     void aLostAnswerIsNeverARefusal() {
         log.failure = MemoryLog.Failure.LOSE_ANSWER;
