--- a/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogRoutes.java
@@ -48,12 +48,17 @@
 
     /** One way to the log: null stands for the direct one. */
     private record Way(String peer) {
+        static final Way DIRECT = new Way(null);
+
         boolean isDirect() {
             return peer == null;
         }
     }
 
-    /** Returns whether the newest call found some way to the log; false also while other ways are being tried. */
+    /**
+     * Returns whether the newest call found some way to the log; false also while other ways are tried for the first
+     * time after the direct one failed.
+     */
     boolean reachable() {
         return reachable;
     }
@@ -63,20 +68,28 @@
         return !reachable && Clocks.millisUntil(companyNanos) < -ALONE_MILLIS;
     }
 
-    /** Returns the ways to try in order; while the direct one fails, it is probed now and then. */
-    private List<Way> ways() {
+    /** Returns the ways of a read in order; while the direct one fails, it is probed now and then. */
+    private List<Way> waysToRead() {
         List<Way> ways = new ArrayList<>();
         boolean probe = directFails && System.nanoTime() >= probeAt;
         if (probe) {
             probeAt = Clocks.in(PROBE_MILLIS);
         }
         if (!directFails || probe) {
-            ways.add(new Way(null));
+            ways.add(Way.DIRECT);
         }
         peers.candidates().forEach(peer -> ways.add(new Way(peer)));
         return ways;
     }
 
+    /** Returns the ways of an append in order; callers wait for it, so the direct way comes last while it fails. */
+    private List<Way> waysToAppend() {
+        List<Way> ways = new ArrayList<>();
+        peers.candidates().forEach(peer -> ways.add(new Way(peer)));
+        ways.add(directFails ? ways.size() : 0, Way.DIRECT);
+        return ways;
+    }
+
     /** Makes one call on one way; returns null if there was no usable answer in time. */
     private <T> T call(Way way, long waitMillis, long deadline, Call<T> call) {
         AnswerTime time = way.isDirect() ? directTime : peerTime;
@@ -94,8 +107,9 @@
             companyNanos = System.nanoTime();
         }
         if (way.isDirect()) {
+            boolean relayed = directFails && reachable;
             noteDirect(answered);
-            noteReachable(answered);
+            noteReachable(answered || relayed);
         } else if (!answered) {
             peers.demote(way.peer());
         }
@@ -148,7 +162,7 @@
                 LogRoutes::answered);
         boolean unknown = false;
         String reason = "no way to the log";
-        for (Way way : ways()) {
+        for (Way way : waysToAppend()) {
             if (Clocks.millisUntil(deadline) <= 0) {
                 return unknown ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused("no time left");
             }
@@ -202,7 +216,7 @@
 
     /** Returns the first answer on any way, or null. */
     private <T> T first(long waitMillis, long deadline, Call<T> call) {
-        for (Way way : ways()) {
+        for (Way way : waysToRead()) {
             T outcome = call(way, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 noteReachable(true);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -25,8 +25,11 @@
     /** How long a report waits for an end, in milliseconds. */
     private static final long REPORT_WAIT_MILLIS = 500;
 
-    /** Longest wait for the answer to an order, in milliseconds. */
-    private static final long ANSWER_MILLIS = 600;
+    /** Longest wait for the answer to a report beyond the wait that was asked for, in milliseconds. */
+    private static final long REPORT_ANSWER_MILLIS = 600;
+
+    /** Longest wait for the answer to an order, in milliseconds; what became of it is then asked for. */
+    private static final long ORDER_ANSWER_MILLIS = 300;
 
     /** How long to wait for the end just listed to become durable, in milliseconds. */
     private static final long DURABLE_MILLIS = 200;
@@ -194,7 +197,7 @@
             call = new TargetCalls.ReportCall(fence, acknowledged, lease, waitMillis);
             to = address;
         }
-        switch (calls.report(to, call, waitMillis + ANSWER_MILLIS)) {
+        switch (calls.report(to, call, waitMillis + REPORT_ANSWER_MILLIS)) {
             case TargetCalls.Reported reported -> {
                 take(reported, fence);
                 return true;
@@ -338,7 +341,7 @@
                     start.task(), start.run(), start.payload(), start.saved(), lease.getAsLong(), fence());
             to = address;
         }
-        switch (calls.start(to, call, ANSWER_MILLIS)) {
+        switch (calls.start(to, call, ORDER_ANSWER_MILLIS)) {
             case TargetCalls.Done done -> {
                 clock(done.clockMillis());
                 events.started(start);
@@ -397,7 +400,7 @@
         if (!events.leads()) {
             return;
         }
-        TargetCalls.OrderReply reply = calls.stop(to, stop.task(), stop.run(), fence(), ANSWER_MILLIS);
+        TargetCalls.OrderReply reply = calls.stop(to, stop.task(), stop.run(), fence(), ORDER_ANSWER_MILLIS);
         LOG.infof(
                 "stop: request=%s task=%s run=%s target=%s outcome=%s",
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
--- a/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -7,10 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
@@ -72,6 +76,50 @@
         }
     }
 
+    /** A log that does something before each read. */
+    private record Watched(KeyedLog log, Runnable beforeRead) implements KeyedLog {
+        @Override
+        public AppendOutcome append(Append append, long deadline) {
+            return log.append(append, deadline);
+        }
+
+        @Override
+        public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
+            beforeRead.run();
+            return log.read(topic, from, waitMillis, deadline);
+        }
+
+        @Override
+        public NewestOutcome newest(String topic, String after, long deadline) {
+            return log.newest(topic, after, deadline);
+        }
+    }
+
+    /**
+     * Pattern: the store turns some nodes away for long. They relay through peers, but each probe of the direct way
+     * made them refuse requests until the next relayed call had been answered.
+     */
+    @Test
+    void aNodeThatRelaysThroughPeersDoesNotRefuseWhileItProbes() throws Exception {
+        List<Boolean> seen = new CopyOnWriteArrayList<>();
+        AtomicReference<LogRoutes> turnedAway = new AtomicReference<>();
+        KeyedLog shared =
+                new Watched(new MemoryLog(), () -> seen.add(turnedAway.get().reachable()));
+        LogRoutes peerRoutes = new LogRoutes(shared, new Peers("peer", List::of));
+        try (WireServer peer = WireServer.start(new InetSocketAddress("127.0.0.1", 0), peerRoutes)) {
+            List<String> peers = List.of("127.0.0.1:" + peer.port());
+            turnedAway.set(new LogRoutes(log, new Peers("self:1", () -> peers)));
+            log.failure = MemoryLog.Failure.REFUSE;
+            turnedAway.get().read(TOPIC, 0, 0, Clocks.in(5_000));
+            seen.clear();
+            int probes = log.calls;
+            while (log.calls < probes + 2) {
+                turnedAway.get().read(TOPIC, 0, 0, Clocks.in(5_000));
+            }
+        }
+        assertThat(seen).doesNotContain(false);
+    }
+
     /**
      * Pattern: an outage of the store. Requests used to wait out their deadline and end with an answer after which the
      * caller may not repeat them.
