--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import org.acaciaport.pool.Moment;
 import org.acaciaport.pool.Order;
 import org.acaciaport.pool.TargetReport;
 import org.jboss.logging.Logger;
@@ -19,9 +18,6 @@
 final class TargetSession {
     private static final Logger LOG = Logger.getLogger(TargetSession.class);
 
-    /** Longest lease that a target grants, in milliseconds. */
-    private static final long LEASE_MILLIS = 6_000;
-
     /** How long a report waits for an end, in milliseconds. */
     private static final long REPORT_WAIT_MILLIS = 500;
 
@@ -42,11 +38,6 @@
     /** Age after which an order that did not arrive is given up rather than sent again, in milliseconds. */
     private static final long RESEND_MILLIS = 1_500;
 
-    /** A target's clock may be this much slower than ours. */
-    private static final double SLOWEST_CLOCK = 0.98;
-
-    private static final long LAPSE_SLACK_MILLIS = 150;
-
     /** What a session tells its leader. Called by the session's threads; must not block. */
     interface Events {
         /** Takes a report. */
@@ -84,14 +75,7 @@
     private long incarnation;
     private long acknowledged;
     private long listed;
-    private long clockMillis;
-    private long clockNanos;
-    private boolean clockKnown;
-    private long grantedMillis;
-
-    /** When leases that an earlier leader may have granted are over, on the steady clock, in nanoseconds. */
-    private long inheritedNanos;
-
+    private final TargetLease lease;
     private boolean needed;
     private boolean closed;
     private boolean silent;
@@ -103,7 +87,7 @@
         this.calls = calls;
         this.events = events;
         this.firstFence = firstFence;
-        this.inheritedNanos = inheritedNanos;
+        lease = new TargetLease(inheritedNanos);
     }
 
     synchronized void address(TargetCalls.Address changed) {
@@ -172,7 +156,7 @@
     }
 
     private synchronized long waitMillis() {
-        boolean settled = clockKnown && uncertain.isEmpty() && listed <= acknowledged && needed && !silent;
+        boolean settled = lease.known() && uncertain.isEmpty() && listed <= acknowledged && needed && !silent;
         return settled ? REPORT_WAIT_MILLIS : 0;
     }
 
@@ -193,8 +177,8 @@
         TargetCalls.ReportCall call;
         TargetCalls.Address to;
         synchronized (this) {
-            OptionalLong lease = silent ? OptionalLong.empty() : lease();
-            call = new TargetCalls.ReportCall(fence, acknowledged, lease, waitMillis);
+            OptionalLong until = silent ? OptionalLong.empty() : lease.extend();
+            call = new TargetCalls.ReportCall(fence, acknowledged, until, waitMillis);
             to = address;
         }
         switch (calls.report(to, call, waitMillis + REPORT_ANSWER_MILLIS)) {
@@ -208,16 +192,6 @@
         return false;
     }
 
-    /** Returns the end of the lease to ask for, on the target's clock; takes note that it may be granted. */
-    private synchronized OptionalLong lease() {
-        if (!clockKnown) {
-            return OptionalLong.empty();
-        }
-        long lease = clockMillis + (System.nanoTime() - clockNanos) / Clocks.NANOS_PER_MILLI + LEASE_MILLIS;
-        grantedMillis = Math.max(grantedMillis, lease);
-        return OptionalLong.of(lease);
-    }
-
     private void take(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
         List<Uncertain> judged = new ArrayList<>();
@@ -229,14 +203,9 @@
                 incarnation = report.incarnation();
                 acknowledged = 0;
                 listed = 0;
-                grantedMillis = 0;
-                clockKnown = false;
-            }
-            clock(reported.clockMillis());
-            if (inheritedNanos != 0) {
-                grantedMillis = Math.max(grantedMillis, clockMillis + LEASE_MILLIS);
-                inheritedNanos = 0;
+                lease.reset();
             }
+            lease.reported(reported.clockMillis());
             for (TargetReport.Ended end : report.ended()) {
                 listed = Math.max(listed, end.number());
             }
@@ -279,9 +248,7 @@
     }
 
     private synchronized void clock(long millis) {
-        clockMillis = millis;
-        clockNanos = System.nanoTime();
-        clockKnown = true;
+        lease.clock(millis);
     }
 
     private void refused(TargetCalls.Refused refused, long fence) {
@@ -300,7 +267,7 @@
                 silent = true;
                 LOG.infof("dependency: target=%s outcome=lost reason=%s", id, reason);
             }
-            over = over();
+            over = lease.over();
             if (over) {
                 uncertain.clear();
             }
@@ -311,18 +278,6 @@
         }
     }
 
-    private boolean over() {
-        long now = System.nanoTime();
-        if (inheritedNanos != 0) {
-            return now > inheritedNanos;
-        }
-        if (!clockKnown) {
-            return false;
-        }
-        double least = clockMillis + SLOWEST_CLOCK * (now - clockNanos) / Clocks.NANOS_PER_MILLI;
-        return least > grantedMillis + LAPSE_SLACK_MILLIS;
-    }
-
     /** Sends a start whose record is durable. */
     void start(Order.Start start) {
         send(start, System.nanoTime());
@@ -332,13 +287,13 @@
         TargetCalls.StartCall call;
         TargetCalls.Address to;
         synchronized (this) {
-            OptionalLong lease = lease();
-            if (lease.isEmpty() || closed || !events.leads()) {
+            OptionalLong until = lease.extend();
+            if (until.isEmpty() || closed || !events.leads()) {
                 events.notStarted(start, "not verified", 0);
                 return;
             }
             call = new TargetCalls.StartCall(
-                    start.task(), start.run(), start.payload(), start.saved(), lease.getAsLong(), fence());
+                    start.task(), start.run(), start.payload(), start.saved(), until.getAsLong(), fence());
             to = address;
         }
         switch (calls.start(to, call, ORDER_ANSWER_MILLIS)) {
@@ -405,10 +360,4 @@
                 "stop: request=%s task=%s run=%s target=%s outcome=%s",
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
     }
-
-    /** Returns the steady reading by which leases of an earlier leader are over. */
-    static long inherited(Moment now, long earlierLeaderMillis) {
-        long lease = (long) (LEASE_MILLIS / SLOWEST_CLOCK) + LAPSE_SLACK_MILLIS;
-        return now.nanosAfter(earlierLeaderMillis + lease);
-    }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -78,7 +78,7 @@
         Follower.Pace pace = new Follower.Pace(0, REGISTRY_PAUSE_MILLIS);
         registry = new Follower(parts.topics().targets(), parts.log(), pace, new Registry(parts.codec(), this));
         Moment now = Clocks.now();
-        begunInheritedNanos = TargetSession.inherited(now, UNCONFIRMED_MILLIS);
+        begunInheritedNanos = TargetLease.inherited(now, UNCONFIRMED_MILLIS);
         orphans = new Orphans(begunInheritedNanos);
         purgeNanos = now.nanos();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -37,9 +36,6 @@
     /** Time within which a unit may choose to wait for running work, in milliseconds. */
     private static final long SOON_CHOICE_MILLIS = 200;
 
-    /** Time after which a unit no longer waits for work that was about to end, in milliseconds. */
-    private static final long SOON_OVER_MILLIS = 1_000;
-
     /** Pause between two searches for running work that could make room for the same step, in milliseconds. */
     private static final long SEARCH_PAUSE_MILLIS = 100;
 
@@ -52,9 +48,6 @@
     /** Most units that have room set aside while they wait. */
     private static final int MOST_SET_ASIDE = 1;
 
-    /** How many times its estimated duration a task waits for the rack of its data. */
-    private static final double NEAR_PATIENCE = 1.0;
-
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final Parts parts;
@@ -99,7 +92,7 @@
         for (Unit unit : waiting) {
             place(unit);
         }
-        startAssigned();
+        new Starts(parts, placement, now).run(jobs);
     }
 
     private Comparator<Unit> order() {
@@ -164,7 +157,7 @@
         racks.values()
                 .forEach(rack -> rack.removeIf(
                         target -> parts.suspicion().shuns(unit.job().id(), target, targets)));
-        List<Tier> tiers = tiers(unit, racks);
+        List<Tier> tiers = Tier.of(unit, racks, overdueClaim(unit), waited(unit));
         boolean search = now.nanos() - unit.step().searchAgainNanos >= 0;
         for (Tier tier : tiers) {
             if (placeFree(unit, tier) || search && (waitForEnds(unit, tier) || stopOthers(unit, tier))) {
@@ -184,31 +177,6 @@
         }
     }
 
-    /**
-     * Groups of targets, each of which may take a whole unit. In another tier than the first, work takes several times
-     * as long, so a tier counts only where those before it have no room, not even after stops.
-     */
-    private record Tier(List<List<TargetRun>> groups) {}
-
-    /** Returns where {@code unit} may go, best first. */
-    private List<Tier> tiers(Unit unit, Map<String, List<TargetRun>> racks) {
-        Step.Constraints limits = unit.step().spec.constraints();
-        List<TargetRun> all = new ArrayList<>();
-        racks.values().forEach(all::addAll);
-        Tier anywhere = new Tier(List.of(all));
-        if (limits.tight() && unit.size() > 1 && Placement.fitsOneRack(unit, racks)) {
-            Tier oneRack = new Tier(List.copyOf(racks.values()));
-            return overdueClaim(unit) ? List.of(oneRack, anywhere) : List.of(oneRack);
-        }
-        if (limits.nearRack().isEmpty() || !racks.containsKey(limits.nearRack())) {
-            return List.of(anywhere);
-        }
-        Tier near = new Tier(List.of(racks.get(limits.nearRack())));
-        long patience = (long) (NEAR_PATIENCE * unit.step().spec.estimateMillis());
-        boolean mayLeave = overdueClaim(unit) || waited(unit) > patience;
-        return mayLeave ? List.of(near, anywhere) : List.of(near);
-    }
-
     private long waited(Unit unit) {
         return now.millisSince(unit.step().readyNanos);
     }
@@ -357,79 +325,4 @@
                 why,
                 waited(unit));
     }
-
-    private void startAssigned() {
-        for (JobRun job : jobs) {
-            if (job.state.terminal()) {
-                continue;
-            }
-            for (List<StepRun> steps : job.open()) {
-                for (StepRun step : steps) {
-                    startAssigned(step);
-                }
-            }
-        }
-    }
-
-    private void startAssigned(StepRun step) {
-        List<TaskRun> assigned =
-                step.tasks.stream().filter(task -> task.phase == Phase.ASSIGNED).toList();
-        if (assigned.isEmpty()) {
-            return;
-        }
-        if (!step.spec.mode().gang()) {
-            for (TaskRun task : assigned) {
-                start(new Unit(step, List.of(task)));
-            }
-        } else if (assigned.size() == step.tasks.size()) {
-            start(new Unit(step, assigned));
-        } else {
-            assigned.forEach(parts.ends()::unassign);
-        }
-    }
-
-    private void start(Unit unit) {
-        Map<TargetRun, Resources> room = new HashMap<>();
-        boolean enough = true;
-        for (TaskRun task : unit.tasks()) {
-            if (!placement.allowed(unit, task.target, now.nanos())) {
-                unit.tasks().forEach(parts.ends()::unassign);
-                return;
-            }
-            Resources left =
-                    room.getOrDefault(task.target, task.target.freeNow()).minus(task.demand());
-            room.put(task.target, left);
-            enough &= Resources.NONE.fitsIn(left);
-        }
-        if (!enough) {
-            giveUpWaiting(unit);
-            return;
-        }
-        int run = 0;
-        for (TaskRun task : unit.tasks()) {
-            run = Math.max(run, task.lastRun + 1);
-        }
-        for (TaskRun task : unit.tasks()) {
-            task.lastRun = run;
-            task.incarnation = task.target.incarnation;
-            task.target.put(task, Phase.STARTING);
-            parts.outbox().start(task);
-        }
-        if (unit.step().job.state == JobState.QUEUED) {
-            unit.step().job.state = JobState.RUNNING;
-        }
-    }
-
-    /** A unit of the highest priority whose room does not come free chooses anew. */
-    private void giveUpWaiting(Unit unit) {
-        if (unit.priority() != 0 || waited(unit) < SOON_OVER_MILLIS) {
-            return;
-        }
-        for (TaskRun task : unit.tasks()) {
-            if (task.target.occupants.values().stream().anyMatch(other -> other.phase == Phase.STOPPING)) {
-                return;
-            }
-        }
-        unit.tasks().forEach(parts.ends()::unassign);
-    }
 }
