--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
@@ -5,70 +5,64 @@
 import java.util.logging.Logger;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import java.util.stream.LongStream;
 
 /** Plays both loads, calm and with bursts, over several seeds and prints the sums. Arguments: seeds, first seed. */
 final class PoolLoadMain {
     private static final long LENGTH_MILLIS = 60_000;
+    private static final List<PoolLoad.Burst> BURSTS = List.of(
+            new PoolLoad.Burst(0, 5_000, 11_000, 2.5),
+            new PoolLoad.Burst(1, 8_000, 12_000, 2.5),
+            new PoolLoad.Burst(0, 30_000, 36_000, 2.5));
+
+    /** Kept, since a logger that nobody refers to forgets its level. */
+    private static final Logger LOG = Logger.getLogger("org.acaciaport");
 
     private PoolLoadMain() {}
 
     public static void main(String[] args) {
-        Logger.getLogger("org.acaciaport").setLevel(Level.OFF);
+        LOG.setLevel(Level.OFF);
         int seeds = Integer.parseInt(args[0]);
         long first = Long.parseLong(args[1]);
-        for (boolean burst : new boolean[] {false, true}) {
-            play("rendering", Loads.RENDERING, burst, seeds, first);
-            play("booking", Loads.BOOKING, burst, seeds, first);
+        for (List<PoolLoad.Burst> bursts : List.of(List.<PoolLoad.Burst>of(), BURSTS)) {
+            String when = bursts.isEmpty() ? "calm" : "bursts";
+            print("rendering " + when, play(Loads.RENDERING, bursts, seeds, first));
+            print("booking " + when, play(Loads.BOOKING, bursts, seeds, first));
         }
     }
 
-    private static void play(String name, PoolLoad.Deployment deployment, boolean burst, int seeds, long first) {
-        List<PoolLoad.Burst> bursts = burst
-                ? List.of(
-                        new PoolLoad.Burst(0, 5_000, 11_000, 2.5),
-                        new PoolLoad.Burst(1, 8_000, 12_000, 2.5),
-                        new PoolLoad.Burst(0, 30_000, 36_000, 2.5))
-                : List.of();
-        double[] shares = new double[3];
-        int[][] counts = new int[3][3];
-        double wasted = 0;
-        double all = 0;
-        for (int i = 0; i < seeds; i++) {
-            RandomGenerator random =
-                    RandomGeneratorFactory.of("L64X128MixRandom").create(first + i);
-            PoolLoad.Figures figures = PoolLoad.play(deployment, 60_000, bursts, random);
-            for (int k = 0; k < 3; k++) {
-                PoolLoad.Fared fared =
-                        figures.kinds().get(deployment.kinds().get(k).name());
-                shares[k] += fared.share() / seeds;
-                counts[k][0] += fared.inTime();
-                counts[k][1] += fared.late();
-                counts[k][2] += fared.useless();
-            }
-            wasted += figures.wasted() / seeds;
-            all += figures.share() / seeds;
-        }
-        print(name, deployment, burst, shares, counts, wasted);
-        System.out.printf("      all %.3f net %.3f%n", all, all - wasted * (name.equals("booking") ? 3.0e-6 : 1.1e-5));
+    private static List<PoolLoad.Figures> play(
+            PoolLoad.Deployment deployment, List<PoolLoad.Burst> bursts, int seeds, long first) {
+        return LongStream.range(first, first + seeds)
+                .parallel()
+                .mapToObj(seed -> PoolLoad.play(deployment, LENGTH_MILLIS, bursts, random(seed)))
+                .toList();
     }
 
     private static RandomGenerator random(long seed) {
         return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    private static void print(
-            String name,
-            PoolLoad.Deployment deployment,
-            boolean burst,
-            double[] shares,
-            int[][] counts,
-            double wasted) {
-        System.out.printf("%-9s burst=%-5s", name, burst);
-        for (int k = 0; k < 3; k++) {
-            System.out.printf(
-                    "  %s %.3f (%d/%d/%d)",
-                    deployment.kinds().get(k).name(), shares[k], counts[k][0], counts[k][1], counts[k][2]);
+    private static void print(String name, List<PoolLoad.Figures> plays) {
+        double share =
+                plays.stream().mapToDouble(PoolLoad.Figures::share).average().orElse(0);
+        double wasted =
+                plays.stream().mapToDouble(PoolLoad.Figures::wasted).average().orElse(0);
+        System.out.printf("%-16s earned %.3f  wasted core-seconds %.0f%n", name, share, wasted);
+        for (String kind : plays.get(0).kinds().keySet()) {
+            printKind(
+                    kind,
+                    plays.stream().map(figures -> figures.kinds().get(kind)).toList());
         }
-        System.out.printf("  wasted %.0f%n", wasted);
+    }
+
+    private static void printKind(String kind, List<PoolLoad.Fared> plays) {
+        double share =
+                plays.stream().mapToDouble(PoolLoad.Fared::share).average().orElse(0);
+        int inTime = plays.stream().mapToInt(PoolLoad.Fared::inTime).sum();
+        int late = plays.stream().mapToInt(PoolLoad.Fared::late).sum();
+        int useless = plays.stream().mapToInt(PoolLoad.Fared::useless).sum();
+        System.out.printf(
+                "    %-8s earned %.3f  in time %d  late %d  of no use %d%n", kind, share, inTime, late, useless);
     }
 }
