--- a/acacia-node/src/main/java/org/acaciaport/node/Peers.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Peers.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.acaciaport.wire.Message;
 import org.acaciaport.wire.WireClient;
@@ -13,7 +15,8 @@
 /**
  * The other nodes, asked in turn.
  *
- * <p>Safe for use by several threads. The one that answered last is asked first.
+ * <p>Safe for use by several threads. The one that answered last is asked first, those that failed last come last, so
+ * that every peer has its turn.
  */
 final class Peers {
     /** Most peers that one call is sent to. */
@@ -22,6 +25,8 @@
     private final String self;
     private final Supplier<List<String>> addresses;
     private final Map<String, WireClient> clients = new ConcurrentHashMap<>();
+    private final Map<String, Long> failures = new ConcurrentHashMap<>();
+    private final AtomicLong failureCount = new AtomicLong();
     private volatile String preferred = "";
 
     /**
@@ -43,7 +48,9 @@
                 order.add(address);
             }
         }
-        order.sort((one, other) -> Boolean.compare(other.equals(preferred), one.equals(preferred)));
+        String first = preferred;
+        order.sort(Comparator.comparing((String address) -> !address.equals(first))
+                .thenComparing(address -> failures.getOrDefault(address, 0L)));
         return order.subList(0, Math.min(MOST_TRIES, order.size()));
     }
 
@@ -59,8 +66,9 @@
         return reply;
     }
 
-    /** Asks another peer first from now on. */
+    /** Asks the other peers first from now on. */
     void demote(String address) {
+        failures.put(address, failureCount.incrementAndGet());
         if (address.equals(preferred)) {
             preferred = "";
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -76,6 +77,30 @@
         }
     }
 
+    /**
+     * Pattern: the store turns most nodes away. Each call tried the same three peers, so that a node whose first three
+     * were turned away as well never found the one that was not.
+     */
+    @Test
+    void everyPeerHasItsTurn() throws Exception {
+        MemoryLog refusing = new MemoryLog();
+        refusing.failure = MemoryLog.Failure.REFUSE;
+        log.failure = MemoryLog.Failure.REFUSE;
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        try (WireServer one = WireServer.start(any, new LogRoutes(refusing, new Peers("", List::of)));
+                WireServer two = WireServer.start(any, new LogRoutes(refusing, new Peers("", List::of)));
+                WireServer three = WireServer.start(any, new LogRoutes(refusing, new Peers("", List::of)));
+                WireServer four = WireServer.start(any, new LogRoutes(new MemoryLog(), new Peers("", List::of)))) {
+            List<String> peers = Stream.of(one, two, three, four)
+                    .map(peer -> "127.0.0.1:" + peer.port())
+                    .toList();
+            LogRoutes ways = new LogRoutes(log, new Peers("self:1", () -> peers));
+            Append append = new Append(TOPIC, List.of(KeyedRecord.drop("k")), new Append.Always());
+            ways.append(append, Clocks.in(5_000));
+            assertThat(ways.append(append, Clocks.in(5_000))).isInstanceOf(AppendOutcome.Appended.class);
+        }
+    }
+
     /** A log that does something before each read. */
     private record Watched(KeyedLog log, Runnable beforeRead) implements KeyedLog {
         @Override
