Urgent units keep room that is set aside for them

The rule that gives up a wait for work about to end was applied to room set aside, too.

A promise of room carries its end: 1 s after its turn came for work about to end, 1 s from then for room set aside.

Test: anUrgentGangKeepsTheRoomThatIsSetAsideForIt failed first.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -36,6 +36,12 @@
     /** Time within which a unit may choose to wait for running work, in milliseconds. */
     private static final long SOON_CHOICE_MILLIS = 200;
 
+    /** Time after which a unit no longer waits for work that was about to end, in milliseconds. */
+    private static final long SOON_OVER_MILLIS = 1_000;
+
+    /** Time for which an urgent unit keeps room that was set aside before it chooses anew, in milliseconds. */
+    private static final long KEPT_ASIDE_MILLIS = 1_000;
+
     /** Pause between two searches for running work that could make room for the same step, in milliseconds. */
     private static final long SEARCH_PAUSE_MILLIS = 100;
 
@@ -223,6 +229,7 @@
             return false;
         }
         assign(unit, best.places(), "soon");
+        unit.step().promiseEndsNanos = now.nanosAfter(SOON_OVER_MILLIS - waited(unit));
         return true;
     }
 
@@ -307,10 +314,12 @@
         }
         setAside++;
         assign(unit, best.places(), "set-aside");
+        unit.step().promiseEndsNanos = now.nanosAfter(KEPT_ASIDE_MILLIS);
         return true;
     }
 
     private void assign(Unit unit, List<TargetRun> places, String why) {
+        unit.step().promiseEndsNanos = now.nanos();
         for (int i = 0; i < unit.size(); i++) {
             places.get(i).put(unit.tasks().get(i), Phase.ASSIGNED);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Starts.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Starts.java
@@ -11,9 +11,6 @@
  * <p>Made anew for each pass; for the pool's thread only.
  */
 final class Starts {
-    /** Time after which a unit no longer waits for work that was about to end, in milliseconds. */
-    private static final long SOON_OVER_MILLIS = 1_000;
-
     private final PlacementPass.Parts parts;
     private final Placement placement;
     private final Moment now;
@@ -89,7 +86,7 @@
 
     /** A unit of the highest priority whose room does not come free chooses anew. */
     private void giveUpWaiting(Unit unit) {
-        if (unit.priority() != 0 || now.millisSince(unit.step().readyNanos) < SOON_OVER_MILLIS) {
+        if (unit.priority() != 0 || now.nanos() - unit.step().promiseEndsNanos < 0) {
             return;
         }
         for (TaskRun task : unit.tasks()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepRun.java
@@ -28,6 +28,9 @@
     /** When running work is searched again for room, on the steady clock, in nanoseconds; a search costs much. */
     long searchAgainNanos;
 
+    /** Until when an urgent unit keeps room that other work still takes, on the steady clock, in nanoseconds. */
+    long promiseEndsNanos;
+
     /** When its tasks' turn came, on the steady clock, in nanoseconds; 0 before. */
     long readyNanos;
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -2,9 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** Placement, ends and recovery of single jobs. */
@@ -362,6 +366,49 @@
         assertThat(fixture.stops).hasSize(1);
     }
 
+    /**
+     * Pattern: a calm day on which an urgent gang too dear to place waits for room. It used to be given that room and
+     * to lose it again in each pass, fifty times a second, with a line in the log each time.
+     */
+    @Test
+    void anUrgentGangKeepsTheRoomThatIsSetAsideForIt() {
+        fixture.target("t1", "r1");
+        Step lengthy =
+                new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("patient", "x", 1, lengthy));
+        fixture.pass(30_000);
+        fixture.submit(fixture.job("urgent", "y", 0, PoolFixture.gang(1, 8, false)));
+        List<String> lines = new ArrayList<>();
+        Handler handler = recorder(lines);
+        Logger logger = Logger.getLogger(PlacementPass.class.getName());
+        logger.addHandler(handler);
+        for (int i = 0; i < 250; i++) {
+            fixture.pass(20);
+        }
+        logger.removeHandler(handler);
+        assertThat(fixture.stops).isEmpty();
+        assertThat(lines.size()).isAtMost(5);
+    }
+
+    private static Handler recorder(List<String> lines) {
+        return new Handler() {
+            @Override
+            public void publish(LogRecord record) {
+                lines.add(record.getMessage());
+            }
+
+            @Override
+            public void flush() {
+                // Nothing is held back.
+            }
+
+            @Override
+            public void close() {
+                // Nothing to close.
+            }
+        };
+    }
+
     /** The newest run gains two percent each half second, so it takes five times its estimate. */
     private void crawl(int reports) {
         Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
