--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -2,13 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** Placement, ends and recovery of single jobs. */
@@ -107,54 +103,6 @@
         assertThat(state("a")).isEqualTo(JobState.FAILED);
     }
 
-    @Test
-    void aClaimWithinTheGuaranteeStopsOthersWorkAtOnce() {
-        fixture.guarantee("owner", 8);
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("borrower", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
-        assertThat(fixture.stops).hasSize(1);
-        assertThat(fixture.starts).hasSize(1);
-        fixture.obeyStops();
-        assertThat(fixture.starts.get(1).task().job()).isEqualTo("claim");
-    }
-
-    @Test
-    void workOfPriorityZeroBeyondItsGuaranteeYieldsToAClaimWithin() {
-        fixture.guarantee("owner", 8);
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("borrower", "x", 0, PoolFixture.plain(1, 8)));
-        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
-        assertThat(fixture.stops).hasSize(1);
-    }
-
-    /** Pattern: a claim arrives while others' work is about to end; stopping it would lose nearly all of it. */
-    @Test
-    void aClaimWaitsForWorkThatIsAboutToEnd() {
-        fixture.guarantee("owner", 8);
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("borrower", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.pass(4_700);
-        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
-        assertThat(fixture.stops).isEmpty();
-        fixture.pass(1_100);
-        fixture.pass(10);
-        assertThat(fixture.stops).hasSize(1);
-    }
-
-    /** Pattern: short urgent work beyond its guarantee arrives while long work without checkpoints is nearly done. */
-    @Test
-    void workBeyondTheGuaranteeDoesNotThrowAwayMuchMoreThanItDoes() {
-        fixture.target("t1", "r1");
-        Step lengthy =
-                new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
-        fixture.submit(fixture.job("borrower", "x", 1, lengthy));
-        fixture.pass(20_000);
-        fixture.submit(fixture.job("beyond", "owner", 0, PoolFixture.plain(1, 8)));
-        fixture.pass(3_000);
-        assertThat(fixture.stops).isEmpty();
-    }
-
     @Test
     void aTargetThatStartsAgainHasLostItsRuns() {
         fixture.target("t1", "r1");
@@ -233,60 +181,6 @@
         assertThat(fixture.starts).hasSize(1);
     }
 
-    @Test
-    void nothingStartsOnATargetThatDrains() {
-        fixture.target("t1", "r1");
-        fixture.drain("t1", "r1", 0);
-        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 1)));
-        assertThat(fixture.starts).isEmpty();
-    }
-
-    /** Pattern: targets leave with short notice. Work that saves its progress used to run until it was lost. */
-    @Test
-    void workThatSavesIsMovedOffATargetBeforeItLeaves() {
-        fixture.target("t1", "r1");
-        Step.Mode saving = new Step.Mode(false, true, false, false, false, 0);
-        fixture.submit(fixture.job("a", "x", 1, PoolFixture.step(1, 8, saving, false)));
-        fixture.submit(fixture.job("b", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.target("t2", "r1");
-        fixture.settle();
-        fixture.drain("t1", "r1", fixture.now().nanosAfter(2_000));
-        fixture.drain("t2", "r1", fixture.now().nanosAfter(2_000));
-        fixture.settle();
-        assertThat(fixture.stops).isEmpty();
-        fixture.pass(1_500);
-        assertThat(fixture.stops).hasSize(1);
-        assertThat(fixture.stops.get(0).task().job()).isEqualTo("a");
-    }
-
-    /** Pattern: some targets turn several times slower. Urgent work used to stay there until it was late. */
-    @Test
-    void urgentWorkLeavesATargetThatIsMuchSlowerThanEstimatedOnce() {
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
-        fixture.target("t2", "r1");
-        crawl(2);
-        assertThat(fixture.stops).hasSize(1);
-        fixture.obeyStops();
-        assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
-        crawl(4);
-        assertThat(fixture.stops).isEmpty();
-    }
-
-    /** Pattern: a calm day with an estimate far too low. A run past its middle is moved off a sound target. */
-    @Test
-    void aRunThatWouldEndSoonerHereThanAnewIsLeft() {
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
-        fixture.target("t2", "r1");
-        for (int percent = 50; percent <= 80; percent += 10) {
-            fixture.pass(2_000);
-            fixture.progress(fixture.starts.get(0), percent);
-            fixture.settle();
-        }
-        assertThat(fixture.stops).isEmpty();
-    }
-
     /**
      * Pattern: a tight gang of an account within its guarantee was moved off a slow target, has waited long in all, and
      * used to be spread over racks at once, though one rack had room: there it takes several times as long.
@@ -307,131 +201,4 @@
         assertThat(fixture.starts.get(2).target()).isEqualTo("t3");
         assertThat(fixture.starts.get(3).target()).isEqualTo("t3");
     }
-
-    /** Pattern: slow targets. A run that began from nothing has a rate after one report; it used to take two. */
-    @Test
-    void aSlowRunIsKnownByItsFirstReport() {
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("a", "x", 0, PoolFixture.plain(1, 8)));
-        fixture.target("t2", "r1");
-        fixture.pass(1_000);
-        fixture.progress(fixture.starts.get(0), 3);
-        fixture.settle();
-        assertThat(fixture.stops).hasSize(1);
-    }
-
-    /** Pattern: the same large job was stopped for urgent work again and again, while others were left alone. */
-    @Test
-    void workThatWasStoppedForOthersBeforeIsSparedNextTime() {
-        fixture.guarantee("owner", 64);
-        fixture.target("t1", "r1");
-        fixture.target("t2", "r1");
-        fixture.submit(fixture.job("other", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.pass(400);
-        fixture.submit(fixture.job("large", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.pass(400);
-        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
-        assertThat(fixture.stops.get(0).task().job()).isEqualTo("large");
-        fixture.obeyStops();
-        fixture.target("t3", "r1");
-        fixture.settle();
-        fixture.pass(3_000);
-        fixture.submit(fixture.job("next", "owner", 0, PoolFixture.plain(1, 8)));
-        assertThat(fixture.stops.get(0).task().job()).isEqualTo("other");
-    }
-
-    /** Pattern: a claim stopped another account's urgent work, which was late then, though other work could wait. */
-    @Test
-    void aClaimStopsWorkThatCanWaitRatherThanUrgentWork() {
-        fixture.guarantee("owner", 8);
-        fixture.target("t1", "r1");
-        fixture.target("t2", "r1");
-        fixture.submit(fixture.job("patient", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.pass(1_500);
-        fixture.submit(fixture.job("urgent", "x", 0, PoolFixture.plain(1, 8)));
-        fixture.pass(1_000);
-        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.plain(1, 8)));
-        assertThat(fixture.stops.get(0).task().job()).isEqualTo("patient");
-    }
-
-    /** Pattern: a short preview that takes whole targets was never worth its victims, and waited for many seconds. */
-    @Test
-    void aShortPreviewThatTakesWholeTargetsDoesNotWaitForLongWork() {
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("patient", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.pass(3_000);
-        Step brief =
-                new Step(1, new Resources(1_000, 1_000, 8), 300, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
-        fixture.submit(fixture.job("preview", "y", 0, brief));
-        assertThat(fixture.stops).hasSize(1);
-    }
-
-    /**
-     * Pattern: a calm day on which an urgent gang too dear to place waits for room. It used to be given that room and
-     * to lose it again in each pass, fifty times a second, with a line in the log each time.
-     */
-    @Test
-    void anUrgentGangKeepsTheRoomThatIsSetAsideForIt() {
-        fixture.target("t1", "r1");
-        Step lengthy =
-                new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
-        fixture.submit(fixture.job("patient", "x", 1, lengthy));
-        fixture.pass(30_000);
-        fixture.submit(fixture.job("urgent", "y", 0, PoolFixture.gang(1, 8, false)));
-        List<String> lines = new ArrayList<>();
-        Handler handler = recorder(lines);
-        Logger logger = Logger.getLogger(PlacementPass.class.getName());
-        logger.addHandler(handler);
-        for (int i = 0; i < 250; i++) {
-            fixture.pass(20);
-        }
-        logger.removeHandler(handler);
-        assertThat(fixture.stops).isEmpty();
-        assertThat(lines.size()).isAtMost(5);
-    }
-
-    private static Handler recorder(List<String> lines) {
-        return new Handler() {
-            @Override
-            public void publish(LogRecord record) {
-                lines.add(record.getMessage());
-            }
-
-            @Override
-            public void flush() {
-                // Nothing is held back.
-            }
-
-            @Override
-            public void close() {
-                // Nothing to close.
-            }
-        };
-    }
-
-    /** The newest run gains two percent each half second, so it takes five times its estimate. */
-    private void crawl(int reports) {
-        Order.Start start = fixture.starts.get(fixture.starts.size() - 1);
-        for (int i = 1; i <= reports; i++) {
-            fixture.pass(500);
-            fixture.progress(start, 2 * i);
-        }
-        fixture.settle();
-    }
-
-    @Test
-    void aRunWithoutProgressGoesOnElsewhere() {
-        fixture.target("t1", "r1");
-        fixture.submit(fixture.job("a", "x", 1, PoolFixture.plain(1, 8)));
-        fixture.target("t2", "r1");
-        Order.Start start = fixture.starts.get(0);
-        for (int i = 0; i < 8; i++) {
-            fixture.pass(500);
-            fixture.progress(start, 10);
-        }
-        fixture.settle();
-        assertThat(fixture.stops).isNotEmpty();
-        fixture.obeyStops();
-        assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
-    }
 }
