--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -43,18 +43,14 @@
     private final long maxConfigurationAgeMillis;
     private final MetricRegistry metrics;
 
-    JobService(
-            Term.Dependencies dependencies,
-            TopicConsumer jobConsumer,
-            long maxConfigurationAgeMillis,
-            MetricRegistry metrics) {
+    JobService(Term.Dependencies dependencies, TopicConsumer jobConsumer, long maxConfigurationAgeMillis) {
         this.topics = dependencies.topics();
         this.log = dependencies.log();
         this.replica = dependencies.replica();
         this.configurationView = dependencies.configuration();
         this.jobConsumer = jobConsumer;
         this.maxConfigurationAgeMillis = maxConfigurationAgeMillis;
-        this.metrics = metrics;
+        this.metrics = dependencies.metrics();
     }
 
     /** The result of authorizing a call. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -80,7 +80,13 @@
         log = new FailoverLog(dependencies.log(), new Peers(address(settings.wireAddress()), this::peerAddresses));
         ConfigurationView configuration = new ConfigurationView(dependencies.operatorDecoder());
         Term.Dependencies termDependencies = new Term.Dependencies(
-                replica, configuration, dependencies.calls(), settings.topics(), log, dependencies.targetDecoder());
+                replica,
+                configuration,
+                dependencies.calls(),
+                settings.topics(),
+                log,
+                dependencies.targetDecoder(),
+                metrics);
         jobConsumer = new TopicConsumer(
                 settings.topics().jobs(),
                 log,
@@ -91,7 +97,7 @@
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
         leaderElection = new LeaderElection(self, termDependencies, jobConsumer, random);
-        jobService = new JobService(termDependencies, jobConsumer, settings.maxConfigurationAgeMillis(), metrics);
+        jobService = new JobService(termDependencies, jobConsumer, settings.maxConfigurationAgeMillis());
     }
 
     private static String address(InetSocketAddress address) {
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -63,7 +64,8 @@
     private final TargetCalls calls;
     private final TopicConsumer registrationConsumer;
     private final Pool pool = new Pool();
-    private final LinkedBlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final TermLoad load;
     private final Map<String, TargetSession> sessions = new HashMap<>();
     private final Map<String, TargetInfo> registered = new HashMap<>();
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -96,8 +98,17 @@
         earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
         orphanDetector = new OrphanDetector(earlierLeasesEndNanos);
         lastPurgeNanos = now.monotonicNanos();
+        load = new TermLoad(epoch, dependencies.metrics(), now);
     }
 
+    /**
+     * Work for the thread of the term.
+     *
+     * @param action the work
+     * @param postedNanos when it was posted, on the monotonic clock, in nanoseconds
+     */
+    private record Event(Runnable action, long postedNanos) {}
+
     /**
      * The collaborators of a term.
      *
@@ -107,6 +118,7 @@
      * @param topics topics in the shared log
      * @param log the shared log
      * @param targetDecoder decodes target registrations
+     * @param metrics receives the durations that {@link TermLoad} measures
      */
     record Dependencies(
             Replica replica,
@@ -114,12 +126,17 @@
             TargetCalls calls,
             Topics topics,
             FailoverLog log,
-            TargetRecordDecoder targetDecoder) {}
+            TargetRecordDecoder targetDecoder,
+            MetricRegistry metrics) {}
+
+    private void post(Runnable action) {
+        events.add(new Event(action, System.nanoTime()));
+    }
 
     /** Schedules until the term ends or the thread is interrupted. */
     void run() {
         restore();
-        configuration.setListener(() -> events.add(() -> pool.configure(configuration.poolSettings())));
+        configuration.setListener(() -> post(() -> pool.configure(configuration.poolSettings())));
         pool.configure(configuration.poolSettings());
         registrationConsumer.start();
         try {
@@ -158,9 +175,11 @@
     }
 
     private void runIteration() throws InterruptedException {
-        Runnable event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        long startNanos = System.nanoTime();
         while (event != null) {
-            event.run();
+            load.recordEvent(event.postedNanos());
+            event.action().run();
             event = events.poll();
         }
         if (ended) {
@@ -169,11 +188,12 @@
         ClockReading now = Clocks.now();
         if (!resigning) {
             pool.schedule(now);
+            load.recordPass(now.monotonicNanos());
         }
         for (TargetCommand.Stop stop : pool.takeStops()) {
             TargetSession session = getOrCreateSession(stop.target());
             if (session != null) {
-                executor.execute(() -> session.stop(stop));
+                dispatch(() -> session.stop(stop));
             }
         }
         purge(now);
@@ -184,6 +204,8 @@
         occupied.forEach(this::getOrCreateSession);
         orphanDetector.findExpired(occupied, sessions.keySet(), now).forEach(id -> pool.handleLeaseExpiry(id, now));
         sessions.forEach((id, session) -> session.setOccupied(occupied.contains(id)));
+        load.recordIteration(startNanos);
+        load.reportIfDue(pool, Clocks.now());
     }
 
     /** Appends the pending records in the background if there are any or a heartbeat is due. */
@@ -204,13 +226,14 @@
         appendInFlight = true;
         executor.execute(() -> {
             boolean appended = logWriter.append(records);
-            events.add(() -> handleAppendResult(appended, batch));
+            post(() -> handleAppendResult(appended, batch, now.monotonicNanos()));
         });
     }
 
     /** Releases the commands of a durable batch; ends the term if the log rejected the append. */
-    private void handleAppendResult(boolean appended, Batch batch) {
+    private void handleAppendResult(boolean appended, Batch batch, long takenNanos) {
         appendInFlight = false;
+        load.recordAppend(takenNanos);
         if (!appended) {
             end("deposed by a later term in the log");
             return;
@@ -225,7 +248,7 @@
             if (session == null) {
                 pool.handleStartFailure(start, "no address", 0, Clocks.now());
             } else {
-                executor.execute(() -> session.start(start));
+                dispatch(() -> session.start(start));
             }
         }
         batch.acknowledgements().forEach((target, acknowledgement) -> {
@@ -236,6 +259,15 @@
         });
     }
 
+    /** Sends a command on a thread of its own, since that waits for the target. */
+    private void dispatch(Runnable command) {
+        long releasedNanos = System.nanoTime();
+        executor.execute(() -> {
+            load.recordDispatch(releasedNanos);
+            command.run();
+        });
+    }
+
     /** Removes ended jobs whose retention period has passed from the pool and the log. */
     private void purge(ClockReading now) {
         if (now.millisSince(lastPurgeNanos) < PURGE_INTERVAL_MILLIS) {
@@ -264,7 +296,7 @@
 
     /** Adds or updates a registered target. */
     void register(TargetInfo info) {
-        events.add(() -> {
+        post(() -> {
             TargetInfo previous = registered.put(info.id(), info);
             if (previous == null
                     || previous.draining() != info.draining()
@@ -282,7 +314,7 @@
 
     /** Handles the removal of a target's registration. */
     void unregister(String id) {
-        events.add(() -> {
+        post(() -> {
             LOG.infof("target: target=%s outcome=unregistered", id);
             pool.unregister(id);
         });
@@ -290,37 +322,37 @@
 
     @Override
     public void submitted(Job job) {
-        events.add(() -> pool.submit(job));
+        post(() -> pool.submit(job));
     }
 
     @Override
     public void cancelled(CancelRecord cancel) {
-        events.add(() -> pool.cancel(cancel.id(), Clocks.now()));
+        post(() -> pool.cancel(cancel.id(), Clocks.now()));
     }
 
     @Override
     public void reported(TargetReport report) {
-        events.add(() -> pool.handleReport(report, Clocks.now()));
+        post(() -> pool.handleReport(report, Clocks.now()));
     }
 
     @Override
     public void started(TargetCommand.Start start) {
-        events.add(() -> pool.handleStarted(start, Clocks.now()));
+        post(() -> pool.handleStarted(start, Clocks.now()));
     }
 
     @Override
     public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {
-        events.add(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
+        post(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
     }
 
     @Override
     public void unresponsive(String target, long exclusionMillis) {
-        events.add(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
+        post(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
     }
 
     @Override
     public void leaseExpired(String target) {
-        events.add(() -> pool.handleLeaseExpiry(target, Clocks.now()));
+        post(() -> pool.handleLeaseExpiry(target, Clocks.now()));
     }
 
     @Override
@@ -348,7 +380,7 @@
      */
     void resign(long millis) {
         long deadline = Clocks.deadlineAfter(millis);
-        events.add(() -> {
+        post(() -> {
             resigning = true;
             // Makes a heartbeat due, so that the resignation is appended without delay.
             lastHeartbeatNanos -= HEARTBEAT_INTERVAL_MILLIS * Clocks.NANOS_PER_MILLI;
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
@@ -34,8 +35,8 @@
                 new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of("s"))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
-        Term.Dependencies dependencies =
-                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, new NoTargets());
+        Term.Dependencies dependencies = new Term.Dependencies(
+                replica, configuration, null, TOPICS, failoverLog, new NoTargets(), new MetricRegistry());
         return new LeaderElection(SELF, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
@@ -50,8 +50,9 @@
                 new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
         configuration.apply(published, 0);
         configuration.caughtUp(Clocks.now(), 1);
-        Term.Dependencies dependencies = new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null);
-        return new JobService(dependencies, jobConsumer, 4_000, new MetricRegistry());
+        Term.Dependencies dependencies =
+                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null, new MetricRegistry());
+        return new JobService(dependencies, jobConsumer, 4_000);
     }
 
     private JobService.Answer submit(JobService jobService, String id) {
@@ -327,8 +328,9 @@
     void callsAreAuthorizedOnlyWhileTheConfigurationIsCurrent() {
         ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
                 new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
-        Term.Dependencies dependencies = new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null);
-        JobService jobService = new JobService(dependencies, jobConsumer, 1, new MetricRegistry());
+        Term.Dependencies dependencies =
+                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null, new MetricRegistry());
+        JobService jobService = new JobService(dependencies, jobConsumer, 1);
         assertThat(jobService.authorize("host", "/p/a", "key"))
                 .isInstanceOf(JobService.Access.StaleConfiguration.class);
         configuration.apply(KeyedRecord.tombstone("config"), 0);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -302,6 +302,11 @@
         return outbox.takeStops();
     }
 
+    /** Returns the unfinished work and the use of capacity. */
+    public Backlog backlog() {
+        return Backlog.of(jobs.values(), targets.values());
+    }
+
     /** Returns the ids of the targets that may have active runs. */
     public Collection<String> occupiedTargets() {
         List<String> ids = new ArrayList<>();
