A change of one task is written as one record, not as its whole job

Callers saw previews done 2 s and more after their work had ended, and 503 for states and cancellations. Most nodes had lost the topic of the jobs 5 s after the start of traffic and did not regain it.

Cause: each change of a job wrote the progress of all its tasks again, so a job of n tasks wrote in the order of n * n bytes, to each node of the deployment; the links of the small ones are slower than that.

Change: the leader writes a record for each task that changed, and the job's own only when its state changes; a replica puts them together. An ended job leaves no task's record. Records of earlier builds are read; a test shows it.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
@@ -1,5 +1,7 @@
 package org.acaciaport.node;
 
+import java.util.Collection;
+import java.util.List;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
@@ -10,7 +12,7 @@
  * <p>Immutable.
  *
  * @param job the job as submitted; null if its record has not been read
- * @param progress latest progress; null before the first
+ * @param progress latest progress, without its tasks unless {@link #withTasks} added them; null before the first
  * @param cancel the cancellation; null if there is none
  */
 record JobEntry(Job job, JobProgress progress, CancelRecord cancel) {
@@ -24,6 +26,11 @@
         return new JobEntry(job, value, cancel);
     }
 
+    /** Returns this entry with {@code tasks} in its progress; without progress, there are no tasks. */
+    JobEntry withTasks(Collection<JobProgress.Task> tasks) {
+        return progress == null ? this : with(progress.withTasks(List.copyOf(tasks)));
+    }
+
     JobEntry with(CancelRecord value) {
         return new JobEntry(job, progress, value);
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -19,10 +19,14 @@
 final class JobRecords {
     static final String JOB_PREFIX = "job/";
     static final String PROGRESS_PREFIX = "progress/";
+    static final String TASK_PREFIX = "task/";
     static final String CANCEL_PREFIX = "cancel/";
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
 
+    /** Ends the id of the job in the key of a task; no id contains it. */
+    private static final char TASK_SEPARATOR = '/';
+
     private JobRecords() {}
 
     static KeyedRecord encode(Job job) {
@@ -33,6 +37,21 @@
         return record(PROGRESS_PREFIX + progress.id(), progress);
     }
 
+    /** Encodes the progress of a task under its {@link #taskKey}. */
+    static KeyedRecord encode(String key, JobProgress.Task task) {
+        return record(key, task);
+    }
+
+    /** Returns the key of the record of a task. */
+    static String taskKey(String job, JobProgress.Task task) {
+        return TASK_PREFIX + job + TASK_SEPARATOR + task.occurrence() + "." + task.step() + "." + task.index();
+    }
+
+    /** Returns the id of the job in a key that {@link #taskKey} returned. */
+    static String jobOfTaskKey(String key) {
+        return key.substring(TASK_PREFIX.length(), key.lastIndexOf(TASK_SEPARATOR));
+    }
+
     static KeyedRecord encode(CancelRecord cancel) {
         return record(CANCEL_PREFIX + cancel.id(), cancel);
     }
@@ -68,7 +87,8 @@
         Job job = new Job("j", "q", "s", "a", new Job.Terms(0, 1, 1, 1), "", List.of(step), Job.Schedule.NOW, 0);
         decode(encode(job), Job.class);
         JobProgress.Task task = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
-        decode(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of(task))), JobProgress.class);
+        decode(encode(taskKey("j", task), task), JobProgress.Task.class);
+        decode(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of())), JobProgress.class);
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
         decode(encode(new NodeRecord("n", "a")), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -40,6 +40,10 @@
     record Leader(LeaderRecord record, long receivedNanos) {}
 
     private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+
+    /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
+    private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
+
     private final Map<String, NodeRecord> nodes = new HashMap<>();
     private Leader leader;
     private Listener listener;
@@ -49,6 +53,7 @@
     @Override
     public synchronized void reset() {
         jobs.clear();
+        tasks.clear();
         nodes.clear();
         leader = null;
         asOf = null;
@@ -75,8 +80,9 @@
         if (key.startsWith(JobRecords.JOB_PREFIX)) {
             applyJob(key.substring(JobRecords.JOB_PREFIX.length()), decode(record, Job.class));
         } else if (key.startsWith(JobRecords.PROGRESS_PREFIX)) {
-            String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
-            update(id, entry(id).with(decode(record, JobProgress.class)));
+            applyProgress(key.substring(JobRecords.PROGRESS_PREFIX.length()), decode(record, JobProgress.class));
+        } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
+            applyTask(key, decode(record, JobProgress.Task.class));
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
@@ -99,6 +105,28 @@
         }
     }
 
+    /** Sets the progress of a job. Builds that wrote no records of tasks wrote their progress with that of the job. */
+    private void applyProgress(String id, JobProgress progress) {
+        update(id, entry(id).with(progress == null ? null : progress.withoutTasks()));
+        if (progress != null) {
+            progress.tasks().forEach(task -> applyTask(JobRecords.taskKey(id, task), task));
+        }
+    }
+
+    /** Sets or, for null, removes the progress of a task. */
+    private void applyTask(String key, JobProgress.Task task) {
+        String id = JobRecords.jobOfTaskKey(key);
+        if (task != null) {
+            tasks.computeIfAbsent(id, job -> new HashMap<>()).put(key, task);
+            return;
+        }
+        Map<String, JobProgress.Task> remaining = tasks.getOrDefault(id, new HashMap<>());
+        remaining.remove(key);
+        if (remaining.isEmpty()) {
+            tasks.remove(id);
+        }
+    }
+
     private void applyCancel(String id, CancelRecord cancel) {
         update(id, entry(id).with(cancel));
         if (cancel != null && listener != null) {
@@ -167,10 +195,13 @@
         return pending;
     }
 
-    /** Returns all jobs, and passes every later job and cancellation to {@code listener}. */
+    /** Returns all jobs with their tasks' progress, and passes every later job and cancellation to {@code listener}. */
     synchronized List<JobEntry> attach(Listener listener) {
         this.listener = listener;
-        return new ArrayList<>(jobs.values());
+        List<JobEntry> entries = new ArrayList<>();
+        jobs.forEach((id, entry) ->
+                entries.add(entry.withTasks(tasks.getOrDefault(id, Map.of()).values())));
+        return entries;
     }
 
     /** Removes the listener. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -71,6 +71,7 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final long earlierLeasesEndNanos;
     private final OrphanDetector orphanDetector;
+    private final ProgressEncoder progressEncoder = new ProgressEncoder();
 
     /** Deletions of ended jobs for the next append. */
     private final List<KeyedRecord> tombstones = new ArrayList<>();
@@ -163,6 +164,7 @@
                 pool.submit(entry.job());
             } else {
                 pool.restore(entry.job(), progress, now);
+                progressEncoder.restore(progress);
             }
             if (entry.cancel() != null) {
                 cancels.add(entry.cancel());
@@ -218,7 +220,7 @@
         }
         List<KeyedRecord> records = new ArrayList<>(tombstones);
         tombstones.clear();
-        batch.records().forEach(progress -> records.add(JobRecords.encode(progress)));
+        batch.records().forEach(progress -> records.addAll(progressEncoder.encode(progress)));
         if (heartbeatDue || resigning) {
             lastHeartbeatNanos = now.monotonicNanos();
             records.add(JobRecords.encode(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
@@ -276,7 +278,7 @@
         lastPurgeNanos = now.monotonicNanos();
         for (String id : pool.jobsEndedBefore(now.wallClockMillis() - ENDED_JOB_RETENTION_MILLIS)) {
             pool.removeJob(id);
-            tombstones.add(KeyedRecord.tombstone(JobRecords.PROGRESS_PREFIX + id));
+            tombstones.addAll(progressEncoder.remove(id));
             tombstones.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
             tombstones.add(KeyedRecord.tombstone(JobRecords.JOB_PREFIX + id));
         }
--- /dev/null
+++ b/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
@@ -0,0 +1,106 @@
+package org.acaciaport.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.TreeSet;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.Step;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a replica restores what a leader encoded, whichever records it needed for that. */
+final class ProgressEncoderTest {
+    private final ProgressEncoder encoder = new ProgressEncoder();
+    private final Replica replica = new Replica();
+    private long offset;
+
+    ProgressEncoderTest() {
+        Step step = new Step(3, Resources.NONE, 1, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(0, 1, 1, 1);
+        apply(List.of(
+                JobRecords.encode(new Job("a", "q", "s", "account", terms, "", List.of(step), Job.Schedule.NOW, 0))));
+    }
+
+    private void apply(List<KeyedRecord> records) {
+        for (KeyedRecord record : records) {
+            replica.apply(record, offset);
+            offset++;
+        }
+    }
+
+    private JobProgress restored() {
+        JobProgress progress = replica.attach(null).get(0).progress();
+        TreeSet<Integer> indices = new TreeSet<>();
+        progress.tasks().forEach(task -> indices.add(task.index()));
+        return progress.withTasks(indices.stream()
+                .map(index -> progress.tasks().stream()
+                        .filter(task -> task.index() == index)
+                        .findFirst()
+                        .orElseThrow())
+                .toList());
+    }
+
+    private static JobProgress.Task running(int index, int run) {
+        return new JobProgress.Task(0, 0, index, run, 0, false, "t" + index, 7, "");
+    }
+
+    private static JobProgress.Task done(int index) {
+        return new JobProgress.Task(0, 0, index, 1, 0, true, "", 0, "");
+    }
+
+    private static JobProgress progress(JobState state, JobProgress.Task... tasks) {
+        return new JobProgress("a", state, state.isTerminal() ? 9 : 0, List.of(), List.of(tasks));
+    }
+
+    @Test
+    void theReplicaRestoresEachProgressThatWasEncoded() {
+        List<JobProgress> history = List.of(
+                progress(JobState.RUNNING, running(0, 1)),
+                progress(JobState.RUNNING, running(0, 1), running(1, 1)),
+                progress(JobState.RUNNING, done(0), running(1, 1), running(2, 1)),
+                progress(JobState.RUNNING, done(0), running(1, 2), running(2, 1)),
+                progress(JobState.CANCELLED, running(1, 2), running(2, 1)),
+                progress(JobState.CANCELLED, running(2, 1)),
+                progress(JobState.CANCELLED));
+        for (JobProgress progress : history) {
+            apply(encoder.encode(progress));
+            assertThat(restored()).isEqualTo(progress);
+        }
+    }
+
+    @Test
+    void onlyWhatChangedIsEncoded() {
+        encoder.encode(progress(JobState.RUNNING, running(0, 1), running(1, 1)));
+        List<KeyedRecord> records = encoder.encode(progress(JobState.RUNNING, done(0), running(1, 1)));
+        assertThat(records).hasSize(1);
+        assertThat(encoder.encode(progress(JobState.RUNNING, done(0), running(1, 1))))
+                .isEmpty();
+    }
+
+    /** Guards against a leader that, after a takeover, leaves in the log tasks that it did not write itself. */
+    @Test
+    void tasksWrittenByAnEarlierLeaderAreRemoved() {
+        JobProgress earlier = progress(JobState.RUNNING, running(0, 1), running(1, 1));
+        apply(new ProgressEncoder().encode(earlier));
+        encoder.restore(restored());
+        apply(encoder.encode(progress(JobState.CANCELLED)));
+        assertThat(restored()).isEqualTo(progress(JobState.CANCELLED));
+        apply(encoder.remove("a"));
+        assertThat(replica.find("a").progress()).isNull();
+    }
+
+    /** Guards against work that runs twice after an upgrade, whose log has the tasks in the record of their job. */
+    @Test
+    void tasksInTheRecordOfTheirJobAreRestored() {
+        JobProgress embedded = progress(JobState.RUNNING, running(0, 3), done(1));
+        apply(List.of(JobRecords.encode(embedded)));
+        assertThat(restored()).isEqualTo(embedded);
+        encoder.restore(restored());
+        apply(encoder.encode(progress(JobState.RUNNING, done(0), done(1))));
+        assertThat(restored()).isEqualTo(progress(JobState.RUNNING, done(0), done(1)));
+    }
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
@@ -22,6 +22,16 @@
         tasks = List.copyOf(tasks);
     }
 
+    /** Returns this progress without that of its tasks. */
+    public JobProgress withoutTasks() {
+        return withTasks(List.of());
+    }
+
+    /** Returns this progress with {@code tasks} in place of its own. */
+    public JobProgress withTasks(List<Task> tasks) {
+        return new JobProgress(id, state, endedMillis, doneOccurrences, tasks);
+    }
+
     /**
      * The persistent progress of a task.
      *
