Larger VMs lead: a node leaves a vacant leadership to others by its size

Callers saw tasks begin late: starts of wide jobs got no answer within 0.3 s, and were sent again or placed elsewhere.

Cause: the first node to claim leads, be it on the smallest VM, and its link carries the starts, the reports of all targets and its copy of the log.

Change: nodes publish what their VM offers; one that is weaker than the largest known waits up to 0.4 s longer before it claims. Nothing else depends on the capacity, so a small VM still leads if it is alone.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -90,7 +90,7 @@
         decode(encode(taskKey("j", task), task), JobProgress.Task.class);
         decode(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of())), JobProgress.class);
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
-        decode(encode(new NodeRecord("n", "a")), NodeRecord.class);
+        decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -35,7 +35,10 @@
 
     private static final long CLAIM_TIMEOUT_MILLIS = 1_500;
 
+    private static final long NOT_VACANT = -1;
+
     private final LeaderRecord self;
+    private final VmCapacity capacity;
     private final Term.Dependencies dependencies;
     private final TopicConsumer jobConsumer;
     private final SplittableRandom random;
@@ -43,9 +46,17 @@
     private volatile Term term;
     private Thread thread;
 
+    /** Since when no live leader is seen, on the monotonic clock, in nanoseconds, or {@link #NOT_VACANT}. */
+    private long vacantSinceNanos = NOT_VACANT;
+
     LeaderElection(
-            LeaderRecord self, Term.Dependencies dependencies, TopicConsumer jobConsumer, SplittableRandom random) {
+            LeaderRecord self,
+            VmCapacity capacity,
+            Term.Dependencies dependencies,
+            TopicConsumer jobConsumer,
+            SplittableRandom random) {
         this.self = self;
+        this.capacity = capacity;
         this.dependencies = dependencies;
         this.jobConsumer = jobConsumer;
         this.random = random;
@@ -57,7 +68,7 @@
 
     private void run() {
         while (!stopped) {
-            if (isLeadershipVacant()) {
+            if (hasWaitedToClaim() && isLeadershipVacant()) {
                 try {
                     claimAndLead();
                 } catch (RuntimeException e) {
@@ -71,6 +82,22 @@
         }
     }
 
+    /** Returns whether no leader was seen for as long as this node leaves the claim to nodes on larger VMs. */
+    private boolean hasWaitedToClaim() {
+        Replica replica = dependencies.replica();
+        ClockReading asOf = replica.asOf();
+        if (asOf == null || !hasNoLiveLeader(asOf)) {
+            vacantSinceNanos = NOT_VACANT;
+            return false;
+        }
+        long now = System.nanoTime();
+        if (vacantSinceNanos == NOT_VACANT) {
+            vacantSinceNanos = now;
+        }
+        long delayMillis = ClaimDelay.millis(self.node(), capacity, replica.nodes());
+        return now - vacantSinceNanos >= delayMillis * Clocks.NANOS_PER_MILLI;
+    }
+
     /** Returns whether the log, read to its end, shows no live leader. */
     private boolean isLeadershipVacant() {
         ClockReading asOf = dependencies.replica().asOf();
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -50,6 +50,7 @@
      * @param name name of the node
      * @param wireAddress address at which it serves the wire protocol to other nodes
      * @param seeds addresses of other nodes, which may be stale
+     * @param capacity what its VM offers
      * @param topics topics in the shared log
      * @param maxConfigurationAgeMillis age up to which the operators' configuration counts as current, in milliseconds
      */
@@ -57,6 +58,7 @@
             String name,
             InetSocketAddress wireAddress,
             Supplier<List<String>> seeds,
+            VmCapacity capacity,
             Topics topics,
             long maxConfigurationAgeMillis) {}
 
@@ -96,7 +98,7 @@
         operatorConsumer = new TopicConsumer(settings.topics().operators(), log, operatorPollSettings, configuration);
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
-        leaderElection = new LeaderElection(self, termDependencies, jobConsumer, random);
+        leaderElection = new LeaderElection(self, settings.capacity(), termDependencies, jobConsumer, random);
         jobService = new JobService(termDependencies, jobConsumer, settings.maxConfigurationAgeMillis());
     }
 
@@ -126,7 +128,7 @@
 
     /** Publishes this node's address in the log; retries until that is durable. */
     private void announce() {
-        NodeRecord record = new NodeRecord(settings.name(), address(settings.wireAddress()));
+        NodeRecord record = new NodeRecord(settings.name(), address(settings.wireAddress()), settings.capacity());
         Append append = new Append(settings.topics().jobs(), List.of(JobRecords.encode(record)), new Append.Always());
         while (!(log.append(append, Clocks.deadlineAfter(DURABLE_TIMEOUT_MILLIS)) instanceof AppendOutcome.Appended)) {
             if (!Clocks.sleep(ANNOUNCE_RETRY_DELAY_MILLIS)) {
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -19,6 +19,7 @@
 /** Tests when a node claims leadership, against an in-memory log. */
 final class LeaderElectionTest {
     private static final Topics TOPICS = new Topics("jobs", "operators", "targets");
+    private static final VmCapacity CAPACITY = new VmCapacity(1, 100);
     private static final LeaderRecord SELF = new LeaderRecord("node", 2_000, false);
 
     private static final long TIMEOUT_SECONDS = 20;
@@ -37,7 +38,7 @@
         configuration.caughtUp(Clocks.now(), 1);
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica, configuration, null, TOPICS, failoverLog, new NoTargets(), new MetricRegistry());
-        return new LeaderElection(SELF, dependencies, jobConsumer, new SplittableRandom(1));
+        return new LeaderElection(SELF, CAPACITY, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
     private void appendLeaderRecord(LeaderRecord record) {
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -26,6 +26,7 @@
 /** Tests how much a leader writes to the log, with targets and a log in memory. */
 final class LogVolumeTest {
     private static final Topics TOPICS = new Topics("jobs", "operators", "targets");
+    private static final VmCapacity CAPACITY = new VmCapacity(1, 100);
     private static final LeaderRecord SELF = new LeaderRecord("node", 1_000, false);
     private static final String TARGET_PREFIX = "target/";
     private static final long TIMEOUT_MILLIS = TimeUnit.SECONDS.toMillis(60);
@@ -55,7 +56,7 @@
                 failoverLog,
                 new TargetRecords(),
                 new MetricRegistry());
-        return new LeaderElection(SELF, dependencies, jobConsumer, new SplittableRandom(1));
+        return new LeaderElection(SELF, CAPACITY, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
     private void append(KeyedRecord record) {
