Draft: the units on targets in a class of their own

Change: FleetDraft holds the part of the targets; Draft gives it by targets(). Callers name it for the ten methods that moved, as in draft.targets().occupy(job, attempt). Draft still asks for a dispatch when units become free.

--- a/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Claims.java
@@ -43,7 +43,7 @@
         Attempt attempt = new Attempt(draft.nextAttemptNumber(), members, 0);
         draft.dequeue(job);
         Phase.Claiming claiming = new Phase.Claiming(attempt, drain, draft.now(), deadline);
-        draft.addClaim(job, claiming);
+        draft.targets().addClaim(job, claiming);
         Job claimed = job.with(claiming);
         draft.put(claimed);
         draft.note(
@@ -84,7 +84,7 @@
 
     /** Releases the claim without queueing {@code job} again. */
     void release(Job job, Phase.Claiming claiming) {
-        draft.removeClaim(job, claiming);
+        draft.targets().removeClaim(job, claiming);
         if (claiming.forLargeJob()) {
             draft.setLargeJob(Optional.empty());
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Dispatcher.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Dispatcher.java
@@ -32,7 +32,7 @@
     void run() {
         while (draft.takeDispatchRequest()) {
             exhausted.clear();
-            for (String target : draft.takeFreedTargets()) {
+            for (String target : draft.targets().takeFreedTargets()) {
                 advanceClaims(target);
             }
             if (!draft.active().inService(draft.state().dataCentre())) {
@@ -98,7 +98,8 @@
     private long accountRank(String account) {
         return draft.rules()
                 .accountRank(
-                        draft.unitsUsedBy(account), headsByPriority(account).getFirst());
+                        draft.targets().unitsUsedBy(account),
+                        headsByPriority(account).getFirst());
     }
 
     /** Places at most one job of {@code account} and returns whether it did. */
--- a/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Draft.java
@@ -3,9 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.UnaryOperator;
 import org.acaciaport.config.ActiveConfiguration;
 import org.acaciaport.request.Outcome;
 import org.pcollections.PMap;
@@ -13,7 +10,8 @@
 import org.pcollections.TreePSet;
 
 /**
- * A mutable draft of the next state, with the commands and notes of the decision under way.
+ * A mutable draft of the next state, with the commands and notes of the decision under way. Its part that concerns
+ * targets is a {@link FleetDraft}.
  *
  * <p>Confined to one call of {@link Decider#decide}; not thread-safe. The methods only do bookkeeping: they keep the
  * totals, indexes and queues consistent and make no decision.
@@ -25,16 +23,13 @@
     private final String dataCentre;
     private final List<Command> commands = new ArrayList<>();
     private final List<Note> notes = new ArrayList<>();
-    private final Set<String> changedTargets = new TreeSet<>();
-    private final Set<String> freedTargets = new TreeSet<>();
+    private final FleetDraft targets;
 
     private ActiveConfiguration active;
-    private Fleet fleet;
     private StartGate gate;
     private PMap<String, Job> jobs;
     private Queues queues;
     private TreePSet<Timer> timers;
-    private PMap<String, Integer> unitsByAccount;
     private PMap<String, RetryBudget> retryBudgets;
     private PMap<String, RunTimes> runTimes;
     private long nextSequence;
@@ -49,13 +44,12 @@
         this.now = now;
         dataCentre = state.dataCentre();
         active = state.active();
-        fleet = state.fleet();
+        targets = new FleetDraft(state, this::requestDispatch);
         gate = state.gate();
         Workload work = state.workload();
         jobs = work.jobs();
         queues = work.queues();
         timers = work.timers();
-        unitsByAccount = work.unitsByAccount();
         retryBudgets = work.retryBudgets();
         runTimes = work.runTimes();
         nextSequence = work.nextSequence();
@@ -70,19 +64,19 @@
                 jobs,
                 queues,
                 timers,
-                unitsByAccount,
+                targets.unitsByAccount(),
                 retryBudgets,
                 runTimes,
                 nextSequence,
                 lastAttempt,
                 paused,
                 largeJob);
-        return new CellState(dataCentre, active, fleet, work, gate);
+        return new CellState(dataCentre, active, targets.fleet(), work, gate);
     }
 
     /** Returns the decision made so far. */
     Decision decision() {
-        return new Decision(state(), commands, notes, changedTargets);
+        return new Decision(state(), commands, notes, targets.changedTargets());
     }
 
     /** Returns whether {@code attempt} was made in an earlier epoch. */
@@ -110,18 +104,14 @@
         active = next;
     }
 
-    Fleet fleet() {
-        return fleet;
-    }
-
-    void setFleet(Fleet next) {
-        next.targets().keySet().forEach(changedTargets::add);
-        fleet = next;
+    /** Returns the part of this draft that concerns targets. */
+    FleetDraft targets() {
+        return targets;
     }
 
-    /** Stores the newest list of leaving VMs, so that targets configured later can be checked against it. */
-    void setListedAsLeaving(Set<String> listed) {
-        fleet = fleet.withListedAsLeaving(listed);
+    /** Returns the fleet as drafted so far. */
+    Fleet fleet() {
+        return targets.fleet();
     }
 
     StartGate gate() {
@@ -145,11 +135,6 @@
         return jobs.get(id);
     }
 
-    /** Returns the units that {@code account} occupies on all targets. */
-    int unitsUsedBy(String account) {
-        return unitsByAccount.getOrDefault(account, 0);
-    }
-
     PSet<String> paused() {
         return paused;
     }
@@ -157,13 +142,13 @@
     /** Registers {@code job} as paused on {@code target}. */
     void addPaused(Job job, String target) {
         paused = paused.plus(job.id());
-        changeTarget(target, t -> t.with(t.load().withPaused(job.id())));
+        targets.changeTarget(target, t -> t.with(t.load().withPaused(job.id())));
     }
 
     /** Removes {@code job} from the requests paused on {@code target}. */
     void removePaused(Job job, String target) {
         paused = paused.minus(job.id());
-        changeTarget(target, t -> t.with(t.load().withoutPaused(job.id())));
+        targets.changeTarget(target, t -> t.with(t.load().withoutPaused(job.id())));
     }
 
     Optional<String> largeJob() {
@@ -186,22 +171,6 @@
         return requested;
     }
 
-    /** Returns the targets on which units became free, or claims must be rechecked, since the last call. */
-    Set<String> takeFreedTargets() {
-        Set<String> taken = new TreeSet<>(freedTargets);
-        freedTargets.clear();
-        return taken;
-    }
-
-    /** Marks all targets with claims to be rechecked; for use after units may have been assigned to other owners. */
-    void recheckClaims() {
-        for (TargetState target : fleet.targets().values()) {
-            if (target.load().claimed() > 0) {
-                freedTargets.add(target.id());
-            }
-        }
-    }
-
     void addCommand(Command command) {
         commands.add(command);
     }
@@ -216,12 +185,6 @@
         notes.add(new Note(part, "", text));
     }
 
-    /** Applies {@code change} to the target with identifier {@code id}, which must be in the fleet. */
-    void changeTarget(String id, UnaryOperator<TargetState> change) {
-        fleet = fleet.withChanged(id, change);
-        changedTargets.add(id);
-    }
-
     void addTimer(long at, Timer.Kind kind, String subject, long attempt) {
         timers = timers.plus(new Timer(at, kind, subject, attempt));
     }
@@ -289,69 +252,6 @@
         }
     }
 
-    /** Claims the places of {@code claiming} for {@code job}. */
-    void addClaim(Job job, Phase.Claiming claiming) {
-        for (Member member : claiming.attempt().members()) {
-            changeTarget(
-                    member.target(),
-                    t -> t.with(withClaimedUnits(t.load(), job, claiming, member.units())
-                            .withJob(job.id())));
-        }
-    }
-
-    /** Reverses {@link #addClaim}. */
-    void removeClaim(Job job, Phase.Claiming claiming) {
-        for (Member member : claiming.attempt().members()) {
-            if (fleet.target(member.target()) != null) {
-                changeTarget(
-                        member.target(),
-                        t -> t.with(withClaimedUnits(t.load(), job, claiming, -member.units())
-                                .withoutJob(job.id())));
-                freedTargets.add(member.target());
-            }
-        }
-        dispatchRequested = true;
-    }
-
-    private static Load withClaimedUnits(Load load, Job job, Phase.Claiming claiming, int units) {
-        Load claimed = claiming.hasDeadline()
-                ? load.withClaim(job.account(), units, job.profile().revocable())
-                : load.withUnboundedClaim(units);
-        return claiming.forLargeJob() ? claimed.withSetAside(units) : claimed;
-    }
-
-    /** Marks the places of {@code attempt} as occupied by {@code job}. */
-    void occupy(Job job, Attempt attempt) {
-        for (Member member : attempt.members()) {
-            changeUsage(job, member, member.units());
-            changeTarget(member.target(), t -> t.with(t.load().withJob(job.id())));
-        }
-    }
-
-    /**
-     * Marks the place of one member as free again.
-     *
-     * @param revoking whether the member was being revoked, so that its units no longer count as such
-     */
-    void vacate(Job job, Member member, boolean revoking) {
-        if (fleet.target(member.target()) == null) {
-            return;
-        }
-        changeUsage(job, member, -member.units());
-        changeTarget(member.target(), t -> {
-            Load load = t.load().withoutJob(job.id());
-            return t.with(revoking ? load.withRevoking(-member.units()) : load);
-        });
-        freedTargets.add(member.target());
-        dispatchRequested = true;
-    }
-
-    private void changeUsage(Job job, Member member, int change) {
-        boolean revocable = job.profile().revocable();
-        changeTarget(member.target(), t -> t.with(t.load().withUsage(job.account(), change, revocable)));
-        unitsByAccount = unitsByAccount.plus(job.account(), unitsUsedBy(job.account()) + change);
-    }
-
     RetryBudget retryBudget(String profile) {
         return retryBudgets.getOrDefault(profile, RetryBudget.FULL);
     }
--- a/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Membership.java
@@ -78,7 +78,7 @@
                     && fleet.target(id).load().paused().isEmpty();
             fleet = empty ? fleet.without(id) : fleet.with(fleet.target(id).withLeaving(true));
         }
-        draft.setFleet(fleet.withRacks());
+        draft.targets().setFleet(fleet.withRacks());
         reassignGuarantees();
     }
 
@@ -88,7 +88,7 @@
      */
     void applyLeavingList(Set<String> listed) {
         if (!listed.equals(draft.fleet().listedAsLeaving())) {
-            draft.setListedAsLeaving(listed);
+            draft.targets().setListedAsLeaving(listed);
         }
         Set<String> configured = draft
                 .active()
@@ -105,7 +105,7 @@
                 continue;
             }
             changed = true;
-            draft.changeTarget(target.id(), t -> t.withLeaving(leaving));
+            draft.targets().changeTarget(target.id(), t -> t.withLeaving(leaving));
             draft.note(PART, "target=" + target.id() + " leaving=" + leaving);
             if (leaving) {
                 evacuateTarget(target.id());
@@ -122,7 +122,7 @@
         if (target == null || target.reachable()) {
             return;
         }
-        draft.changeTarget(id, t -> t.withReachable(true));
+        draft.targets().changeTarget(id, t -> t.withReachable(true));
         draft.note(PART, "target=" + id + " reachable");
         retryUnassignedSlices();
     }
@@ -135,7 +135,7 @@
         if (target == null || !target.reachable()) {
             return;
         }
-        draft.changeTarget(id, t -> t.withReachable(false));
+        draft.targets().changeTarget(id, t -> t.withReachable(false));
         draft.note(PART, "target=" + id + " lost why=its lease lapsed");
         for (String job : target.load().paused()) {
             if (draft.job(job).phase() instanceof Phase.Paused paused) {
@@ -199,8 +199,8 @@
         SliceAssignment previous = draft.fleet().sliceAssignment();
         SliceAssignment next = SliceAssignment.assign(
                 draft.active().configuration(), draft.state().dataCentre(), capacities, previous);
-        draft.setFleet(draft.fleet().with(next));
-        draft.recheckClaims();
+        draft.targets().setFleet(draft.fleet().with(next));
+        draft.targets().recheckClaims();
         if (next.unassignedSlices() != previous.unassignedSlices()) {
             draft.note(
                     PART,
--- a/acacia-core/src/main/java/org/acaciaport/decision/PausedJobs.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/PausedJobs.java
@@ -34,7 +34,7 @@
             return;
         }
         draft.removePaused(job, only.target());
-        draft.occupy(job, paused.attempt());
+        draft.targets().occupy(job, paused.attempt());
         long runDeadline = draft.now() + paused.remainingMillis();
         draft.put(job.with(new Phase.Running(
                 paused.attempt(),
--- a/acacia-core/src/main/java/org/acaciaport/decision/Probation.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Probation.java
@@ -30,7 +30,7 @@
             return;
         }
         boolean probed = target.health().consecutiveProbations() > 0;
-        draft.changeTarget(id, t -> t.with(Health.HEALTHY));
+        draft.targets().changeTarget(id, t -> t.with(Health.HEALTHY));
         if (probed) {
             draft.note(PART, "target=" + id + " trusted again why=a task succeeded");
             new Membership(draft).retryUnassignedSlices();
@@ -51,7 +51,7 @@
             return;
         }
         Health health = target.health().withFailedRequest(job.id(), job.account());
-        draft.changeTarget(id, t -> t.with(health));
+        draft.targets().changeTarget(id, t -> t.with(health));
         int threshold = draft.policy().failuresForProbation();
         int required = health.countAffectedAccounts() > 1 ? threshold : threshold * SINGLE_ACCOUNT_FACTOR;
         if (health.accountsByFailedRequest().size() >= required) {
@@ -69,7 +69,7 @@
         for (String id : job.avoidedTargets()) {
             TargetState target = draft.fleet().target(id);
             if (target != null && target.health().accountsByFailedRequest().containsKey(job.id())) {
-                draft.changeTarget(id, t -> t.with(t.health().withoutFailedRequest(job.id())));
+                draft.targets().changeTarget(id, t -> t.with(t.health().withoutFailedRequest(job.id())));
             }
         }
     }
@@ -80,7 +80,7 @@
         if (target == null || !target.health().onProbation() || target.health().nextProbeAt() > draft.now()) {
             return;
         }
-        draft.changeTarget(id, t -> t.with(t.health().withProbeAllowed()));
+        draft.targets().changeTarget(id, t -> t.with(t.health().withProbeAllowed()));
         draft.note(PART, "target=" + id + " probed by its next task");
         draft.requestDispatch();
     }
@@ -90,7 +90,7 @@
                 draft.policy().maxProbeDelayMillis(),
                 draft.policy().initialProbeDelayMillis() << Math.min(probations - 1, MAX_DOUBLINGS));
         long at = draft.now() + delay;
-        draft.changeTarget(target.id(), t -> t.with(t.health().withProbation(probations, at)));
+        draft.targets().changeTarget(target.id(), t -> t.with(t.health().withProbation(probations, at)));
         draft.addTimer(at, Timer.Kind.PROBE, target.id(), 0);
         draft.note(
                 PART,
--- a/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Revoker.java
@@ -77,7 +77,8 @@
         if (running.revocation().isEmpty()) {
             for (Member member : running.attempt().members()) {
                 if (running.members().get(member.index()).occupiesAccelerators()) {
-                    draft.changeTarget(member.target(), t -> t.with(t.load().withRevoking(member.units())));
+                    draft.targets()
+                            .changeTarget(member.target(), t -> t.with(t.load().withRevoking(member.units())));
                 }
             }
         }
--- a/acacia-core/src/main/java/org/acaciaport/decision/RunTracker.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/RunTracker.java
@@ -48,7 +48,7 @@
             return;
         }
         boolean revoking = running.revocation().isPresent();
-        draft.vacate(changed, place, revoking);
+        draft.targets().vacate(changed, place, revoking);
         recordTargetHealth(changed, next, place, state);
         changed = draft.job(request);
         if (!next.occupiesAccelerators()) {
--- a/acacia-core/src/main/java/org/acaciaport/decision/Starter.java
+++ b/acacia-core/src/main/java/org/acaciaport/decision/Starter.java
@@ -25,7 +25,7 @@
     /** Occupies the places of {@code attempt} and begins the first step that the profile of {@code job} requires. */
     void begin(Job job, Attempt attempt) {
         draft.dequeue(job);
-        draft.occupy(job, attempt);
+        draft.targets().occupy(job, attempt);
         if (!draft.rules().requiresReservation(job.profile())) {
             commit(job, attempt);
             return;
@@ -129,7 +129,7 @@
     void releasePlaces(Job job, Attempt attempt) {
         for (Member member : attempt.members()) {
             draft.addCommand(new Command.Release(job.id(), attempt.number(), member));
-            draft.vacate(job, member, false);
+            draft.targets().vacate(job, member, false);
         }
     }
 
@@ -213,7 +213,7 @@
     /** Tracks an attempt whose starts an earlier leader may have sent, until its targets report on the members. */
     void resumeTracking(Job job, Attempt attempt) {
         draft.put(job);
-        draft.occupy(job, attempt);
+        draft.targets().occupy(job, attempt);
         track(job, attempt);
         boolean overcommitted = attempt.members().stream()
                 .anyMatch(m -> isOvercommitted(draft.fleet().target(m.target())));
