Reading on after a part of the records is no failure

Callers saw: states of jobs shown late or not at all, and calls refused because this node's copy of the jobs was not current, while the log answered every read.

Cause: a poll returned whether the sink had all records, and the consumer took a no for a failure of the log.

Change: a poll has one of three outcomes: current, behind, failed. Behind is followed by the next read at once, without a wait for new records. An answer without records although the topic goes on counts as failed, so that it is not repeated without a pause.

--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -12,8 +12,9 @@
  * Consumes one topic of the log and passes its records to a sink, in order.
  *
  * <p>Runs on its own thread. Starts from a snapshot, the newest record of each key, and takes another snapshot whenever
- * the log no longer has the next record. The first read after a failed one does not wait for new records, so that the
- * sink counts as current as soon as the log is available again. {@link #catchUp} is thread-safe.
+ * the log no longer has the next record. Reads on at once while an answer leaves records of the topic unread. A read
+ * waits for new records only if the one before it left none unread, so that the sink counts as current as soon as
+ * possible after a snapshot or a failed read. {@link #catchUp} is thread-safe.
  */
 final class TopicConsumer {
     private static final Logger LOG = Logger.getLogger(TopicConsumer.class);
@@ -48,6 +49,18 @@
      */
     record PollSettings(long waitMillis, long delayMillis) {}
 
+    /** The outcome of one poll. */
+    private sealed interface PollOutcome {
+        /** The sink has all records that were in the topic when the poll began. */
+        record Current() implements PollOutcome {}
+
+        /** The log answered, and more records were in the topic. */
+        record Behind() implements PollOutcome {}
+
+        /** There was no usable answer. */
+        record Failed() implements PollOutcome {}
+    }
+
     private final String topic;
     private final KeyedLog log;
     private final Sink sink;
@@ -82,16 +95,27 @@
     }
 
     private void run() {
+        boolean current = false;
         while (!stopped) {
-            boolean answered = poll(failing ? 0 : pollSettings.waitMillis());
-            setAnswering(answered);
-            long delay = answered ? currentDelayMillis : RETRY_DELAY_MILLIS;
+            PollOutcome outcome = poll(current ? pollSettings.waitMillis() : 0);
+            current = outcome instanceof PollOutcome.Current;
+            setAnswering(!(outcome instanceof PollOutcome.Failed));
+            long delay = delayAfter(outcome);
             if (delay > 0 && !Clocks.sleep(delay)) {
                 return;
             }
         }
     }
 
+    /** Returns the delay before the next read of this consumer's thread, in milliseconds. */
+    private long delayAfter(PollOutcome outcome) {
+        return switch (outcome) {
+            case PollOutcome.Current current -> currentDelayMillis;
+            case PollOutcome.Behind behind -> 0;
+            case PollOutcome.Failed failed -> RETRY_DELAY_MILLIS;
+        };
+    }
+
     private void setAnswering(boolean answered) {
         if (answered == failing) {
             failing = !answered;
@@ -107,24 +131,25 @@
     /** Reads up to the current end of the topic; returns false if that was not possible by {@code deadline}. */
     boolean catchUp(long deadline) {
         while (Clocks.millisUntil(deadline) > 0) {
-            if (poll(0)) {
+            PollOutcome outcome = poll(0);
+            if (outcome instanceof PollOutcome.Current) {
                 return true;
             }
-            if (!Clocks.sleep(RETRY_DELAY_MILLIS)) {
+            if (outcome instanceof PollOutcome.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
                 return false;
             }
         }
         return false;
     }
 
-    /** Reads once; returns whether the sink then has all records that were in the topic at the time of the call. */
-    private boolean poll(long waitMillis) {
+    /** Reads once, or loads a snapshot if one is needed. */
+    private PollOutcome poll(long waitMillis) {
         long from;
         synchronized (lock) {
             from = nextOffset;
         }
         if (from < 0) {
-            return loadSnapshot() && poll(0);
+            return loadSnapshot() ? new PollOutcome.Behind() : new PollOutcome.Failed();
         }
         ClockReading asOf = Clocks.now();
         return switch (log.read(
@@ -135,17 +160,17 @@
                 synchronized (lock) {
                     nextOffset = -1;
                 }
-                yield loadSnapshot() && poll(0);
+                yield new PollOutcome.Behind();
             }
             case ReadOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
-                yield false;
+                yield new PollOutcome.Failed();
             }
         };
     }
 
     /** Passes on the records that another thread has not passed on meanwhile. */
-    private boolean applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
+    private PollOutcome applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
         synchronized (lock) {
             List<KeyedRecord> records = read.records();
             for (int i = 0; i < records.size(); i++) {
@@ -154,11 +179,11 @@
                     nextOffset = from + i + 1;
                 }
             }
-            if (nextOffset < read.end()) {
-                return false;
+            if (nextOffset >= read.end()) {
+                sink.caughtUp(asOf, nextOffset);
+                return new PollOutcome.Current();
             }
-            sink.caughtUp(asOf, nextOffset);
-            return true;
+            return records.isEmpty() ? new PollOutcome.Failed() : new PollOutcome.Behind();
         }
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -29,6 +29,9 @@
     volatile Failure failure = Failure.NONE;
     volatile int calls;
 
+    /** Largest number of records that one read returns. */
+    volatile int maxReadRecords = Integer.MAX_VALUE;
+
     /** How long each read that did not fail was allowed to wait for new records, in milliseconds. */
     final List<Long> readWaits = new CopyOnWriteArrayList<>();
 
@@ -84,7 +87,8 @@
         if (from < first) {
             return new ReadOutcome.Expired(first);
         }
-        return new ReadOutcome.Records(records.size(), records.subList((int) from, records.size()));
+        int last = (int) Math.min(records.size(), from + maxReadRecords);
+        return new ReadOutcome.Records(records.size(), records.subList((int) from, last));
     }
 
     @Override
--- /dev/null
+++ b/acacia-node/src/test/java/org/acaciaport/node/TopicConsumerTest.java
@@ -0,0 +1,129 @@
+package org.acaciaport.node;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.ClockReading;
+import org.junit.jupiter.api.Test;
+
+/** Tests how a consumer reads a topic whose records take several reads, against an in-memory log. */
+final class TopicConsumerTest {
+    private static final String TOPIC = "jobs";
+
+    /** Longest time that a test waits for a consumer, in milliseconds. */
+    private static final long TEST_TIMEOUT_MILLIS = 3_000;
+
+    private final MemoryLog log = new MemoryLog();
+    private final RecordingSink sink = new RecordingSink();
+
+    /** A sink that keeps the keys that it is passed. */
+    private static final class RecordingSink implements TopicConsumer.Sink {
+        private final List<String> keys = new ArrayList<>();
+
+        @Override
+        public synchronized void reset() {
+            keys.clear();
+        }
+
+        @Override
+        public synchronized void apply(KeyedRecord record, long offset) {
+            keys.add(record.key());
+        }
+
+        @Override
+        public void caughtUp(ClockReading asOf, long nextOffset) {
+            // Only the records matter here.
+        }
+
+        synchronized List<String> keys() {
+            return List.copyOf(keys);
+        }
+    }
+
+    private void append(String key) {
+        log.append(
+                new Append(TOPIC, List.of(new KeyedRecord(key, new byte[1])), new Append.Always()),
+                Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS));
+    }
+
+    private List<String> appendKeys(int count) {
+        List<String> keys = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            keys.add("key-" + i);
+            append("key-" + i);
+        }
+        return keys;
+    }
+
+    private TopicConsumer newConsumer(TopicConsumer.PollSettings pollSettings) {
+        return new TopicConsumer(TOPIC, log, pollSettings, sink);
+    }
+
+    /**
+     * Guards against taking an answer that leaves records unread as a failure of the log: the consumer logged the log
+     * as lost and paused before each further read.
+     */
+    @Test
+    void aConsumerReadsOnAtOnceWhileRecordsAreLeft() throws Exception {
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(0, 10 * TEST_TIMEOUT_MILLIS));
+        log.maxReadRecords = 1;
+        consumer.catchUp(Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS));
+        List<String> keys = appendKeys(100);
+        try (LogCapture capture = LogCapture.of(TopicConsumer.class)) {
+            consumer.start();
+            assertTimeoutPreemptively(Duration.ofMillis(TEST_TIMEOUT_MILLIS), () -> awaitKeys(keys));
+            assertThat(capture.messagesContaining("outcome=lost")).isEmpty();
+        } finally {
+            consumer.stop();
+        }
+    }
+
+    private void awaitKeys(List<String> keys) {
+        while (!sink.keys().equals(keys)) {
+            Clocks.sleep(1);
+        }
+    }
+
+    @Test
+    void aCallerReadsOnAtOnceWhileRecordsAreLeft() {
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(0, 0));
+        log.maxReadRecords = 1;
+        consumer.catchUp(Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS));
+        List<String> keys = appendKeys(100);
+        assertThat(consumer.catchUp(Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS))).isTrue();
+        assertThat(sink.keys()).isEqualTo(keys);
+    }
+
+    /** Guards against reading without a pause when answers hold no records although the topic goes on. */
+    @Test
+    void answersWithoutTheRecordsThatExistAreFailures() {
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(0, 0));
+        consumer.catchUp(Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS));
+        append("key");
+        log.maxReadRecords = 0;
+        int before = log.calls;
+        assertThat(consumer.catchUp(Clocks.deadlineAfter(300))).isFalse();
+        assertThat(log.calls - before).isAtMost(10);
+    }
+
+    /** Guards against a topic without new records that counts as current only after the first wait for one. */
+    @Test
+    void theFirstReadAfterASnapshotDoesNotWaitForNewRecords() {
+        append("key");
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(TEST_TIMEOUT_MILLIS, 1));
+        consumer.start();
+        assertTimeoutPreemptively(Duration.ofMillis(TEST_TIMEOUT_MILLIS), () -> awaitKeys(List.of("key")));
+        while (log.readWaits.size() < 2) {
+            Clocks.sleep(1);
+        }
+        consumer.stop();
+        assertThat(log.readWaits.subList(0, 2))
+                .containsExactly(0L, TEST_TIMEOUT_MILLIS)
+                .inOrder();
+    }
+}
