Relayed reads do not wait for probes of the direct route

Callers saw: on a node whose calls the log leaves unanswered, calls about unknown jobs took up to 1.5 s although a peer relayed the reads at once.

Cause: while the direct route failed, the read that was due to probe it tried it first, for the whole of its timeout (up to 1.5 s after a few failures). The interval of 400 ms counted from the start of a probe, so the next read was often due again.

Change: with peers, the probe runs beside the read, one at a time, and the interval counts from its end. Without peers the read itself is the probe, as before.

Evidence, RouteProbeTest (a direct route that never answers, one peer, reads for 3 s) on the code before, two runs of two: relayedReadsDoNotWaitForProbes: expected to be less than: 700 but was: 1502 (1501 in the other run) The test also checks that the route is probed.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.acaciaport.log.Append;
@@ -38,6 +39,7 @@
     private volatile boolean directFails;
     private volatile boolean reachable = true;
     private volatile long nextProbeNanos;
+    private final AtomicBoolean probing = new AtomicBoolean();
 
     /** When a peer or the log last answered, on the monotonic clock, in nanoseconds. */
     private volatile long lastContactNanos = System.nanoTime();
@@ -73,20 +75,38 @@
         return !reachable && Clocks.millisUntil(lastContactNanos) < -ISOLATION_TIMEOUT_MILLIS;
     }
 
-    /** Returns the routes of a read in the order to try; a failing direct route is only probed at intervals. */
-    private List<Route> readRoutes() {
+    /**
+     * Returns the routes of a read in the order to try. While the direct route fails, peers are asked and the route is
+     * probed at intervals, in the background unless there is no peer.
+     *
+     * @param probe makes the read on the direct route
+     */
+    private List<Route> readRoutes(Runnable probe) {
         List<Route> routes = new ArrayList<>();
-        boolean probe = directFails && System.nanoTime() >= nextProbeNanos;
-        if (probe) {
-            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
-        }
-        if (!directFails || probe) {
+        if (!directFails) {
             routes.add(Route.DIRECT);
         }
         peers.candidates().forEach(peer -> routes.add(new Route(peer)));
+        if (directFails && System.nanoTime() - nextProbeNanos >= 0) {
+            if (routes.isEmpty()) {
+                nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+                routes.add(Route.DIRECT);
+            } else if (probing.compareAndSet(false, true)) {
+                Thread.ofVirtual().name("probe-log").start(() -> runProbe(probe));
+            }
+        }
         return routes;
     }
 
+    private void runProbe(Runnable probe) {
+        try {
+            probe.run();
+        } finally {
+            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+            probing.set(false);
+        }
+    }
+
     /** Returns the routes of an append in order; since callers wait for it, a failing direct route comes last. */
     private List<Route> appendRoutes() {
         List<Route> routes = new ArrayList<>();
@@ -228,7 +248,7 @@
 
     /** Returns the first answer of the log on any route, or null. */
     private <T> T firstAnswer(long waitMillis, long deadline, Call<T> call) {
-        for (Route route : readRoutes()) {
+        for (Route route : readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call))) {
             T outcome = call(route, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 setReachable(true);
