Callers that need the end of a topic share one read

Callers saw: on a node behind in the topic of the jobs, calls about jobs that it did not know were refused because its copy of the jobs was not current, the more of them at a time the surer.

Cause: each of these calls read the same records beside the others and beside the consumer's own thread, and on a slow link they took each other's time. A caller was also held beyond its deadline while its read lasted.

Change: reads that do not wait for new records are made one at a time. A caller shares the next read to begin after its call, never one in progress, so its result includes all that was in the topic when it called. The consumer's thread shares them too while it is behind. Reads run on a thread of their own, so a caller leaves at its deadline.

--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -1,6 +1,7 @@
 package org.acaciaport.node;
 
 import java.util.List;
+import java.util.Optional;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
@@ -14,7 +15,8 @@
  * <p>Runs on its own thread. Starts from a snapshot, the newest record of each key, and takes another snapshot whenever
  * the log no longer has the next record. Reads on at once while an answer leaves records of the topic unread. A read
  * waits for new records only if the one before it left none unread, so that the sink counts as current as soon as
- * possible after a snapshot or a failed read. {@link #catchUp} is thread-safe.
+ * possible after a snapshot or a failed read. {@link #catchUp} is thread-safe. Reads that do not wait for new records,
+ * those of callers included, are made one at a time.
  */
 final class TopicConsumer {
     private static final Logger LOG = Logger.getLogger(TopicConsumer.class);
@@ -22,6 +24,9 @@
     /** Timeout of a read beyond the time for which it waits for new records, in milliseconds. */
     private static final long READ_TIMEOUT_MARGIN_MILLIS = 2_500;
 
+    /** Longest time for which the consumer's thread waits for a shared read, in milliseconds. */
+    private static final long SHARED_READ_TIMEOUT_MILLIS = 10_000;
+
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 60;
 
@@ -67,6 +72,7 @@
     private final PollSettings pollSettings;
     private volatile long currentDelayMillis;
     private final Object lock = new Object();
+    private final SharedRead<PollOutcome> sharedPoll;
     private final Thread thread;
     private volatile boolean stopped;
 
@@ -82,6 +88,7 @@
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
         this.sink = sink;
+        sharedPoll = new SharedRead<>("catch-up-" + topic, () -> poll(0));
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -97,7 +104,7 @@
     private void run() {
         boolean current = false;
         while (!stopped) {
-            PollOutcome outcome = poll(current ? pollSettings.waitMillis() : 0);
+            PollOutcome outcome = current ? poll(pollSettings.waitMillis()) : pollOnce();
             current = outcome instanceof PollOutcome.Current;
             setAnswering(!(outcome instanceof PollOutcome.Failed));
             long delay = delayAfter(outcome);
@@ -107,6 +114,12 @@
         }
     }
 
+    private PollOutcome pollOnce() {
+        return sharedPoll
+                .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
+                .orElseGet(PollOutcome.Failed::new);
+    }
+
     /** Returns the delay before the next read of this consumer's thread, in milliseconds. */
     private long delayAfter(PollOutcome outcome) {
         return switch (outcome) {
@@ -131,11 +144,14 @@
     /** Reads up to the current end of the topic; returns false if that was not possible by {@code deadline}. */
     boolean catchUp(long deadline) {
         while (Clocks.millisUntil(deadline) > 0) {
-            PollOutcome outcome = poll(0);
-            if (outcome instanceof PollOutcome.Current) {
+            Optional<PollOutcome> outcome = sharedPoll.await(deadline);
+            if (outcome.isEmpty()) {
+                return false;
+            }
+            if (outcome.get() instanceof PollOutcome.Current) {
                 return true;
             }
-            if (outcome instanceof PollOutcome.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
+            if (outcome.get() instanceof PollOutcome.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
                 return false;
             }
         }
