--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -173,9 +173,7 @@
             case ReadOutcome.Records records -> applyRecords(records, from, asOf);
             case ReadOutcome.Expired expired -> {
                 LOG.infof("consume: topic=%s from=%s first=%s outcome=snapshot-needed", topic, from, expired.first());
-                synchronized (lock) {
-                    nextOffset = -1;
-                }
+                requestSnapshot(from);
                 yield new PollOutcome.Behind();
             }
             case ReadOutcome.Unavailable unavailable -> {
@@ -185,9 +183,19 @@
         };
     }
 
+    /** Requests a snapshot unless another thread has passed on records or requested one since {@code from}. */
+    private void requestSnapshot(long from) {
+        synchronized (lock) {
+            nextOffset = nextOffset == from ? -1 : nextOffset;
+        }
+    }
+
     /** Passes on the records that another thread has not passed on meanwhile. */
     private PollOutcome applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
         synchronized (lock) {
+            if (nextOffset < from) {
+                return new PollOutcome.Behind(); // A snapshot has been started since the read began.
+            }
             List<KeyedRecord> records = read.records();
             for (int i = 0; i < records.size(); i++) {
                 if (from + i >= nextOffset) {
--- a/acacia-node/src/test/java/org/acaciaport/node/TopicConsumerTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TopicConsumerTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.KeyedRecord;
-import org.acaciaport.pool.ClockReading;
 import org.junit.jupiter.api.Test;
 
 /** Tests how a consumer reads a topic whose records take several reads, against an in-memory log. */
@@ -21,30 +20,6 @@
     private final MemoryLog log = new MemoryLog();
     private final RecordingSink sink = new RecordingSink();
 
-    /** A sink that keeps the keys that it is passed. */
-    private static final class RecordingSink implements TopicConsumer.Sink {
-        private final List<String> keys = new ArrayList<>();
-
-        @Override
-        public synchronized void reset() {
-            keys.clear();
-        }
-
-        @Override
-        public synchronized void apply(KeyedRecord record, long offset) {
-            keys.add(record.key());
-        }
-
-        @Override
-        public void caughtUp(ClockReading asOf, long nextOffset) {
-            // Only the records matter here.
-        }
-
-        synchronized List<String> keys() {
-            return List.copyOf(keys);
-        }
-    }
-
     private void append(String key) {
         log.append(
                 new Append(TOPIC, List.of(new KeyedRecord(key, new byte[1])), new Append.Always()),
