A job read after its cancellation is cancelled in the pool too

Seen by callers: work of a job that they had cancelled.

The replica passed the cancellation on, the pool dropped it as it did not know the job, then took the job as new and ran it. Nothing cancelled it later: cancelling again is answered from the replica.

Change: the replica passes a cancellation that it already has on after its job. A listener that hears of a job hears of its cancellation too, in either order of reading.

Evidence: ReplicaTest.aCancelledJobOfASnapshotIsNotStarted (replica, consumer, log with expired records, pool) failed before with "unexpected (1): a; expected: [b] but was: [a, b]".

--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -27,7 +27,7 @@
         /** Called with each job that the replica did not have. */
         void submitted(Job job);
 
-        /** Called with each cancellation. */
+        /** Called with each cancellation, and again after its job if it was read before the job. */
         void cancelled(CancelRecord cancel);
     }
 
@@ -96,6 +96,9 @@
         update(id, entry.with(job));
         if (job != null && listener != null) {
             listener.submitted(job);
+            if (entry.cancel() != null) {
+                listener.cancelled(entry.cancel());
+            }
         }
     }
 
