A start is not sent while the stop of its run is unconfirmed

Seen by callers: a task of a job that they had cancelled started seconds later.

Cause: a start waits until its record is durable, which takes seconds while the log is slow for the leader, and an unanswered one is sent again for up to 1.5 s. If its job is cancelled meanwhile, the stop goes out at once, and a target that has it rejects the start. But a stop is sent once, with a timeout of 300 ms; if it is lost, nothing holds the start back, and the target runs it until a report shows the run.

Change: a session keeps each stop until the target confirms it, and sends no start of that run or an earlier one of the task until then; it reports the start as not made, so the pool gives the place free. After the confirmation the target rejects the start itself. The stops go with the incarnation and with the lease, as unanswered starts do.

Evidence: UnwantedRunTest.aStartReleasedAfterALostStopIsNotSent (pool, session and a target in memory that loses the stop) failed before with "expected to be empty but was: [a.0.0.0]".

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -1,8 +1,10 @@
 package org.acaciaport.node;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
 import org.jboss.logging.Logger;
@@ -16,6 +18,8 @@
  *   <li>Every command carries a fencing token of this term.
  *   <li>After a start command without an answer, the fencing token is incremented before its outcome is determined from
  *       a report, so that the target rejects a delayed copy of the command.
+ *   <li>A start command is not sent while a stop of that run, or of a later one of its task, is unconfirmed. Once a
+ *       stop is confirmed, the target rejects the start.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
@@ -94,6 +98,10 @@
     private final Events events;
     private final long baseFence;
     private final List<UnansweredStart> unansweredStarts = new ArrayList<>();
+
+    /** Stop commands that the target has not confirmed. */
+    private final Set<TargetCommand.Stop> unconfirmedStops = new LinkedHashSet<>();
+
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
 
@@ -252,6 +260,7 @@
                 incarnation = report.incarnation();
                 lastAcknowledgedEnd = 0;
                 lastReportedEnd = 0;
+                unconfirmedStops.clear();
                 lease.reset();
             }
             lease.recordReport(reported.clockMillis());
@@ -319,6 +328,7 @@
             leaseExpired = lease.isExpired();
             if (leaseExpired) {
                 unansweredStarts.clear();
+                unconfirmedStops.clear();
             }
         }
         events.unresponsive(id, EXCLUSION_MILLIS);
@@ -336,6 +346,10 @@
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
         synchronized (this) {
+            if (isStopped(start)) {
+                events.notStarted(start, "stopped", 0);
+                return;
+            }
             OptionalLong leaseEnd = lease.nextLeaseEndMillis();
             if (leaseEnd.isEmpty() || closed || !events.isLeading()) {
                 events.notStarted(start, "session not ready", 0);
@@ -355,6 +369,16 @@
         }
     }
 
+    /** Returns whether an unconfirmed stop concerns the run that {@code start} would start. */
+    private boolean isStopped(TargetCommand.Start start) {
+        for (TargetCommand.Stop stop : unconfirmedStops) {
+            if (stop.task().equals(start.task()) && stop.run() >= start.run()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Records an unanswered start, and increments the fencing token so that a delayed copy is rejected. */
     private synchronized void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
         LOG.infof(
@@ -400,6 +424,7 @@
     void stop(TargetCommand.Stop stop) {
         TargetCalls.Endpoint target;
         synchronized (this) {
+            unconfirmedStops.add(stop);
             target = endpoint;
         }
         if (!events.isLeading()) {
@@ -409,5 +434,23 @@
         LOG.infof(
                 "stop: request=%s task=%s run=%s target=%s outcome=%s",
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
+        if (isFinal(reply)) {
+            removeStop(stop);
+        }
+    }
+
+    /** Returns whether a stop with this reply need not be sent again. */
+    private static boolean isFinal(TargetCalls.CommandReply reply) {
+        return switch (reply) {
+            case TargetCalls.Done done -> true;
+            case TargetCalls.Refused refused ->
+                refused.reason() == TargetCalls.RefusalReason.OLD_RUN
+                        || refused.reason() == TargetCalls.RefusalReason.UNKNOWN_TASK;
+            case TargetCalls.NoAnswer none -> false;
+        };
+    }
+
+    private synchronized void removeStop(TargetCommand.Stop stop) {
+        unconfirmedStops.remove(stop);
     }
 }
--- /dev/null
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -0,0 +1,154 @@
+package org.acaciaport.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.acaciaport.pool.Batch;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.Pool;
+import org.acaciaport.pool.PoolSettings;
+import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.Step;
+import org.acaciaport.pool.TargetCommand;
+import org.acaciaport.pool.TargetInfo;
+import org.acaciaport.pool.TargetReport;
+import org.acaciaport.pool.TaskId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests that runs which are no longer wanted do not start, and end, although commands are lost or delayed. */
+final class UnwantedRunTest {
+    private static final long TIMEOUT_SECONDS = 20;
+    private static final String SERVICE = "render";
+    private static final TaskId TASK = new TaskId("a", 0, 0, 0);
+
+    private final MemoryTarget target = new MemoryTarget();
+    private final Pool pool = new Pool();
+    private final PoolEvents events = new PoolEvents();
+    private final TargetSession session = new TargetSession(
+            new TargetCalls.Endpoint("t", "host:1"),
+            target,
+            events,
+            1_000,
+            System.nanoTime() + TimeUnit.HOURS.toNanos(1));
+
+    @AfterEach
+    void closeSession() {
+        session.close();
+    }
+
+    /** Registers the target, waits for its report, and has the only task of a job placed; its record is pending. */
+    private Batch placeTask() {
+        Resources capacity = new Resources(32_000, 64_000, 8);
+        Step step =
+                new Step(1, new Resources(1_000, 1_000, 1), 5_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        Job job = new Job("a", "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+        synchronized (pool) {
+            pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of(SERVICE)));
+            pool.register(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
+        }
+        session.setOccupied(true);
+        await(() -> events.reports > 0);
+        synchronized (pool) {
+            pool.submit(job);
+            pool.schedule(Clocks.now());
+            return pool.takeBatch();
+        }
+    }
+
+    private void release(Batch batch) {
+        assertThat(batch.starts()).hasSize(1);
+        session.start(batch.starts().get(0));
+    }
+
+    /** Cancels the job and returns the stop command of its task. */
+    private TargetCommand.Stop cancelJob() {
+        synchronized (pool) {
+            pool.cancel("a", Clocks.now());
+            List<TargetCommand.Stop> stops = pool.takeStops();
+            assertThat(stops).hasSize(1);
+            return stops.get(0);
+        }
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
+            Clocks.sleep(1);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    /**
+     * Guards against starting a task seconds after its job was cancelled. The record of the start becomes durable only
+     * after the cancellation, and the stop command, which would make the target reject the start, is lost.
+     */
+    @Test
+    void aStartReleasedAfterALostStopIsNotSent() {
+        Batch batch = placeTask();
+        target.stopsToLose = Integer.MAX_VALUE;
+        session.stop(cancelJob());
+        release(batch);
+        assertThat(target.started).isEmpty();
+    }
+
+    /**
+     * Passes the events of the session to the pool as {@link Term} does. Stops that the pool issues after a report are
+     * not sent, so that only the session can repeat one.
+     */
+    private final class PoolEvents implements TargetSession.Events {
+        volatile int reports;
+        volatile boolean leading = true;
+
+        @Override
+        public void reported(TargetReport report) {
+            synchronized (pool) {
+                pool.handleReport(report, Clocks.now());
+                reports++;
+            }
+        }
+
+        @Override
+        public void started(TargetCommand.Start start) {
+            synchronized (pool) {
+                pool.handleStarted(start, Clocks.now());
+            }
+        }
+
+        @Override
+        public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {
+            synchronized (pool) {
+                pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now());
+            }
+        }
+
+        @Override
+        public void unresponsive(String id, long exclusionMillis) {
+            synchronized (pool) {
+                pool.exclude(id, exclusionMillis, Clocks.now());
+            }
+        }
+
+        @Override
+        public void leaseExpired(String id) {
+            synchronized (pool) {
+                pool.handleLeaseExpiry(id, Clocks.now());
+            }
+        }
+
+        @Override
+        public void deposed(String id) {
+            throw new AssertionError(id);
+        }
+
+        @Override
+        public boolean isLeading() {
+            return leading;
+        }
+    }
+}
