A session repeats a stop until the target confirms it

Seen by callers: a task ran on after its job was cancelled.

Cause: a stop was sent once. If it was lost, the next one waited for a report that showed the run more than 300 ms after the first, and reports are held back for up to 500 ms; if the session was asked to stop a run while the log did not confirm the term, nothing was sent at all.

Change: the session sends an unconfirmed stop again once its 300 ms have passed, on its own thread, after each report or attempt at one, and asks for reports at intervals of 80 ms meanwhile. It goes on until the target confirms, restarts, or its lease expires. Up to the first resend without effect, so that a target that is silent does not hold up its reports.

Evidence: UnwantedRunTest.aLostStopIsSentAgainUntilTheTargetConfirmsIt (three stops lost) and aStopIssuedWhileTheTermIsNotConfirmedIsSentOnceItIs failed before: no second stop within 20 s. In these tests the stops that the pool issues after reports are not sent, to show the session alone.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -1,10 +1,10 @@
 package org.acaciaport.node;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
 import org.jboss.logging.Logger;
@@ -41,8 +41,8 @@
     private static final long DURABLE_WAIT_MILLIS = 200;
 
     /**
-     * Pause after a failed report or while the term is not confirmed, and how long a target without room gets no new
-     * work, in milliseconds.
+     * Pause after a failed report, while the term is not confirmed or while a stop is unconfirmed, and how long a
+     * target without room gets no new work, in milliseconds.
      */
     private static final long PAUSE_MILLIS = 80;
 
@@ -99,8 +99,11 @@
     private final long baseFence;
     private final List<UnansweredStart> unansweredStarts = new ArrayList<>();
 
-    /** Stop commands that the target has not confirmed. */
-    private final Set<TargetCommand.Stop> unconfirmedStops = new LinkedHashSet<>();
+    /**
+     * Stop commands that the target has not confirmed, with the reading of the monotonic clock from which each is sent
+     * again, in nanoseconds.
+     */
+    private final Map<TargetCommand.Stop, Long> unconfirmedStops = new LinkedHashMap<>();
 
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
@@ -150,10 +153,15 @@
     }
 
     /**
-     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs or unanswered starts.
+     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs, or commands without an
+     * answer.
      */
     private boolean needsReport() {
-        return occupied || incarnation == 0 || lastReportedEnd > lastAcknowledgedEnd || !unansweredStarts.isEmpty();
+        return occupied
+                || incarnation == 0
+                || lastReportedEnd > lastAcknowledgedEnd
+                || !unansweredStarts.isEmpty()
+                || !unconfirmedStops.isEmpty();
     }
 
     /** Handles a registration; a new incarnation is confirmed by a report before it gets work. */
@@ -200,6 +208,7 @@
             if (!pollReport(waitMillis()) && !Clocks.sleep(PAUSE_MILLIS)) {
                 return;
             }
+            resendStops();
             awaitDurable();
         }
     }
@@ -209,9 +218,12 @@
         boolean idle = lease.isClockKnown()
                 && unansweredStarts.isEmpty()
                 && lastReportedEnd <= lastAcknowledgedEnd
-                && occupied
+                && (occupied || !unconfirmedStops.isEmpty())
                 && !unresponsive;
-        return idle ? REPORT_WAIT_MILLIS : 0;
+        if (!idle) {
+            return 0;
+        }
+        return unconfirmedStops.isEmpty() ? REPORT_WAIT_MILLIS : PAUSE_MILLIS;
     }
 
     /** Waits a limited time until the reported ended runs are acknowledged, so that the next report omits them. */
@@ -371,7 +383,7 @@
 
     /** Returns whether an unconfirmed stop concerns the run that {@code start} would start. */
     private boolean isStopped(TargetCommand.Start start) {
-        for (TargetCommand.Stop stop : unconfirmedStops) {
+        for (TargetCommand.Stop stop : unconfirmedStops.keySet()) {
             if (stop.task().equals(start.task()) && stop.run() >= start.run()) {
                 return true;
             }
@@ -420,15 +432,23 @@
         }
     }
 
-    /** Sends a stop command. If it is lost, the pool issues another one when a report still shows the run. */
+    /** Sends a stop command, again and again until the target confirms it. */
     void stop(TargetCommand.Stop stop) {
+        sendStop(stop);
+        synchronized (this) {
+            setOccupied(occupied);
+        }
+    }
+
+    /** Sends the stop if the term is confirmed; returns whether it is done with. */
+    private boolean sendStop(TargetCommand.Stop stop) {
         TargetCalls.Endpoint target;
         synchronized (this) {
-            unconfirmedStops.add(stop);
+            unconfirmedStops.put(stop, Clocks.deadlineAfter(COMMAND_TIMEOUT_MILLIS));
             target = endpoint;
         }
         if (!events.isLeading()) {
-            return;
+            return false;
         }
         TargetCalls.CommandReply reply = calls.stop(target, stop.task(), stop.run(), fence(), COMMAND_TIMEOUT_MILLIS);
         LOG.infof(
@@ -436,7 +456,28 @@
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
         if (isFinal(reply)) {
             removeStop(stop);
+            return true;
         }
+        return false;
+    }
+
+    /** Sends the unconfirmed stops that are due again, up to the first that has no effect. */
+    private void resendStops() {
+        for (TargetCommand.Stop stop : dueStops()) {
+            if (!sendStop(stop)) {
+                return;
+            }
+        }
+    }
+
+    private synchronized List<TargetCommand.Stop> dueStops() {
+        List<TargetCommand.Stop> due = new ArrayList<>();
+        unconfirmedStops.forEach((stop, resendNanos) -> {
+            if (System.nanoTime() - resendNanos >= 0) {
+                due.add(stop);
+            }
+        });
+        return due;
     }
 
     /** Returns whether a stop with this reply need not be sent again. */
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -97,6 +97,27 @@
         assertThat(target.started).isEmpty();
     }
 
+    /** Guards against runs of cancelled jobs that go on because their stop command was lost. */
+    @Test
+    void aLostStopIsSentAgainUntilTheTargetConfirmsIt() {
+        release(placeTask());
+        target.stopsToLose = 3;
+        session.stop(cancelJob());
+        await(() -> !target.stops.isEmpty());
+        assertThat(target.isRunning(TASK)).isFalse();
+    }
+
+    /** Guards against dropping a stop that is issued while the log does not confirm the term. */
+    @Test
+    void aStopIssuedWhileTheTermIsNotConfirmedIsSentOnceItIs() {
+        release(placeTask());
+        events.leading = false;
+        session.stop(cancelJob());
+        assertThat(target.stops).isEmpty();
+        events.leading = true;
+        await(() -> !target.stops.isEmpty());
+    }
+
     /**
      * Passes the events of the session to the pool as {@link Term} does. Stops that the pool issues after a report are
      * not sent, so that only the session can repeat one.
