A start decided for an earlier incarnation of a target is not sent

It shows as a task that runs twice, or as a task of a cancelled job that starts late.

Cause: a start waits until its record is durable. If its target restarts meanwhile under the same id, the pool requeues the task and places it again, and the restarted target has forgotten what it was told to stop. The session sent the old start to the restarted target all the same.

Change: a session sends a start only to the incarnation that it was decided for, at first and when it sends it again.

Evidence: UnwantedRunTest.aStartForAnEarlierIncarnationIsNotSent failed before with "expected to be empty but was: [a.0.0.0]".

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -20,6 +20,8 @@
  *       a report, so that the target rejects a delayed copy of the command.
  *   <li>A start command is not sent while a stop of that run, or of a later one of its task, is unconfirmed. Once a
  *       stop is confirmed, the target rejects the start.
+ *   <li>A start command is sent only to the incarnation of the target that it was decided for, since the pool requeues
+ *       the tasks of earlier ones.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
@@ -362,6 +364,10 @@
                 events.notStarted(start, "stopped", 0);
                 return;
             }
+            if (start.incarnation() != incarnation) {
+                events.notStarted(start, "another incarnation", 0);
+                return;
+            }
             OptionalLong leaseEnd = lease.nextLeaseEndMillis();
             if (leaseEnd.isEmpty() || closed || !events.isLeading()) {
                 events.notStarted(start, "session not ready", 0);
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -53,7 +53,7 @@
             pool.register(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
         }
         session.setOccupied(true);
-        await(() -> events.reports > 0);
+        await(() -> events.lastIncarnation == 1);
         synchronized (pool) {
             pool.submit(job);
             pool.schedule(Clocks.now());
@@ -118,19 +118,33 @@
         await(() -> !target.stops.isEmpty());
     }
 
+    /**
+     * Guards against a task that runs twice. The record of a start becomes durable only after the target has restarted
+     * and the pool has placed the task anew, so the pool neither expects nor stops the first run.
+     */
+    @Test
+    void aStartForAnEarlierIncarnationIsNotSent() {
+        Batch batch = placeTask();
+        target.restart();
+        session.announceIncarnation(2);
+        await(() -> events.lastIncarnation == 2);
+        release(batch);
+        assertThat(target.started).isEmpty();
+    }
+
     /**
      * Passes the events of the session to the pool as {@link Term} does. Stops that the pool issues after a report are
      * not sent, so that only the session can repeat one.
      */
     private final class PoolEvents implements TargetSession.Events {
-        volatile int reports;
+        volatile long lastIncarnation;
         volatile boolean leading = true;
 
         @Override
         public void reported(TargetReport report) {
             synchronized (pool) {
                 pool.handleReport(report, Clocks.now());
-                reports++;
+                lastIncarnation = report.incarnation();
             }
         }
 
