--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -17,7 +17,8 @@
 /**
  * This node's copy of the scheduler's own records in the log: jobs, nodes and the leader.
  *
- * <p>Thread-safe.
+ * <p>Thread-safe. A snapshot of the log replaces the earlier records as a whole once it is complete; until then, the
+ * earlier ones are shown. Only a listener hears of new jobs and cancellations while a snapshot is being read.
  */
 final class Replica implements TopicConsumer.Sink {
     private static final Logger LOG = Logger.getLogger(Replica.class);
@@ -39,19 +40,45 @@
      */
     record Leader(LeaderRecord record, long receivedNanos) {}
 
-    private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
-    private final Map<String, NodeRecord> nodes = new HashMap<>();
+    /**
+     * The records as of one moment.
+     *
+     * @param jobs the jobs by id
+     * @param nodes the nodes by name
+     * @param leader the latest leader record; null if there is none
+     * @param nextOffset offset of the next record of the log
+     */
+    private record Contents(
+            Map<String, JobEntry> jobs, Map<String, NodeRecord> nodes, Leader leader, long nextOffset) {}
+
+    private Map<String, JobEntry> jobs = new LinkedHashMap<>();
+    private Map<String, NodeRecord> nodes = new HashMap<>();
     private Leader leader;
+
+    /** The records before the snapshot that is being read; null if none is being read, or if it is the first. */
+    private Contents earlier;
+
     private Listener listener;
     private ClockReading asOf;
     private long nextOffset;
 
     @Override
     public synchronized void reset() {
-        jobs.clear();
-        nodes.clear();
+        if (earlier == null && asOf != null) {
+            earlier = current();
+        }
+        jobs = new LinkedHashMap<>();
+        nodes = new HashMap<>();
         leader = null;
-        asOf = null;
+    }
+
+    private Contents current() {
+        return new Contents(jobs, nodes, leader, nextOffset);
+    }
+
+    /** Returns the records to show: those before the snapshot while one is being read. */
+    private Contents shown() {
+        return earlier == null ? current() : earlier;
     }
 
     @Override
@@ -68,6 +95,7 @@
     public synchronized void caughtUp(ClockReading asOf, long nextOffset) {
         this.asOf = asOf;
         this.nextOffset = nextOffset;
+        earlier = null;
     }
 
     private void applyRecord(KeyedRecord record) throws IOException {
@@ -94,7 +122,7 @@
             return;
         }
         update(id, entry.with(job));
-        if (job != null && listener != null) {
+        if (job != null && listener != null && !hadJob(id)) {
             listener.submitted(job);
             if (entry.cancel() != null) {
                 listener.cancelled(entry.cancel());
@@ -102,6 +130,11 @@
         }
     }
 
+    /** Returns whether the replica had the job before the snapshot that is being read. */
+    private boolean hadJob(String id) {
+        return earlier != null && earlier.jobs().getOrDefault(id, JobEntry.NONE).job() != null;
+    }
+
     private void applyCancel(String id, CancelRecord cancel) {
         update(id, entry(id).with(cancel));
         if (cancel != null && listener != null) {
@@ -133,13 +166,13 @@
 
     /** Returns a job with its progress and cancellation, or null if the replica has no such job. */
     synchronized JobEntry find(String id) {
-        JobEntry entry = jobs.get(id);
+        JobEntry entry = shown().jobs().get(id);
         return entry == null || entry.job() == null ? null : entry;
     }
 
     /**
      * Returns the latest moment at which the replica is known to have been complete; null if the records have not been
-     * read completely yet, initially or after a reset.
+     * read completely yet.
      */
     synchronized ClockReading asOf() {
         return asOf;
@@ -147,22 +180,22 @@
 
     /** Returns the latest leader record, or null if there is none. */
     synchronized Leader leader() {
-        return leader;
+        return shown().leader();
     }
 
     /** Returns the offset of the next record of the log. */
     synchronized long nextOffset() {
-        return nextOffset;
+        return shown().nextOffset();
     }
 
     synchronized Collection<NodeRecord> nodes() {
-        return List.copyOf(nodes.values());
+        return List.copyOf(shown().nodes().values());
     }
 
     /** Returns how many jobs of {@code queue} have no started task. */
     synchronized long countPending(String queue) {
         long pending = 0;
-        for (JobEntry entry : jobs.values()) {
+        for (JobEntry entry : shown().jobs().values()) {
             if (entry.job() != null && entry.job().queue().equals(queue) && entry.state() == JobState.QUEUED) {
                 pending++;
             }
@@ -173,7 +206,16 @@
     /** Returns all jobs, and passes every later job and cancellation to {@code listener}. */
     synchronized List<JobEntry> attach(Listener listener) {
         this.listener = listener;
-        return new ArrayList<>(jobs.values());
+        Map<String, JobEntry> all = new LinkedHashMap<>(jobs);
+        if (earlier != null) {
+            earlier.jobs().forEach((id, entry) -> all.merge(id, entry, Replica::addCancellation));
+        }
+        return new ArrayList<>(all.values());
+    }
+
+    /** Returns {@code entry} with the cancellation of {@code read}, which a part of a snapshot contains, if any. */
+    private static JobEntry addCancellation(JobEntry read, JobEntry entry) {
+        return read.cancel() == null ? entry : entry.with(read.cancel());
     }
 
     /** Removes the listener. */
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -29,6 +30,9 @@
     volatile Failure failure = Failure.NONE;
     volatile int calls;
 
+    /** Called before each page of newest records, with the key after which the page starts. */
+    volatile Consumer<String> beforeNewest = after -> {};
+
     /** How long each read that did not fail was allowed to wait for new records, in milliseconds. */
     final List<Long> readWaits = new CopyOnWriteArrayList<>();
 
@@ -89,6 +93,7 @@
 
     @Override
     public synchronized NewestOutcome newest(String topic, String after, long deadline) {
+        beforeNewest.accept(after);
         if (failure == Failure.REFUSE) {
             return new NewestOutcome.Unavailable("refusing");
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,6 +10,8 @@
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.JobState;
 import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.PoolSettings;
 import org.acaciaport.pool.Resources;
@@ -23,6 +26,14 @@
     private static final String TOPIC = "jobs";
     private static final String SERVICE = "render";
 
+    private static final Replica.Listener NO_LISTENER = new Replica.Listener() {
+        @Override
+        public void submitted(Job job) {}
+
+        @Override
+        public void cancelled(CancelRecord cancel) {}
+    };
+
     private final MemoryLog log = new MemoryLog();
     private final Replica replica = new Replica();
     private final TopicConsumer jobConsumer =
@@ -88,4 +99,60 @@
         assertThat(jobConsumer.catchUp(deadline())).isTrue();
         assertThat(schedule().stream().map(start -> start.task().job())).containsExactly("b");
     }
+
+    /**
+     * Guards against running a job again after it has ended. The leader has removed it from its pool, but loads a
+     * snapshot before the deletion of its records is durable.
+     */
+    @Test
+    void aJobThatTheReplicaHadIsNotSubmittedAgainByASnapshot() {
+        attachPool();
+        append(JobRecords.encode(job("a")));
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        pool.removeJob("a");
+        append(JobRecords.encode(job("b")));
+        log.expireRecords();
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        assertThat(schedule().stream().map(start -> start.task().job())).containsExactly("b");
+    }
+
+    /** Loads a snapshot, and runs {@code action} before the page that starts after key {@code after}. */
+    private void loadSnapshot(String after, Runnable action) {
+        append(KeyedRecord.tombstone("other"));
+        log.expireRecords();
+        log.beforeNewest = start -> {
+            if (start.equals(after)) {
+                action.run();
+            }
+        };
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+    }
+
+    /** Guards against answering that an accepted job does not exist while a snapshot is being loaded. */
+    @Test
+    void aJobIsFoundWhileASnapshotIsLoaded() {
+        append(JobRecords.encode(job("a")), JobRecords.encode(job("b")));
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        List<JobEntry> found = new ArrayList<>();
+        loadSnapshot("job/a", () -> found.add(replica.find("b")));
+        assertThat(found).containsExactly(new JobEntry(job("b"), null, null));
+    }
+
+    /**
+     * Guards against a term that begins while a snapshot is being loaded, and takes a running job as a new one or
+     * misses a cancellation.
+     */
+    @Test
+    void aTermThatBeginsWhileASnapshotIsLoadedGetsWholeEntries() {
+        JobProgress.Task running = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
+        JobProgress progress = new JobProgress("a", JobState.RUNNING, 0, List.of(), List.of(running));
+        append(JobRecords.encode(job("a")), JobRecords.encode(progress));
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        CancelRecord cancel = new CancelRecord("a", 1);
+        append(JobRecords.encode(job("b")), JobRecords.encode(cancel));
+        List<JobEntry> attached = new ArrayList<>();
+        loadSnapshot("job/b", () -> attached.addAll(replica.attach(NO_LISTENER)));
+        assertThat(attached)
+                .containsExactly(new JobEntry(job("a"), progress, cancel), new JobEntry(job("b"), null, null));
+    }
 }
