Restoring a job ignores progress of tasks that it does not have

It would show as no scheduling at all: each term fails while it restores the pool, and the next one too.

Restoring progress of a step or index that the job lacks threw IndexOutOfBoundsException; progress of an occurrence beyond the schedule opened that occurrence, so its tasks would have been started.

Change: such progress is left out, with a warning. A run of such a task is stopped as a stray one when its target reports it.

Evidence: PoolTest.progressOfTasksThatTheJobDoesNotHaveIsIgnored failed before with "Index 1 out of bounds for length 1".

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -73,7 +73,7 @@
 
     /**
      * Adds a job with its persisted progress. Runs recorded in it count as active until a report or the expiry of the
-     * lease shows otherwise.
+     * lease shows otherwise. Progress of a task that the job does not have is ignored.
      */
     public void restore(Job job, JobProgress progress, ClockReading now) {
         JobExecution execution = new JobExecution(job);
@@ -87,6 +87,10 @@
     }
 
     private void restore(JobExecution execution, JobProgress.Task persisted, ClockReading now) {
+        if (!hasTask(execution.spec, persisted)) {
+            LOG.warnf("restore: request=%s outcome=ignored task=%s", execution.spec.id(), persisted);
+            return;
+        }
         StepExecution step = execution.occurrence(persisted.occurrence()).get(persisted.step());
         TaskExecution task = step.tasks.get(persisted.index());
         task.lastRun = persisted.lastRun();
@@ -104,6 +108,16 @@
         }
     }
 
+    private static boolean hasTask(Job job, JobProgress.Task task) {
+        return isIndex(task.occurrence(), job.occurrenceCount())
+                && isIndex(task.step(), job.steps().size())
+                && isIndex(task.index(), job.steps().get(task.step()).count());
+    }
+
+    private static boolean isIndex(int value, int size) {
+        return value >= 0 && value < size;
+    }
+
     /** Cancels a job and stops its runs. Has no effect if the job is unknown or has ended. */
     public void cancel(String id, ClockReading now) {
         JobExecution job = jobs.get(id);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -162,6 +162,27 @@
         assertThat(successor.starts.get(0).run()).isEqualTo(2);
     }
 
+    /**
+     * Guards against a term that cannot begin, and against starting tasks that the job does not have, when the progress
+     * in the log does not match the job.
+     */
+    @Test
+    void progressOfTasksThatTheJobDoesNotHaveIsIgnored() {
+        Job job = fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8));
+        List<JobProgress.Task> tasks = List.of(
+                new JobProgress.Task(1, 0, 0, 1, 0, false, "t1", 1, ""),
+                new JobProgress.Task(0, 1, 0, 1, 0, false, "t1", 1, ""),
+                new JobProgress.Task(0, 0, 1, 1, 0, false, "", 0, ""),
+                new JobProgress.Task(0, 0, 0, 1, 0, false, "", 0, ""));
+        fixture.pool.restore(job, new JobProgress("a", JobState.RUNNING, 0, List.of(), tasks), fixture.now());
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        fixture.schedulePass();
+        assertThat(fixture.running.keySet()).containsExactly(PoolFixture.taskId("a", 0));
+        fixture.endRun(PoolFixture.taskId("a", 0), TargetReport.EndReason.DONE);
+        assertThat(stateOf("a")).isEqualTo(JobState.DONE);
+    }
+
     @Test
     void aStrayRunIsStopped() {
         fixture.addTarget("t1", "r1");
