--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -0,0 +1,80 @@
+package org.acaciaport.node;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.acaciaport.pool.JobProgress;
+
+/**
+ * The scheduler's own records up to one offset of the log.
+ *
+ * <p>Mutable and not thread-safe; guarded by the lock of its {@link Replica}.
+ */
+final class ReplicaContents {
+    private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+
+    /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
+    private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
+
+    /** The nodes by name. */
+    final Map<String, NodeRecord> nodes = new HashMap<>();
+
+    /** The latest leader record; null if there is none. */
+    Replica.Leader leader;
+
+    /** Offset of the next record of the log. */
+    long nextOffset;
+
+    /** Returns what is known of a job, without the progress of its tasks; {@link JobEntry#NONE} if nothing is. */
+    JobEntry entry(String id) {
+        return jobs.getOrDefault(id, JobEntry.NONE);
+    }
+
+    /** Returns what is known of each job, without the progress of its tasks. */
+    Collection<JobEntry> entries() {
+        return jobs.values();
+    }
+
+    /** Returns what is known of each job, by id. */
+    Map<String, JobEntry> entriesWithTasks() {
+        Map<String, JobEntry> entries = new LinkedHashMap<>();
+        jobs.forEach((id, entry) ->
+                entries.put(id, entry.withTasks(tasks.getOrDefault(id, Map.of()).values())));
+        return entries;
+    }
+
+    /** Sets what is known of a job, apart from the progress of its tasks. */
+    void put(String id, JobEntry entry) {
+        if (entry.isEmpty()) {
+            jobs.remove(id);
+        } else {
+            jobs.put(id, entry);
+        }
+    }
+
+    /**
+     * Sets or, for null, removes the progress of a job. Builds that wrote no records of tasks wrote their progress with
+     * that of the job.
+     */
+    void putProgress(String id, JobProgress progress) {
+        put(id, entry(id).with(progress == null ? null : progress.withoutTasks()));
+        if (progress != null) {
+            progress.tasks().forEach(task -> putTask(JobRecords.taskKey(id, task), task));
+        }
+    }
+
+    /** Sets or, for null, removes the progress of a task. */
+    void putTask(String key, JobProgress.Task task) {
+        String id = JobRecords.jobOfTaskKey(key);
+        if (task != null) {
+            tasks.computeIfAbsent(id, job -> new HashMap<>()).put(key, task);
+            return;
+        }
+        Map<String, JobProgress.Task> remaining = tasks.getOrDefault(id, new HashMap<>());
+        remaining.remove(key);
+        if (remaining.isEmpty()) {
+            tasks.remove(id);
+        }
+    }
+}
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -32,6 +33,9 @@
     /** Largest number of records that one read returns. */
     volatile int maxReadRecords = Integer.MAX_VALUE;
 
+    /** Called before each page of newest records, with the key after which the page starts. */
+    volatile Consumer<String> beforeNewest = after -> {};
+
     /** How long each read that did not fail was allowed to wait for new records, in milliseconds. */
     final List<Long> readWaits = new CopyOnWriteArrayList<>();
 
@@ -93,6 +97,7 @@
 
     @Override
     public synchronized NewestOutcome newest(String topic, String after, long deadline) {
+        beforeNewest.accept(after);
         if (failure == Failure.REFUSE) {
             return new NewestOutcome.Unavailable("refusing");
         }
