--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -1,10 +1,7 @@
 package org.acaciaport.node;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.acaciaport.log.KeyedRecord;
@@ -17,7 +14,8 @@
 /**
  * This node's copy of the scheduler's own records in the log: jobs, nodes and the leader.
  *
- * <p>Thread-safe.
+ * <p>Thread-safe. A snapshot of the log replaces the earlier records as a whole once it is complete; until then, the
+ * earlier ones are shown. Only a listener hears of new jobs and cancellations while a snapshot is being read.
  */
 final class Replica implements TopicConsumer.Sink {
     private static final Logger LOG = Logger.getLogger(Replica.class);
@@ -27,7 +25,7 @@
         /** Called with each job that the replica did not have. */
         void submitted(Job job);
 
-        /** Called with each cancellation. */
+        /** Called with each cancellation, and again after its job if it was read before the job. */
         void cancelled(CancelRecord cancel);
     }
 
@@ -39,24 +37,26 @@
      */
     record Leader(LeaderRecord record, long receivedNanos) {}
 
-    private final Map<String, JobEntry> jobs = new LinkedHashMap<>();
+    /** The records read so far: all of them, or a part of the snapshot that is being read. */
+    private ReplicaContents contents = new ReplicaContents();
 
-    /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
-    private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
+    /** The records before the snapshot that is being read; null if none is being read, or if it is the first. */
+    private ReplicaContents earlier;
 
-    private final Map<String, NodeRecord> nodes = new HashMap<>();
-    private Leader leader;
     private Listener listener;
     private ClockReading asOf;
-    private long nextOffset;
 
     @Override
     public synchronized void reset() {
-        jobs.clear();
-        tasks.clear();
-        nodes.clear();
-        leader = null;
-        asOf = null;
+        if (earlier == null && asOf != null) {
+            earlier = contents;
+        }
+        contents = new ReplicaContents();
+    }
+
+    /** Returns the records to show: those before the snapshot while one is being read. */
+    private ReplicaContents shown() {
+        return earlier == null ? contents : earlier;
     }
 
     @Override
@@ -66,13 +66,14 @@
         } catch (IOException e) {
             LOG.errorf("log: key=%s offset=%s outcome=skipped reason=%s", record.key(), offset, e.getMessage());
         }
-        nextOffset = offset + 1;
+        contents.nextOffset = offset + 1;
     }
 
     @Override
     public synchronized void caughtUp(ClockReading asOf, long nextOffset) {
         this.asOf = asOf;
-        this.nextOffset = nextOffset;
+        contents.nextOffset = nextOffset;
+        earlier = null;
     }
 
     private void applyRecord(KeyedRecord record) throws IOException {
@@ -80,55 +81,42 @@
         if (key.startsWith(JobRecords.JOB_PREFIX)) {
             applyJob(key.substring(JobRecords.JOB_PREFIX.length()), decode(record, Job.class));
         } else if (key.startsWith(JobRecords.PROGRESS_PREFIX)) {
-            applyProgress(key.substring(JobRecords.PROGRESS_PREFIX.length()), decode(record, JobProgress.class));
+            String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
+            contents.putProgress(id, decode(record, JobProgress.class));
         } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
-            applyTask(key, decode(record, JobProgress.Task.class));
+            contents.putTask(key, decode(record, JobProgress.Task.class));
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
             NodeRecord node = JobRecords.decode(record, NodeRecord.class);
-            nodes.put(node.name(), node);
+            contents.nodes.put(node.name(), node);
         } else if (key.equals(JobRecords.LEADER_KEY) && !isTombstone(record)) {
-            leader = new Leader(JobRecords.decode(record, LeaderRecord.class), System.nanoTime());
+            contents.leader = new Leader(JobRecords.decode(record, LeaderRecord.class), System.nanoTime());
         }
     }
 
     /** Adds or, for null, removes a job. A repeated submission leaves the first in place. */
     private void applyJob(String id, Job job) {
-        JobEntry entry = entry(id);
+        JobEntry entry = contents.entry(id);
         if (job != null && entry.job() != null) {
             return;
         }
-        update(id, entry.with(job));
-        if (job != null && listener != null) {
+        contents.put(id, entry.with(job));
+        if (job != null && listener != null && !hadJob(id)) {
             listener.submitted(job);
+            if (entry.cancel() != null) {
+                listener.cancelled(entry.cancel());
+            }
         }
     }
 
-    /** Sets the progress of a job. Builds that wrote no records of tasks wrote their progress with that of the job. */
-    private void applyProgress(String id, JobProgress progress) {
-        update(id, entry(id).with(progress == null ? null : progress.withoutTasks()));
-        if (progress != null) {
-            progress.tasks().forEach(task -> applyTask(JobRecords.taskKey(id, task), task));
-        }
-    }
-
-    /** Sets or, for null, removes the progress of a task. */
-    private void applyTask(String key, JobProgress.Task task) {
-        String id = JobRecords.jobOfTaskKey(key);
-        if (task != null) {
-            tasks.computeIfAbsent(id, job -> new HashMap<>()).put(key, task);
-            return;
-        }
-        Map<String, JobProgress.Task> remaining = tasks.getOrDefault(id, new HashMap<>());
-        remaining.remove(key);
-        if (remaining.isEmpty()) {
-            tasks.remove(id);
-        }
+    /** Returns whether the replica had the job before the snapshot that is being read. */
+    private boolean hadJob(String id) {
+        return earlier != null && earlier.entry(id).job() != null;
     }
 
     private void applyCancel(String id, CancelRecord cancel) {
-        update(id, entry(id).with(cancel));
+        contents.put(id, contents.entry(id).with(cancel));
         if (cancel != null && listener != null) {
             listener.cancelled(cancel);
         }
@@ -144,27 +132,15 @@
         return record.value().length == 0;
     }
 
-    private JobEntry entry(String id) {
-        return jobs.getOrDefault(id, JobEntry.NONE);
-    }
-
-    private void update(String id, JobEntry entry) {
-        if (entry.isEmpty()) {
-            jobs.remove(id);
-        } else {
-            jobs.put(id, entry);
-        }
-    }
-
     /** Returns a job with its progress and cancellation, or null if the replica has no such job. */
     synchronized JobEntry find(String id) {
-        JobEntry entry = jobs.get(id);
-        return entry == null || entry.job() == null ? null : entry;
+        JobEntry entry = shown().entry(id);
+        return entry.job() == null ? null : entry;
     }
 
     /**
      * Returns the latest moment at which the replica is known to have been complete; null if the records have not been
-     * read completely yet, initially or after a reset.
+     * read completely yet.
      */
     synchronized ClockReading asOf() {
         return asOf;
@@ -172,22 +148,22 @@
 
     /** Returns the latest leader record, or null if there is none. */
     synchronized Leader leader() {
-        return leader;
+        return shown().leader;
     }
 
     /** Returns the offset of the next record of the log. */
     synchronized long nextOffset() {
-        return nextOffset;
+        return shown().nextOffset;
     }
 
     synchronized Collection<NodeRecord> nodes() {
-        return List.copyOf(nodes.values());
+        return List.copyOf(shown().nodes.values());
     }
 
     /** Returns how many jobs of {@code queue} have no started task. */
     synchronized long countPending(String queue) {
         long pending = 0;
-        for (JobEntry entry : jobs.values()) {
+        for (JobEntry entry : shown().entries()) {
             if (entry.job() != null && entry.job().queue().equals(queue) && entry.state() == JobState.QUEUED) {
                 pending++;
             }
@@ -195,13 +171,22 @@
         return pending;
     }
 
-    /** Returns all jobs with their tasks' progress, and passes every later job and cancellation to {@code listener}. */
+    /**
+     * Returns all jobs with the progress of their tasks, and passes every later job and cancellation to
+     * {@code listener}.
+     */
     synchronized List<JobEntry> attach(Listener listener) {
         this.listener = listener;
-        List<JobEntry> entries = new ArrayList<>();
-        jobs.forEach((id, entry) ->
-                entries.add(entry.withTasks(tasks.getOrDefault(id, Map.of()).values())));
-        return entries;
+        Map<String, JobEntry> all = contents.entriesWithTasks();
+        if (earlier != null) {
+            earlier.entriesWithTasks().forEach((id, entry) -> all.merge(id, entry, Replica::addCancellation));
+        }
+        return List.copyOf(all.values());
+    }
+
+    /** Returns {@code entry} with the cancellation of {@code read}, which a part of a snapshot contains, if any. */
+    private static JobEntry addCancellation(JobEntry read, JobEntry entry) {
+        return read.cancel() == null ? entry : entry.with(read.cancel());
     }
 
     /** Removes the listener. */
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -1,7 +1,9 @@
 package org.acaciaport.node;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -16,6 +18,10 @@
  *   <li>Every command carries a fencing token of this term.
  *   <li>After a start command without an answer, the fencing token is incremented before its outcome is determined from
  *       a report, so that the target rejects a delayed copy of the command.
+ *   <li>A start command is not sent while a stop of that run, or of a later one of its task, is unconfirmed. Once a
+ *       stop is confirmed, the target rejects the start.
+ *   <li>A start command is sent only to the incarnation of the target that it was decided for, since the pool requeues
+ *       the tasks of earlier ones.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
@@ -37,8 +43,8 @@
     private static final long DURABLE_WAIT_MILLIS = 200;
 
     /**
-     * Pause after a failed report or while the term is not confirmed, and how long a target without room gets no new
-     * work, in milliseconds.
+     * Pause after a failed report, while the term is not confirmed or while a stop is unconfirmed, and how long a
+     * target without room gets no new work, in milliseconds.
      */
     private static final long PAUSE_MILLIS = 80;
 
@@ -94,6 +100,13 @@
     private final Events events;
     private final long baseFence;
     private final List<UnansweredStart> unansweredStarts = new ArrayList<>();
+
+    /**
+     * Stop commands that the target has not confirmed, with the reading of the monotonic clock from which each is sent
+     * again, in nanoseconds.
+     */
+    private final Map<TargetCommand.Stop, Long> unconfirmedStops = new LinkedHashMap<>();
+
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
 
@@ -142,10 +155,15 @@
     }
 
     /**
-     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs or unanswered starts.
+     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs, or commands without an
+     * answer.
      */
     private boolean needsReport() {
-        return occupied || incarnation == 0 || lastReportedEnd > lastAcknowledgedEnd || !unansweredStarts.isEmpty();
+        return occupied
+                || incarnation == 0
+                || lastReportedEnd > lastAcknowledgedEnd
+                || !unansweredStarts.isEmpty()
+                || !unconfirmedStops.isEmpty();
     }
 
     /** Handles a registration; a new incarnation is confirmed by a report before it gets work. */
@@ -192,6 +210,7 @@
             if (!pollReport(waitMillis()) && !Clocks.sleep(PAUSE_MILLIS)) {
                 return;
             }
+            resendStops();
             awaitDurable();
         }
     }
@@ -201,9 +220,12 @@
         boolean idle = lease.isClockKnown()
                 && unansweredStarts.isEmpty()
                 && lastReportedEnd <= lastAcknowledgedEnd
-                && occupied
+                && (occupied || !unconfirmedStops.isEmpty())
                 && !unresponsive;
-        return idle ? REPORT_WAIT_MILLIS : 0;
+        if (!idle) {
+            return 0;
+        }
+        return unconfirmedStops.isEmpty() ? REPORT_WAIT_MILLIS : PAUSE_MILLIS;
     }
 
     /** Waits a limited time until the reported ended runs are acknowledged, so that the next report omits them. */
@@ -252,6 +274,7 @@
                 incarnation = report.incarnation();
                 lastAcknowledgedEnd = 0;
                 lastReportedEnd = 0;
+                unconfirmedStops.clear();
                 lease.reset();
             }
             lease.recordReport(reported.clockMillis());
@@ -319,6 +342,7 @@
             leaseExpired = lease.isExpired();
             if (leaseExpired) {
                 unansweredStarts.clear();
+                unconfirmedStops.clear();
             }
         }
         events.unresponsive(id, EXCLUSION_MILLIS);
@@ -336,6 +360,14 @@
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
         synchronized (this) {
+            if (isStopped(start)) {
+                events.notStarted(start, "stopped", 0);
+                return;
+            }
+            if (start.incarnation() != incarnation) {
+                events.notStarted(start, "another incarnation", 0);
+                return;
+            }
             OptionalLong leaseEnd = lease.nextLeaseEndMillis();
             if (leaseEnd.isEmpty() || closed || !events.isLeading()) {
                 events.notStarted(start, "session not ready", 0);
@@ -355,6 +387,16 @@
         }
     }
 
+    /** Returns whether an unconfirmed stop concerns the run that {@code start} would start. */
+    private boolean isStopped(TargetCommand.Start start) {
+        for (TargetCommand.Stop stop : unconfirmedStops.keySet()) {
+            if (stop.task().equals(start.task()) && stop.run() >= start.run()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Records an unanswered start, and increments the fencing token so that a delayed copy is rejected. */
     private synchronized void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
         LOG.infof(
@@ -396,18 +438,66 @@
         }
     }
 
-    /** Sends a stop command. If it is lost, the pool issues another one when a report still shows the run. */
+    /** Sends a stop command, again and again until the target confirms it. */
     void stop(TargetCommand.Stop stop) {
+        sendStop(stop);
+        synchronized (this) {
+            setOccupied(occupied);
+        }
+    }
+
+    /** Sends the stop if the term is confirmed; returns whether it is done with. */
+    private boolean sendStop(TargetCommand.Stop stop) {
         TargetCalls.Endpoint target;
         synchronized (this) {
+            unconfirmedStops.put(stop, Clocks.deadlineAfter(COMMAND_TIMEOUT_MILLIS));
             target = endpoint;
         }
         if (!events.isLeading()) {
-            return;
+            return false;
         }
         TargetCalls.CommandReply reply = calls.stop(target, stop.task(), stop.run(), fence(), COMMAND_TIMEOUT_MILLIS);
         LOG.infof(
                 "stop: request=%s task=%s run=%s target=%s outcome=%s",
                 stop.task().job(), stop.task(), stop.run(), id, reply.getClass().getSimpleName());
+        if (isFinal(reply)) {
+            removeStop(stop);
+            return true;
+        }
+        return false;
+    }
+
+    /** Sends the unconfirmed stops that are due again, up to the first that has no effect. */
+    private void resendStops() {
+        for (TargetCommand.Stop stop : dueStops()) {
+            if (!sendStop(stop)) {
+                return;
+            }
+        }
+    }
+
+    private synchronized List<TargetCommand.Stop> dueStops() {
+        List<TargetCommand.Stop> due = new ArrayList<>();
+        unconfirmedStops.forEach((stop, resendNanos) -> {
+            if (System.nanoTime() - resendNanos >= 0) {
+                due.add(stop);
+            }
+        });
+        return due;
+    }
+
+    /** Returns whether a stop with this reply need not be sent again. */
+    private static boolean isFinal(TargetCalls.CommandReply reply) {
+        return switch (reply) {
+            case TargetCalls.Done done -> true;
+            case TargetCalls.Refused refused ->
+                refused.reason() == TargetCalls.RefusalReason.OLD_RUN
+                        || refused.reason() == TargetCalls.RefusalReason.UNKNOWN_TASK;
+            case TargetCalls.NoAnswer none -> false;
+        };
+    }
+
+    private synchronized void removeStop(TargetCommand.Stop stop) {
+        unconfirmedStops.remove(stop);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -1,6 +1,7 @@
 package org.acaciaport.node;
 
 import java.util.List;
+import java.util.Optional;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
@@ -12,8 +13,10 @@
  * Consumes one topic of the log and passes its records to a sink, in order.
  *
  * <p>Runs on its own thread. Starts from a snapshot, the newest record of each key, and takes another snapshot whenever
- * the log no longer has the next record. The first read after a failed one does not wait for new records, so that the
- * sink counts as current as soon as the log is available again. {@link #catchUp} is thread-safe.
+ * the log no longer has the next record. Reads on at once while an answer leaves records of the topic unread. A read
+ * waits for new records only if the one before it left none unread, so that the sink counts as current as soon as
+ * possible after a snapshot or a failed read. {@link #catchUp} is thread-safe. Reads that do not wait for new records,
+ * those of callers included, are made one at a time.
  */
 final class TopicConsumer {
     private static final Logger LOG = Logger.getLogger(TopicConsumer.class);
@@ -21,6 +24,9 @@
     /** Timeout of a read beyond the time for which it waits for new records, in milliseconds. */
     private static final long READ_TIMEOUT_MARGIN_MILLIS = 2_500;
 
+    /** Longest time for which the consumer's thread waits for a shared read, in milliseconds. */
+    private static final long SHARED_READ_TIMEOUT_MILLIS = 10_000;
+
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 60;
 
@@ -48,12 +54,25 @@
      */
     record PollSettings(long waitMillis, long delayMillis) {}
 
+    /** The outcome of one poll. */
+    private sealed interface PollOutcome {
+        /** The sink has all records that were in the topic when the poll began. */
+        record Current() implements PollOutcome {}
+
+        /** The log answered, and more records were in the topic. */
+        record Behind() implements PollOutcome {}
+
+        /** There was no usable answer. */
+        record Failed() implements PollOutcome {}
+    }
+
     private final String topic;
     private final KeyedLog log;
     private final Sink sink;
     private final PollSettings pollSettings;
     private volatile long currentDelayMillis;
     private final Object lock = new Object();
+    private final SharedRead<PollOutcome> sharedPoll;
     private final Thread thread;
     private volatile boolean stopped;
 
@@ -69,6 +88,7 @@
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
         this.sink = sink;
+        sharedPoll = new SharedRead<>("catch-up-" + topic, () -> poll(0));
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -82,16 +102,33 @@
     }
 
     private void run() {
+        boolean current = false;
         while (!stopped) {
-            boolean answered = poll(failing ? 0 : pollSettings.waitMillis());
-            setAnswering(answered);
-            long delay = answered ? currentDelayMillis : RETRY_DELAY_MILLIS;
+            PollOutcome outcome = current ? poll(pollSettings.waitMillis()) : pollOnce();
+            current = outcome instanceof PollOutcome.Current;
+            setAnswering(!(outcome instanceof PollOutcome.Failed));
+            long delay = delayAfter(outcome);
             if (delay > 0 && !Clocks.sleep(delay)) {
                 return;
             }
         }
     }
 
+    private PollOutcome pollOnce() {
+        return sharedPoll
+                .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
+                .orElseGet(PollOutcome.Failed::new);
+    }
+
+    /** Returns the delay before the next read of this consumer's thread, in milliseconds. */
+    private long delayAfter(PollOutcome outcome) {
+        return switch (outcome) {
+            case PollOutcome.Current current -> currentDelayMillis;
+            case PollOutcome.Behind behind -> 0;
+            case PollOutcome.Failed failed -> RETRY_DELAY_MILLIS;
+        };
+    }
+
     private void setAnswering(boolean answered) {
         if (answered == failing) {
             failing = !answered;
@@ -107,24 +144,28 @@
     /** Reads up to the current end of the topic; returns false if that was not possible by {@code deadline}. */
     boolean catchUp(long deadline) {
         while (Clocks.millisUntil(deadline) > 0) {
-            if (poll(0)) {
+            Optional<PollOutcome> outcome = sharedPoll.await(deadline);
+            if (outcome.isEmpty()) {
+                return false;
+            }
+            if (outcome.get() instanceof PollOutcome.Current) {
                 return true;
             }
-            if (!Clocks.sleep(RETRY_DELAY_MILLIS)) {
+            if (outcome.get() instanceof PollOutcome.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
                 return false;
             }
         }
         return false;
     }
 
-    /** Reads once; returns whether the sink then has all records that were in the topic at the time of the call. */
-    private boolean poll(long waitMillis) {
+    /** Reads once, or loads a snapshot if one is needed. */
+    private PollOutcome poll(long waitMillis) {
         long from;
         synchronized (lock) {
             from = nextOffset;
         }
         if (from < 0) {
-            return loadSnapshot() && poll(0);
+            return loadSnapshot() ? new PollOutcome.Behind() : new PollOutcome.Failed();
         }
         ClockReading asOf = Clocks.now();
         return switch (log.read(
@@ -132,21 +173,29 @@
             case ReadOutcome.Records records -> applyRecords(records, from, asOf);
             case ReadOutcome.Expired expired -> {
                 LOG.infof("consume: topic=%s from=%s first=%s outcome=snapshot-needed", topic, from, expired.first());
-                synchronized (lock) {
-                    nextOffset = -1;
-                }
-                yield loadSnapshot() && poll(0);
+                requestSnapshot(from);
+                yield new PollOutcome.Behind();
             }
             case ReadOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
-                yield false;
+                yield new PollOutcome.Failed();
             }
         };
     }
 
+    /** Requests a snapshot unless another thread has passed on records or requested one since {@code from}. */
+    private void requestSnapshot(long from) {
+        synchronized (lock) {
+            nextOffset = nextOffset == from ? -1 : nextOffset;
+        }
+    }
+
     /** Passes on the records that another thread has not passed on meanwhile. */
-    private boolean applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
+    private PollOutcome applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
         synchronized (lock) {
+            if (nextOffset < from) {
+                return new PollOutcome.Behind(); // A snapshot has been started since the read began.
+            }
             List<KeyedRecord> records = read.records();
             for (int i = 0; i < records.size(); i++) {
                 if (from + i >= nextOffset) {
@@ -154,11 +203,11 @@
                     nextOffset = from + i + 1;
                 }
             }
-            if (nextOffset < read.end()) {
-                return false;
+            if (nextOffset >= read.end()) {
+                sink.caughtUp(asOf, nextOffset);
+                return new PollOutcome.Current();
             }
-            sink.caughtUp(asOf, nextOffset);
-            return true;
+            return records.isEmpty() ? new PollOutcome.Failed() : new PollOutcome.Behind();
         }
     }
 
