The delay of a claim counts from when a node could lead

Cause: all nodes saw a vacant leadership before the operators published a configuration, without which no node leads. So the delay of the small VMs had passed when it came, and one of them claimed first.

--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -82,11 +82,14 @@
         }
     }
 
-    /** Returns whether no leader was seen for as long as this node leaves the claim to nodes on larger VMs. */
+    /**
+     * Returns whether this node could lead and has seen no live leader for as long as it leaves the claim to nodes on
+     * larger VMs.
+     */
     private boolean hasWaitedToClaim() {
         Replica replica = dependencies.replica();
         ClockReading asOf = replica.asOf();
-        if (asOf == null || !hasNoLiveLeader(asOf)) {
+        if (asOf == null || dependencies.configuration().latest() == null || !hasNoLiveLeader(asOf)) {
             vacantSinceNanos = NOT_VACANT;
             return false;
         }
@@ -100,10 +103,6 @@
 
     /** Returns whether the log, read to its end, shows no live leader. */
     private boolean isLeadershipVacant() {
-        ClockReading asOf = dependencies.replica().asOf();
-        if (asOf == null || dependencies.configuration().latest() == null || !hasNoLiveLeader(asOf)) {
-            return false;
-        }
         Clocks.sleep(random.nextInt(MAX_JITTER_MILLIS));
         ClockReading readStart = Clocks.now();
         if (!jobConsumer.catchUp(Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS))) {
