--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -0,0 +1,120 @@
+package org.acaciaport.node;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import org.acaciaport.pool.Batch;
+import org.acaciaport.pool.ClockReading;
+import org.acaciaport.pool.TargetCommand;
+import org.acaciaport.pool.TargetInfo;
+
+/**
+ * The sessions of a term with its targets, and the registrations that they need.
+ *
+ * <p>Not thread-safe; confined to the thread of the term. Each command is sent on a thread of its own, since that waits
+ * for the target.
+ */
+final class TargetSessions {
+    /** Low-order bits of a fencing token, which a session increments within the term; the epoch is above them. */
+    private static final int FENCE_INCREMENT_BITS = 16;
+
+    private final Map<String, TargetSession> sessions = new HashMap<>();
+    private final Map<String, TargetInfo> registered = new HashMap<>();
+    private final TargetCalls calls;
+    private final TargetSession.Events events;
+    private final ExecutorService executor;
+    private final TermLoad load;
+    private final long baseFence;
+    private final long earlierLeasesEndNanos;
+    private final OrphanDetector orphanDetector;
+
+    /**
+     * Creates the sessions of the term {@code epoch}.
+     *
+     * @param earlierLeasesEndNanos when the leases of earlier leaders have expired, on the monotonic clock, in
+     *     nanoseconds
+     */
+    TargetSessions(
+            long epoch,
+            long earlierLeasesEndNanos,
+            TargetCalls calls,
+            TargetSession.Events events,
+            ExecutorService executor,
+            TermLoad load) {
+        this.baseFence = epoch << FENCE_INCREMENT_BITS;
+        this.earlierLeasesEndNanos = earlierLeasesEndNanos;
+        this.calls = calls;
+        this.events = events;
+        this.executor = executor;
+        this.load = load;
+        orphanDetector = new OrphanDetector(earlierLeasesEndNanos);
+    }
+
+    /** Returns the session of a target, created on first use; null if this term has seen no registration of it. */
+    private TargetSession getOrCreate(String id) {
+        TargetSession session = sessions.get(id);
+        TargetInfo info = registered.get(id);
+        if (session == null && info != null) {
+            TargetCalls.Endpoint endpoint = new TargetCalls.Endpoint(id, info.address());
+            session = new TargetSession(endpoint, calls, events, baseFence, earlierLeasesEndNanos);
+            sessions.put(id, session);
+        }
+        return session;
+    }
+
+    /** Adds or updates a registration; returns the earlier one, or null if there was none. */
+    TargetInfo register(TargetInfo info) {
+        TargetInfo previous = registered.put(info.id(), info);
+        TargetSession session = getOrCreate(info.id());
+        session.setEndpoint(new TargetCalls.Endpoint(info.id(), info.address()));
+        session.announceIncarnation(info.incarnation());
+        return previous;
+    }
+
+    /** Sends a start command, whose record must be durable; returns false if the address of the target is unknown. */
+    boolean start(TargetCommand.Start start) {
+        TargetSession session = getOrCreate(start.target());
+        if (session == null) {
+            return false;
+        }
+        dispatch(() -> session.start(start));
+        return true;
+    }
+
+    /** Sends a stop command; has no effect if the address of the target is unknown. */
+    void stop(TargetCommand.Stop stop) {
+        TargetSession session = getOrCreate(stop.target());
+        if (session != null) {
+            dispatch(() -> session.stop(stop));
+        }
+    }
+
+    private void dispatch(Runnable command) {
+        long releasedNanos = System.nanoTime();
+        executor.execute(() -> {
+            load.recordDispatch(releasedNanos);
+            command.run();
+        });
+    }
+
+    /** Lets a target forget ended runs, whose records must be durable. */
+    void acknowledge(String target, Batch.Acknowledgement acknowledgement) {
+        TargetSession session = getOrCreate(target);
+        if (session != null) {
+            session.acknowledge(acknowledgement.incarnation(), acknowledgement.upTo());
+        }
+    }
+
+    /** Polls the targets that may have runs, and returns those whose runs have ended because nobody can poll them. */
+    List<String> poll(Set<String> occupied, ClockReading now) {
+        occupied.forEach(this::getOrCreate);
+        sessions.forEach((id, session) -> session.setOccupied(occupied.contains(id)));
+        return orphanDetector.findExpired(occupied, sessions.keySet(), now);
+    }
+
+    void close() {
+        sessions.values().forEach(TargetSession::close);
+    }
+}
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -2,10 +2,8 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -53,24 +51,17 @@
 
     private static final long PURGE_INTERVAL_MILLIS = 5_000;
 
-    /** Low-order bits of a fencing token, which a session increments within the term; the epoch is above them. */
-    private static final int FENCE_INCREMENT_BITS = 16;
-
     private final LeaderRecord self;
     private final long epoch;
     private final LeaderLogWriter logWriter;
     private final Replica replica;
     private final ConfigurationView configuration;
-    private final TargetCalls calls;
     private final TopicConsumer registrationConsumer;
     private final Pool pool = new Pool();
     private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final TermLoad load;
-    private final Map<String, TargetSession> sessions = new HashMap<>();
-    private final Map<String, TargetInfo> registered = new HashMap<>();
+    private final TargetSessions sessions;
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-    private final long earlierLeasesEndNanos;
-    private final OrphanDetector orphanDetector;
     private final ProgressEncoder progressEncoder = new ProgressEncoder();
 
     /** Deletions of ended jobs for the next append. */
@@ -88,7 +79,6 @@
         this.logWriter = logWriter;
         this.replica = dependencies.replica();
         this.configuration = dependencies.configuration();
-        this.calls = dependencies.calls();
         TopicConsumer.PollSettings pollSettings = new TopicConsumer.PollSettings(0, REGISTRATION_POLL_INTERVAL_MILLIS);
         registrationConsumer = new TopicConsumer(
                 dependencies.topics().targets(),
@@ -96,10 +86,10 @@
                 pollSettings,
                 new RegistrationTracker(dependencies.targetDecoder(), this));
         ClockReading now = Clocks.now();
-        earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
-        orphanDetector = new OrphanDetector(earlierLeasesEndNanos);
         lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
+        long earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
+        sessions = new TargetSessions(epoch, earlierLeasesEndNanos, dependencies.calls(), this, executor, load);
     }
 
     /**
@@ -192,20 +182,13 @@
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
-        for (TargetCommand.Stop stop : pool.takeStops()) {
-            TargetSession session = getOrCreateSession(stop.target());
-            if (session != null) {
-                dispatch(() -> session.stop(stop));
-            }
-        }
+        pool.takeStops().forEach(sessions::stop);
         purge(now);
         if (!appendInFlight) {
             startAppend(now);
         }
         Set<String> occupied = new HashSet<>(pool.occupiedTargets());
-        occupied.forEach(this::getOrCreateSession);
-        orphanDetector.findExpired(occupied, sessions.keySet(), now).forEach(id -> pool.handleLeaseExpiry(id, now));
-        sessions.forEach((id, session) -> session.setOccupied(occupied.contains(id)));
+        sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, now));
         load.recordIteration(startNanos);
         load.reportIfDue(pool, Clocks.now());
     }
@@ -246,28 +229,11 @@
     /** Sends the start commands and acknowledgements that depended on the records of {@code batch}. */
     private void releaseBatch(Batch batch) {
         for (TargetCommand.Start start : batch.starts()) {
-            TargetSession session = getOrCreateSession(start.target());
-            if (session == null) {
+            if (!sessions.start(start)) {
                 pool.handleStartFailure(start, "no address", 0, Clocks.now());
-            } else {
-                dispatch(() -> session.start(start));
             }
         }
-        batch.acknowledgements().forEach((target, acknowledgement) -> {
-            TargetSession session = getOrCreateSession(target);
-            if (session != null) {
-                session.acknowledge(acknowledgement.incarnation(), acknowledgement.upTo());
-            }
-        });
-    }
-
-    /** Sends a command on a thread of its own, since that waits for the target. */
-    private void dispatch(Runnable command) {
-        long releasedNanos = System.nanoTime();
-        executor.execute(() -> {
-            load.recordDispatch(releasedNanos);
-            command.run();
-        });
+        batch.acknowledgements().forEach(sessions::acknowledge);
     }
 
     /** Removes ended jobs whose retention period has passed from the pool and the log. */
@@ -284,22 +250,10 @@
         }
     }
 
-    /** Returns the session of a target, created on first use; null if this term has seen no registration of it. */
-    private TargetSession getOrCreateSession(String id) {
-        TargetSession session = sessions.get(id);
-        TargetInfo info = registered.get(id);
-        if (session == null && info != null) {
-            TargetCalls.Endpoint endpoint = new TargetCalls.Endpoint(id, info.address());
-            session = new TargetSession(endpoint, calls, this, epoch << FENCE_INCREMENT_BITS, earlierLeasesEndNanos);
-            sessions.put(id, session);
-        }
-        return session;
-    }
-
     /** Adds or updates a registered target. */
     void register(TargetInfo info) {
         post(() -> {
-            TargetInfo previous = registered.put(info.id(), info);
+            TargetInfo previous = sessions.register(info);
             if (previous == null
                     || previous.draining() != info.draining()
                     || previous.incarnation() != info.incarnation()) {
@@ -308,9 +262,6 @@
                         info.id(), info.address(), info.dataCentre(), info.incarnation(), info.draining());
             }
             pool.register(info);
-            TargetSession session = getOrCreateSession(info.id());
-            session.setEndpoint(new TargetCalls.Endpoint(info.id(), info.address()));
-            session.announceIncarnation(info.incarnation());
         });
     }
 
@@ -399,7 +350,7 @@
         registrationConsumer.stop();
         replica.detach();
         configuration.setListener(() -> {});
-        sessions.values().forEach(TargetSession::close);
+        sessions.close();
         executor.shutdownNow();
     }
 }
