--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -12,11 +12,13 @@
 /**
  * Consumes one topic of the log and passes its records to a sink, in order.
  *
- * <p>Runs on its own thread. Starts from a snapshot, the newest record of each key, and takes another snapshot whenever
- * the log no longer has the next record. Reads on at once while an answer leaves records of the topic unread. A read
- * waits for new records only if the one before it left none unread, so that the sink counts as current as soon as
- * possible after a snapshot or a failed read. {@link #catchUp} is thread-safe. Reads that do not wait for new records,
- * those of callers included, are made one at a time.
+ * <p>Starts from a snapshot, the newest record of each key, and takes another snapshot whenever the log no longer has
+ * the next record. A snapshot goes on after a failed page. Reads on at once while an answer leaves records of the topic
+ * unread. A read waits for new records only if the one before it left none unread, so that the sink counts as current
+ * as soon as possible after a snapshot or a failed read.
+ *
+ * <p>Runs on its own thread. {@link #catchUp} is thread-safe. Reads that do not wait for new records, those of callers
+ * included, are made one at a time.
  */
 final class TopicConsumer {
     private static final Logger LOG = Logger.getLogger(TopicConsumer.class);
@@ -54,31 +56,42 @@
      */
     record PollSettings(long waitMillis, long delayMillis) {}
 
-    /** The outcome of one poll. */
-    private sealed interface PollOutcome {
-        /** The sink has all records that were in the topic when the poll began. */
-        record Current() implements PollOutcome {}
+    /** What one read achieved. */
+    private sealed interface ReadProgress {
+        /** The sink has all records that were in the topic when the read began. */
+        record Current() implements ReadProgress {}
 
         /** The log answered, and more records were in the topic. */
-        record Behind() implements PollOutcome {}
+        record Behind() implements ReadProgress {}
 
         /** There was no usable answer. */
-        record Failed() implements PollOutcome {}
+        record Failed() implements ReadProgress {}
     }
 
+    /**
+     * How far a snapshot has been passed on.
+     *
+     * @param after the last key passed on
+     * @param end the offset at which the topic ended when the first page was read
+     */
+    private record SnapshotPosition(String after, long end) {}
+
     private final String topic;
     private final KeyedLog log;
     private final Sink sink;
     private final PollSettings pollSettings;
     private volatile long currentDelayMillis;
     private final Object lock = new Object();
-    private final SharedRead<PollOutcome> sharedPoll;
+    private final SharedRead<ReadProgress> sharedRead;
     private final Thread thread;
     private volatile boolean stopped;
 
     /** Offset of the next record; -1 while a snapshot is needed. */
     private long nextOffset = -1;
 
+    /** How far a snapshot has been passed on; null if none has been started. */
+    private SnapshotPosition snapshotPosition;
+
     /** Whether the last read of this consumer's thread failed. */
     private boolean failing;
 
@@ -88,7 +101,7 @@
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
         this.sink = sink;
-        sharedPoll = new SharedRead<>("catch-up-" + topic, () -> poll(0));
+        sharedRead = new SharedRead<>("catch-up-" + topic, this::readOn);
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -104,9 +117,9 @@
     private void run() {
         boolean current = false;
         while (!stopped) {
-            PollOutcome outcome = current ? poll(pollSettings.waitMillis()) : pollOnce();
-            current = outcome instanceof PollOutcome.Current;
-            setAnswering(!(outcome instanceof PollOutcome.Failed));
+            ReadProgress outcome = current ? readRecords(pollSettings.waitMillis()) : awaitSharedRead();
+            current = outcome instanceof ReadProgress.Current;
+            setAnswering(!(outcome instanceof ReadProgress.Failed));
             long delay = delayAfter(outcome);
             if (delay > 0 && !Clocks.sleep(delay)) {
                 return;
@@ -114,18 +127,18 @@
         }
     }
 
-    private PollOutcome pollOnce() {
-        return sharedPoll
+    private ReadProgress awaitSharedRead() {
+        return sharedRead
                 .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
-                .orElseGet(PollOutcome.Failed::new);
+                .orElseGet(ReadProgress.Failed::new);
     }
 
     /** Returns the delay before the next read of this consumer's thread, in milliseconds. */
-    private long delayAfter(PollOutcome outcome) {
+    private long delayAfter(ReadProgress outcome) {
         return switch (outcome) {
-            case PollOutcome.Current current -> currentDelayMillis;
-            case PollOutcome.Behind behind -> 0;
-            case PollOutcome.Failed failed -> RETRY_DELAY_MILLIS;
+            case ReadProgress.Current current -> currentDelayMillis;
+            case ReadProgress.Behind behind -> 0;
+            case ReadProgress.Failed failed -> RETRY_DELAY_MILLIS;
         };
     }
 
@@ -144,28 +157,35 @@
     /** Reads up to the current end of the topic; returns false if that was not possible by {@code deadline}. */
     boolean catchUp(long deadline) {
         while (Clocks.millisUntil(deadline) > 0) {
-            Optional<PollOutcome> outcome = sharedPoll.await(deadline);
+            Optional<ReadProgress> outcome = sharedRead.await(deadline);
             if (outcome.isEmpty()) {
                 return false;
             }
-            if (outcome.get() instanceof PollOutcome.Current) {
+            if (outcome.get() instanceof ReadProgress.Current) {
                 return true;
             }
-            if (outcome.get() instanceof PollOutcome.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
+            if (outcome.get() instanceof ReadProgress.Failed && !Clocks.sleep(RETRY_DELAY_MILLIS)) {
                 return false;
             }
         }
         return false;
     }
 
-    /** Reads once, or loads a snapshot if one is needed. */
-    private PollOutcome poll(long waitMillis) {
-        long from;
+    private long nextOffset() {
         synchronized (lock) {
-            from = nextOffset;
+            return nextOffset;
         }
+    }
+
+    /** Reads records without a wait for new ones, or a page if a snapshot is needed. Called by one thread at a time. */
+    private ReadProgress readOn() {
+        return nextOffset() < 0 ? loadPage() : readRecords(0);
+    }
+
+    private ReadProgress readRecords(long waitMillis) {
+        long from = nextOffset();
         if (from < 0) {
-            return loadSnapshot() ? new PollOutcome.Behind() : new PollOutcome.Failed();
+            return new ReadProgress.Behind();
         }
         ClockReading asOf = Clocks.now();
         return switch (log.read(
@@ -174,11 +194,11 @@
             case ReadOutcome.Expired expired -> {
                 LOG.infof("consume: topic=%s from=%s first=%s outcome=snapshot-needed", topic, from, expired.first());
                 requestSnapshot(from);
-                yield new PollOutcome.Behind();
+                yield new ReadProgress.Behind();
             }
             case ReadOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
-                yield new PollOutcome.Failed();
+                yield new ReadProgress.Failed();
             }
         };
     }
@@ -191,10 +211,10 @@
     }
 
     /** Passes on the records that another thread has not passed on meanwhile. */
-    private PollOutcome applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
+    private ReadProgress applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
         synchronized (lock) {
             if (nextOffset < from) {
-                return new PollOutcome.Behind(); // A snapshot has been started since the read began.
+                return new ReadProgress.Behind(); // A snapshot has been started since the read began.
             }
             List<KeyedRecord> records = read.records();
             for (int i = 0; i < records.size(); i++) {
@@ -205,43 +225,55 @@
             }
             if (nextOffset >= read.end()) {
                 sink.caughtUp(asOf, nextOffset);
-                return new PollOutcome.Current();
+                return new ReadProgress.Current();
             }
-            return records.isEmpty() ? new PollOutcome.Failed() : new PollOutcome.Behind();
+            return records.isEmpty() ? new ReadProgress.Failed() : new ReadProgress.Behind();
         }
     }
 
     /**
-     * Passes on a snapshot if one is needed; returns false if the log did not answer.
+     * Reads and passes on the next page of a snapshot. Called by one thread at a time.
      *
      * <p>Records at or after the end of the first page are left out: they are read from the topic afterwards.
      */
-    private boolean loadSnapshot() {
+    private ReadProgress loadPage() {
+        SnapshotPosition position;
         synchronized (lock) {
-            if (nextOffset >= 0) {
-                return true;
+            position = snapshotPosition;
+        }
+        String after = position == null ? "" : position.after();
+        return switch (log.newest(topic, after, Clocks.deadlineAfter(READ_TIMEOUT_MARGIN_MILLIS))) {
+            case NewestOutcome.Page page -> applyPage(page, position);
+            case NewestOutcome.Unavailable unavailable -> {
+                LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
+                yield new ReadProgress.Failed();
             }
-            sink.reset();
-            String after = "";
-            long end = -1;
-            while (true) {
-                NewestOutcome outcome = log.newest(topic, after, Clocks.deadlineAfter(READ_TIMEOUT_MARGIN_MILLIS));
-                if (!(outcome instanceof NewestOutcome.Page page)) {
-                    return false;
-                }
-                end = end < 0 ? page.end() : end;
-                for (NewestOutcome.Item item : page.items()) {
-                    after = item.record().key();
-                    if (item.offset() < end) {
-                        sink.apply(item.record(), item.offset());
-                    }
-                }
-                if (!page.more()) {
-                    break;
+        };
+    }
+
+    /** Passes on the page after {@code position}, which is null for the first page. */
+    private ReadProgress applyPage(NewestOutcome.Page page, SnapshotPosition position) {
+        if (page.more() && page.items().isEmpty()) {
+            return new ReadProgress.Failed();
+        }
+        long end = position == null ? page.end() : position.end();
+        synchronized (lock) {
+            if (position == null) {
+                sink.reset();
+            }
+            for (NewestOutcome.Item item : page.items()) {
+                if (item.offset() < end) {
+                    sink.apply(item.record(), item.offset());
                 }
             }
-            nextOffset = end;
-            return true;
+            if (page.more()) {
+                String last = page.items().getLast().record().key();
+                snapshotPosition = new SnapshotPosition(last, end);
+            } else {
+                snapshotPosition = null;
+                nextOffset = end;
+            }
         }
+        return new ReadProgress.Behind();
     }
 }
--- a/acacia-node/src/test/java/org/acaciaport/node/SnapshotTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/SnapshotTest.java
@@ -87,6 +87,33 @@
         return keys;
     }
 
+    /** Guards against starting again from the first page after each failed one, so that a long snapshot never ends. */
+    @Test
+    void aSnapshotGoesOnAfterAFailedPage() {
+        List<String> keys = appendKeys(10);
+        failingPages = page -> page % 3 == 0;
+        TopicConsumer consumer = newConsumer(0);
+        assertThat(consumer.catchUp(testDeadline())).isTrue();
+        assertThat(sink.keys()).isEqualTo(keys);
+        assertThat(sink.resets()).isEqualTo(1);
+    }
+
+    /** Guards against a snapshot that goes on with records that have expired since its first page. */
+    @Test
+    void aSnapshotStartsAgainWhenTheLogHasExpiredMeanwhile() {
+        List<String> keys = appendKeys(5);
+        failingPages = page -> page > 2;
+        TopicConsumer consumer = newConsumer(0);
+        assertThat(consumer.catchUp(Clocks.deadlineAfter(200))).isFalse();
+        append("key-5");
+        keys.add("key-5");
+        append("key-0");
+        memoryLog.expireRecords();
+        failingPages = page -> false;
+        assertThat(consumer.catchUp(testDeadline())).isTrue();
+        assertThat(sink.keysWhenCaughtUp()).containsExactlyElementsIn(keys);
+    }
+
     /**
      * Guards against a sink that counts as complete with a part of a snapshot, because the answer of a read from before
      * the snapshot came while the snapshot was incomplete.
