--- a/acacia-node/src/main/java/org/acaciaport/node/AdaptiveTimeout.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/AdaptiveTimeout.java
@@ -4,7 +4,7 @@
  * A timeout for calls that adapts to the durations of earlier calls.
  *
  * <p>It is a multiple of the moving average of the durations, within bounds, and doubles after each call that timed
- * out. Thread-safe.
+ * out. A fixed allowance for the transfer of a long answer is added. Thread-safe.
  */
 final class AdaptiveTimeout {
     private static final long MIN_MILLIS = 300;
@@ -23,8 +23,23 @@
     /** Lower bound of the timeout after calls that timed out, in milliseconds. */
     private long backoffMillis;
 
+    private final long transferMillis;
+
+    /**
+     * Creates a timeout.
+     *
+     * @param transferMillis allowance for the transfer of an answer, in milliseconds
+     */
+    AdaptiveTimeout(long transferMillis) {
+        this.transferMillis = transferMillis;
+    }
+
     /** Returns the timeout of the next call, in milliseconds. */
     synchronized long currentMillis() {
+        return transferMillis + withoutTransferMillis();
+    }
+
+    private long withoutTransferMillis() {
         long fromAverage = (long) (DURATION_FACTOR * averageMillis);
         return Math.min(MAX_MILLIS, Math.max(Math.max(MIN_MILLIS, fromAverage), backoffMillis));
     }
@@ -37,6 +52,6 @@
 
     /** Records a call that timed out, and doubles the timeout of the next one. */
     synchronized void recordTimeout() {
-        backoffMillis = Math.min(MAX_MILLIS, 2 * currentMillis());
+        backoffMillis = Math.min(MAX_MILLIS, 2 * withoutTransferMillis());
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -32,10 +32,13 @@
     /** Time without an answer from the log or a peer after which this node counts as isolated, in milliseconds. */
     private static final long ISOLATION_TIMEOUT_MILLIS = 1_000;
 
+    /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
+    private static final long PAGE_TRANSFER_MILLIS = 2_000;
+
     private final KeyedLog direct;
     private final Peers peers;
-    private final AdaptiveTimeout directTimeout = new AdaptiveTimeout();
-    private final AdaptiveTimeout peerTimeout = new AdaptiveTimeout();
+    private final Timeouts callTimeouts = Timeouts.of(0);
+    private final Timeouts pageTimeouts = Timeouts.of(PAGE_TRANSFER_MILLIS);
     private volatile boolean directFails;
     private volatile boolean reachable = true;
     private volatile long nextProbeNanos;
@@ -62,6 +65,18 @@
         }
     }
 
+    /** The timeouts of one kind of call on the direct route and through a peer. */
+    private record Timeouts(AdaptiveTimeout direct, AdaptiveTimeout peer) {
+        /** Returns timeouts with an allowance for the transfer on one link; a relayed answer passes two. */
+        static Timeouts of(long transferMillis) {
+            return new Timeouts(new AdaptiveTimeout(transferMillis), new AdaptiveTimeout(2 * transferMillis));
+        }
+
+        AdaptiveTimeout on(Route route) {
+            return route.isDirect() ? direct : peer;
+        }
+    }
+
     /**
      * Returns whether the latest call reached the log on some route. Also false between the first failure of the direct
      * route and the first successful relayed call.
@@ -77,9 +92,9 @@
 
     /**
      * Returns the routes of a read in the order to try. While the direct route fails, peers are asked and the route is
-     * probed at intervals, in the background unless there is no peer.
+     * probed at intervals, in the background if possible.
      *
-     * @param probe makes the read on the direct route
+     * @param probe makes the read on the direct route; null if it is too long for a probe in the background
      */
     private List<Route> readRoutes(Runnable probe) {
         List<Route> routes = new ArrayList<>();
@@ -88,7 +103,7 @@
         }
         peers.candidates().forEach(peer -> routes.add(new Route(peer)));
         if (directFails && System.nanoTime() - nextProbeNanos >= 0) {
-            if (routes.isEmpty()) {
+            if (probe == null || routes.isEmpty()) {
                 nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
                 routes.add(Route.DIRECT);
             } else if (probing.compareAndSet(false, true)) {
@@ -121,7 +136,7 @@
      * @param waitMillis how long the log may hold back the answer, in milliseconds
      */
     private <T> T call(Route route, long waitMillis, long deadline, Call<T> call) {
-        AdaptiveTimeout timeout = route.isDirect() ? directTimeout : peerTimeout;
+        AdaptiveTimeout timeout = call.timeouts().on(route);
         long timeoutMillis = Math.max(1, Math.min(waitMillis + timeout.currentMillis(), Clocks.millisUntil(deadline)));
         long startNanos = System.nanoTime();
         T outcome = route.isDirect()
@@ -151,12 +166,18 @@
     /**
      * A call of the log that can be made directly or through a peer.
      *
+     * @param timeouts the timeouts of this kind of call
      * @param direct makes the direct call, given its deadline
      * @param query the message to a peer
      * @param read extracts the outcome from a peer's reply; returns null for a reply of another type
      * @param answered whether an outcome shows that the log answered
      */
-    private record Call<T>(Function<Long, T> direct, Message query, Function<Message, T> read, Predicate<T> answered) {}
+    private record Call<T>(
+            Timeouts timeouts,
+            Function<Long, T> direct,
+            Message query,
+            Function<Message, T> read,
+            Predicate<T> answered) {}
 
     private <T> T askPeer(String peer, Call<T> call, long timeoutMillis) {
         try {
@@ -188,6 +209,7 @@
     public AppendOutcome append(Append append, long deadline) {
         boolean canRepeat = !(append.condition() instanceof Append.AtEnd);
         Call<AppendOutcome> call = new Call<>(
+                callTimeouts,
                 callDeadline -> direct.append(append, callDeadline),
                 new Message.AppendLog(append),
                 reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
@@ -227,28 +249,31 @@
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
         Call<ReadOutcome> call = new Call<>(
+                callTimeouts,
                 callDeadline -> direct.read(topic, from, waitMillis, callDeadline),
                 new Message.ReadLog(topic, from, waitMillis),
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
                 outcome -> !(outcome instanceof ReadOutcome.Unavailable));
-        ReadOutcome outcome = firstAnswer(waitMillis, deadline, call);
+        List<Route> routes = readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call));
+        ReadOutcome outcome = firstAnswer(routes, waitMillis, deadline, call);
         return outcome == null ? new ReadOutcome.Unavailable("neither the log nor a peer answered") : outcome;
     }
 
     @Override
     public NewestOutcome newest(String topic, String after, long deadline) {
         Call<NewestOutcome> call = new Call<>(
+                pageTimeouts,
                 callDeadline -> direct.newest(topic, after, callDeadline),
                 new Message.ReadNewest(topic, after),
                 reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
                 outcome -> outcome instanceof NewestOutcome.Page);
-        NewestOutcome outcome = firstAnswer(0, deadline, call);
+        NewestOutcome outcome = firstAnswer(readRoutes(null), 0, deadline, call);
         return outcome == null ? new NewestOutcome.Unavailable("neither the log nor a peer answered") : outcome;
     }
 
-    /** Returns the first answer of the log on any route, or null. */
-    private <T> T firstAnswer(long waitMillis, long deadline, Call<T> call) {
-        for (Route route : readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call))) {
+    /** Returns the first answer of the log on one of {@code routes}, or null. */
+    private <T> T firstAnswer(List<Route> routes, long waitMillis, long deadline, Call<T> call) {
+        for (Route route : routes) {
             T outcome = call(route, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 setReachable(true);
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -26,8 +26,11 @@
     /** Timeout of a read beyond the time for which it waits for new records, in milliseconds. */
     private static final long READ_TIMEOUT_MARGIN_MILLIS = 2_500;
 
+    /** Timeout of a page of a snapshot, in milliseconds; a page is long, and may be tried on several routes. */
+    private static final long PAGE_TIMEOUT_MILLIS = 8_000;
+
     /** Longest time for which the consumer's thread waits for a shared read, in milliseconds. */
-    private static final long SHARED_READ_TIMEOUT_MILLIS = 10_000;
+    private static final long SHARED_READ_TIMEOUT_MILLIS = 20_000;
 
     /** Delay after a failed read, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 60;
@@ -242,7 +245,7 @@
             position = snapshotPosition;
         }
         String after = position == null ? "" : position.after();
-        return switch (log.newest(topic, after, Clocks.deadlineAfter(READ_TIMEOUT_MARGIN_MILLIS))) {
+        return switch (log.newest(topic, after, Clocks.deadlineAfter(PAGE_TIMEOUT_MILLIS))) {
             case NewestOutcome.Page page -> applyPage(page, position);
             case NewestOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
