Reads have timeouts of their own, with time for their transfer

Callers saw: a node on a slow link whose reads were given up again and again, while its appends went through at once.

Cause: appends and reads shared one timeout. Appends are short, so they kept it at its lowest, 300 ms, and the answer to any append ended the doubling that a read given up had begun. Five reads of 60 KB that share a link of 0.875 MB/s need 343 ms. Reads that wait for new records were counted with their wait, which hid the fault in part.

Change: reads have timeouts of their own and an allowance of 300 ms for the transfer, twice that through a peer. Only reads that do not wait count for the average.

A price: a read on a direct route that answers nothing at all, and that was not known to fail, is given up 0.3 s later.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -32,13 +32,17 @@
     /** Time without an answer from the log or a peer after which this node counts as isolated, in milliseconds. */
     private static final long ISOLATION_TIMEOUT_MILLIS = 1_000;
 
+    /** Time for the transfer of the records of a read on a slow link that several reads share, in milliseconds. */
+    private static final long READ_TRANSFER_MILLIS = 300;
+
     /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
     private static final long PAGE_TRANSFER_MILLIS = 2_000;
 
     private final KeyedLog direct;
     private final Peers peers;
-    private final Timeouts callTimeouts = Timeouts.of(0);
-    private final Timeouts pageTimeouts = Timeouts.of(PAGE_TRANSFER_MILLIS);
+    private final RouteTimeouts appendTimeouts = RouteTimeouts.of(0);
+    private final RouteTimeouts readTimeouts = RouteTimeouts.of(READ_TRANSFER_MILLIS);
+    private final RouteTimeouts pageTimeouts = RouteTimeouts.of(PAGE_TRANSFER_MILLIS);
     private volatile boolean directFails;
     private volatile boolean reachable = true;
     private volatile long nextProbeNanos;
@@ -65,18 +69,6 @@
         }
     }
 
-    /** The timeouts of one kind of call on the direct route and through a peer. */
-    private record Timeouts(AdaptiveTimeout direct, AdaptiveTimeout peer) {
-        /** Returns timeouts with an allowance for the transfer on one link; a relayed answer passes two. */
-        static Timeouts of(long transferMillis) {
-            return new Timeouts(new AdaptiveTimeout(transferMillis), new AdaptiveTimeout(2 * transferMillis));
-        }
-
-        AdaptiveTimeout on(Route route) {
-            return route.isDirect() ? direct : peer;
-        }
-    }
-
     /**
      * Returns whether the latest call reached the log on some route. Also false between the first failure of the direct
      * route and the first successful relayed call.
@@ -136,7 +128,8 @@
      * @param waitMillis how long the log may hold back the answer, in milliseconds
      */
     private <T> T call(Route route, long waitMillis, long deadline, Call<T> call) {
-        AdaptiveTimeout timeout = call.timeouts().on(route);
+        AdaptiveTimeout timeout =
+                route.isDirect() ? call.timeouts().direct() : call.timeouts().peer();
         long timeoutMillis = Math.max(1, Math.min(waitMillis + timeout.currentMillis(), Clocks.millisUntil(deadline)));
         long startNanos = System.nanoTime();
         T outcome = route.isDirect()
@@ -144,7 +137,7 @@
                 : askPeer(route.peer(), call, timeoutMillis);
         boolean answered = outcome != null && call.answered().test(outcome);
         double durationMillis = (double) (System.nanoTime() - startNanos) / Clocks.NANOS_PER_MILLI;
-        if (answered && durationMillis < timeout.currentMillis()) {
+        if (answered && waitMillis == 0 && durationMillis < timeout.currentMillis()) {
             timeout.recordAnswer(durationMillis);
         } else if (durationMillis >= waitMillis + timeout.currentMillis()) {
             timeout.recordTimeout();
@@ -173,7 +166,7 @@
      * @param answered whether an outcome shows that the log answered
      */
     private record Call<T>(
-            Timeouts timeouts,
+            RouteTimeouts timeouts,
             Function<Long, T> direct,
             Message query,
             Function<Message, T> read,
@@ -209,7 +202,7 @@
     public AppendOutcome append(Append append, long deadline) {
         boolean canRepeat = !(append.condition() instanceof Append.AtEnd);
         Call<AppendOutcome> call = new Call<>(
-                callTimeouts,
+                appendTimeouts,
                 callDeadline -> direct.append(append, callDeadline),
                 new Message.AppendLog(append),
                 reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
@@ -249,7 +242,7 @@
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
         Call<ReadOutcome> call = new Call<>(
-                callTimeouts,
+                readTimeouts,
                 callDeadline -> direct.read(topic, from, waitMillis, callDeadline),
                 new Message.ReadLog(topic, from, waitMillis),
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
