--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.StringJoiner;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.acaciaport.log.Append;
@@ -26,20 +26,23 @@
 public final class FailoverLog implements KeyedLog, WireServer.Handler {
     private static final Logger LOG = Logger.getLogger(FailoverLog.class);
 
-    /** Interval between probes of the direct route while it fails, in milliseconds. */
-    private static final long PROBE_INTERVAL_MILLIS = 400;
-
     /** Time without an answer from the log or a peer after which this node counts as isolated, in milliseconds. */
     private static final long ISOLATION_TIMEOUT_MILLIS = 1_000;
 
+    /** Time for the transfer of the records of a read on a slow link that several reads share, in milliseconds. */
+    private static final long READ_TRANSFER_MILLIS = 300;
+
+    /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
+    private static final long PAGE_TRANSFER_MILLIS = 2_000;
+
     private final KeyedLog direct;
     private final Peers peers;
-    private final AdaptiveTimeout directTimeout = new AdaptiveTimeout();
-    private final AdaptiveTimeout peerTimeout = new AdaptiveTimeout();
+    private final RouteTimeouts appendTimeouts = RouteTimeouts.of(0);
+    private final RouteTimeouts readTimeouts = RouteTimeouts.of(READ_TRANSFER_MILLIS);
+    private final RouteTimeouts pageTimeouts = RouteTimeouts.of(PAGE_TRANSFER_MILLIS);
     private volatile boolean directFails;
     private volatile boolean reachable = true;
-    private volatile long nextProbeNanos;
-    private final AtomicBoolean probing = new AtomicBoolean();
+    private final RouteProbes probes = new RouteProbes();
 
     /** When a peer or the log last answered, on the monotonic clock, in nanoseconds. */
     private volatile long lastContactNanos = System.nanoTime();
@@ -77,9 +80,9 @@
 
     /**
      * Returns the routes of a read in the order to try. While the direct route fails, peers are asked and the route is
-     * probed at intervals, in the background unless there is no peer.
+     * probed at intervals, in the background if possible.
      *
-     * @param probe makes the read on the direct route
+     * @param probe makes the read on the direct route; null if it is too long for a probe in the background
      */
     private List<Route> readRoutes(Runnable probe) {
         List<Route> routes = new ArrayList<>();
@@ -87,26 +90,17 @@
             routes.add(Route.DIRECT);
         }
         peers.candidates().forEach(peer -> routes.add(new Route(peer)));
-        if (directFails && System.nanoTime() - nextProbeNanos >= 0) {
-            if (routes.isEmpty()) {
-                nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+        if (directFails && probes.isDue()) {
+            if (probe == null || routes.isEmpty()) {
+                probes.postpone();
                 routes.add(Route.DIRECT);
-            } else if (probing.compareAndSet(false, true)) {
-                Thread.ofVirtual().name("probe-log").start(() -> runProbe(probe));
+            } else {
+                probes.start(probe);
             }
         }
         return routes;
     }
 
-    private void runProbe(Runnable probe) {
-        try {
-            probe.run();
-        } finally {
-            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
-            probing.set(false);
-        }
-    }
-
     /** Returns the routes of an append in order; since callers wait for it, a failing direct route comes last. */
     private List<Route> appendRoutes() {
         List<Route> routes = new ArrayList<>();
@@ -121,7 +115,8 @@
      * @param waitMillis how long the log may hold back the answer, in milliseconds
      */
     private <T> T call(Route route, long waitMillis, long deadline, Call<T> call) {
-        AdaptiveTimeout timeout = route.isDirect() ? directTimeout : peerTimeout;
+        AdaptiveTimeout timeout =
+                route.isDirect() ? call.timeouts().direct() : call.timeouts().peer();
         long timeoutMillis = Math.max(1, Math.min(waitMillis + timeout.currentMillis(), Clocks.millisUntil(deadline)));
         long startNanos = System.nanoTime();
         T outcome = route.isDirect()
@@ -129,7 +124,7 @@
                 : askPeer(route.peer(), call, timeoutMillis);
         boolean answered = outcome != null && call.answered().test(outcome);
         double durationMillis = (double) (System.nanoTime() - startNanos) / Clocks.NANOS_PER_MILLI;
-        if (answered && durationMillis < timeout.currentMillis()) {
+        if (answered && waitMillis == 0 && durationMillis < timeout.currentMillis()) {
             timeout.recordAnswer(durationMillis);
         } else if (durationMillis >= waitMillis + timeout.currentMillis()) {
             timeout.recordTimeout();
@@ -151,12 +146,18 @@
     /**
      * A call of the log that can be made directly or through a peer.
      *
+     * @param timeouts the timeouts of this kind of call
      * @param direct makes the direct call, given its deadline
      * @param query the message to a peer
      * @param read extracts the outcome from a peer's reply; returns null for a reply of another type
      * @param answered whether an outcome shows that the log answered
      */
-    private record Call<T>(Function<Long, T> direct, Message query, Function<Message, T> read, Predicate<T> answered) {}
+    private record Call<T>(
+            RouteTimeouts timeouts,
+            Function<Long, T> direct,
+            Message query,
+            Function<Message, T> read,
+            Predicate<T> answered) {}
 
     private <T> T askPeer(String peer, Call<T> call, long timeoutMillis) {
         try {
@@ -172,7 +173,7 @@
     private void setDirectAnswers(boolean answered) {
         if (answered == directFails) {
             directFails = !answered;
-            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+            probes.postpone();
             LOG.infof("dependency: log way=direct outcome=%s", answered ? "regained" : "lost");
         }
     }
@@ -188,6 +189,7 @@
     public AppendOutcome append(Append append, long deadline) {
         boolean canRepeat = !(append.condition() instanceof Append.AtEnd);
         Call<AppendOutcome> call = new Call<>(
+                appendTimeouts,
                 callDeadline -> direct.append(append, callDeadline),
                 new Message.AppendLog(append),
                 reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
@@ -227,36 +229,50 @@
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
         Call<ReadOutcome> call = new Call<>(
+                readTimeouts,
                 callDeadline -> direct.read(topic, from, waitMillis, callDeadline),
                 new Message.ReadLog(topic, from, waitMillis),
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
                 outcome -> !(outcome instanceof ReadOutcome.Unavailable));
-        ReadOutcome outcome = firstAnswer(waitMillis, deadline, call);
-        return outcome == null ? new ReadOutcome.Unavailable("neither the log nor a peer answered") : outcome;
+        List<Route> routes = readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call));
+        return firstAnswer(routes, waitMillis, deadline, call, ReadOutcome.Unavailable::new);
     }
 
     @Override
     public NewestOutcome newest(String topic, String after, long deadline) {
         Call<NewestOutcome> call = new Call<>(
+                pageTimeouts,
                 callDeadline -> direct.newest(topic, after, callDeadline),
                 new Message.ReadNewest(topic, after),
                 reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
                 outcome -> outcome instanceof NewestOutcome.Page);
-        NewestOutcome outcome = firstAnswer(0, deadline, call);
-        return outcome == null ? new NewestOutcome.Unavailable("neither the log nor a peer answered") : outcome;
+        return firstAnswer(readRoutes(null), 0, deadline, call, NewestOutcome.Unavailable::new);
     }
 
-    /** Returns the first answer of the log on any route, or null. */
-    private <T> T firstAnswer(long waitMillis, long deadline, Call<T> call) {
-        for (Route route : readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call))) {
+    /** Returns the first answer of the log on one of {@code routes}, or {@code unavailable} with the reasons. */
+    private <T> T firstAnswer(
+            List<Route> routes, long waitMillis, long deadline, Call<T> call, Function<String, T> unavailable) {
+        StringJoiner reasons = new StringJoiner("; ");
+        reasons.setEmptyValue("the direct route failed recently and there is no peer");
+        for (Route route : routes) {
             T outcome = call(route, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 setReachable(true);
                 return outcome;
             }
+            reasons.add((route.isDirect() ? "direct" : route.peer()) + ": " + reasonOf(outcome));
         }
         setReachable(false);
-        return null;
+        return unavailable.apply(reasons.toString());
+    }
+
+    private static String reasonOf(Object outcome) {
+        return switch (outcome) {
+            case null -> "no reply";
+            case ReadOutcome.Unavailable unavailable -> unavailable.reason();
+            case NewestOutcome.Unavailable unavailable -> unavailable.reason();
+            default -> outcome.toString();
+        };
     }
 
     /** Relays the call of a peer, on the direct route only. */
