A test that a stop which could not be sent is issued again

Asked: a stop is dropped if its target has not been registered in this term; who sends it again, and what if the incarnation differs? The pool does, after the first report that shows the run 300 ms or more after the stop, also if the report is of a newer incarnation. The test passed when it was written; no change of the product.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -194,6 +194,28 @@
         assertThat(fixture.stops).containsExactly(new TargetCommand.Stop("t1", 1, PoolFixture.taskId("a", 0), 7));
     }
 
+    /**
+     * Guards against a run of a cancelled job that goes on because its stop could not be sent. A new leader has seen no
+     * registration of the target yet, and the target reports a newer incarnation than the record of the run has.
+     */
+    @Test
+    void aStopThatCouldNotBeSentIsIssuedAgainAfterAReport() {
+        fixture.addTarget("t1", "r1");
+        Job job = fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8));
+        fixture.submit(job);
+        TargetCommand.Start start = fixture.starts.get(0);
+        PoolFixture successor = new PoolFixture();
+        successor.pool.restore(job, fixture.persisted.get("a"), successor.now());
+        successor.pool.cancel("a", successor.now());
+        assertThat(successor.pool.takeStops()).hasSize(1);
+        successor.advance(301);
+        TargetReport.Running run = new TargetReport.Running(start.task(), start.run(), "", 0);
+        successor.pool.handleReport(
+                new TargetReport("t1", 2, successor.now().monotonicNanos(), List.of(run), List.of()), successor.now());
+        successor.schedulePass();
+        assertThat(successor.stops).containsExactly(new TargetCommand.Stop("t1", 2, start.task(), start.run()));
+    }
+
     @Test
     void aCancelledJobStopsAndStartsNothing() {
         fixture.addTarget("t1", "r1");
