A leader whose replica is not current starts nothing

Seen by callers: a task of a job that they had cancelled more than 4 s before started.

Cause: a leader whose reads of the log fail while its appends succeed does not hear of cancellations, keeps its term, and goes on starting tasks. A start that waited for its record was sent without asking whether the pool still wants it.

Change: batches are released after the events that were pending at that moment, and no pass is made and no start sent while the replica is older than 2 s; a session sends a start again for up to 1.5 s. A start whose run the pool has stopped or requeued meanwhile is not sent either.

Evidence: TermTest.aLeaderThatCannotReadCancellationsStartsNothing failed before with "expected: [a.0.0.0] but was: [a.0.0.0, a.0.0.0]". Runs of such a leader are not stopped by this.

--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -48,6 +48,12 @@
     /** Interval between reads of the target registrations, in milliseconds. */
     private static final long REGISTRATION_POLL_INTERVAL_MILLIS = 200;
 
+    /**
+     * Age of the replica from which nothing is started, in milliseconds. A cancellation takes effect within this time
+     * and the time for which a session sends a start again.
+     */
+    private static final long MAX_REPLICA_AGE_MILLIS = 2_000;
+
     /** How long the state of an ended job can be queried, in milliseconds. */
     private static final long ENDED_JOB_RETENTION_MILLIS = 180_000;
 
@@ -77,6 +83,9 @@
 
     private volatile boolean ended;
     private volatile boolean resigning;
+    /** Batches whose records are durable, to be released once all earlier events have been handled. */
+    private final List<Batch> durableBatches = new ArrayList<>();
+
     private boolean appendInFlight;
     private long lastHeartbeatNanos;
     private long lastPurgeNanos;
@@ -176,6 +185,8 @@
 
     private void runIteration() throws InterruptedException {
         Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        // Cancellations read until then are among the events.
+        ClockReading replicaAsOf = replica.asOf();
         long startNanos = System.nanoTime();
         while (event != null) {
             load.recordEvent(event.postedNanos());
@@ -186,7 +197,10 @@
             return;
         }
         ClockReading now = Clocks.now();
-        if (!resigning) {
+        boolean current = replicaAsOf != null && Clocks.ageMillis(replicaAsOf) < MAX_REPLICA_AGE_MILLIS;
+        durableBatches.forEach(batch -> releaseBatch(batch, current));
+        durableBatches.clear();
+        if (!resigning && current) {
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
@@ -213,7 +227,7 @@
         Batch batch = pool.takeBatch();
         boolean heartbeatDue = now.millisSince(lastHeartbeatNanos) >= HEARTBEAT_INTERVAL_MILLIS;
         if (batch.records().isEmpty() && tombstones.isEmpty() && !heartbeatDue) {
-            releaseBatch(batch);
+            durableBatches.add(batch);
             return;
         }
         List<KeyedRecord> records = new ArrayList<>(tombstones);
@@ -238,14 +252,19 @@
             end("deposed by a later term in the log");
             return;
         }
-        releaseBatch(batch);
+        durableBatches.add(batch);
     }
 
-    /** Sends the start commands and acknowledgements that depended on the records of {@code batch}. */
-    private void releaseBatch(Batch batch) {
+    /**
+     * Sends the start commands and acknowledgements that depended on the records of {@code batch}. Starts whose run is
+     * not wanted any more are not sent, and none if the replica is not current.
+     */
+    private void releaseBatch(Batch batch, boolean current) {
         for (TargetCommand.Start start : batch.starts()) {
             TargetSession session = getOrCreateSession(start.target());
-            if (session == null) {
+            if (!current || !pool.isWanted(start)) {
+                pool.handleStartFailure(start, current ? "not wanted" : "log not current", 0, Clocks.now());
+            } else if (session == null) {
                 pool.handleStartFailure(start, "no address", 0, Clocks.now());
             } else {
                 dispatch(() -> session.start(start));
--- /dev/null
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -0,0 +1,144 @@
+package org.acaciaport.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendOutcome;
+import org.acaciaport.log.KeyedLog;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.log.NewestOutcome;
+import org.acaciaport.log.ReadOutcome;
+import org.acaciaport.pool.Job;
+import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.Step;
+import org.acaciaport.pool.TargetInfo;
+import org.acaciaport.pool.TaskId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests a term against an in-memory log and target. */
+final class TermTest {
+    private static final Topics TOPICS = new Topics("jobs", "operators", "targets");
+    private static final String SERVICE = "render";
+    private static final String TARGET_KEY = "target";
+    private static final long TIMEOUT_SECONDS = 20;
+
+    /** Time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds. */
+    private static final long MAX_START_AFTER_CANCEL_MILLIS = 4_000;
+
+    private final MemoryTarget target = new MemoryTarget();
+    private final MemoryLog log = new MemoryLog();
+    private final UnreadableLog leaderLog = new UnreadableLog(log);
+    private final FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
+    private final Replica replica = new Replica();
+    private final TopicConsumer jobConsumer =
+            new TopicConsumer(TOPICS.jobs(), leaderLog, new TopicConsumer.PollSettings(0, 5), replica);
+    private Thread thread;
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        thread.interrupt();
+        jobConsumer.stop();
+        thread.join();
+    }
+
+    private void lead() {
+        append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
+        jobConsumer.start();
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
+                new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of(SERVICE))));
+        configuration.apply(KeyedRecord.tombstone("config"), 0);
+        configuration.caughtUp(Clocks.now(), 1);
+        LeaderLogWriter logWriter = new LeaderLogWriter(failoverLog, TOPICS.jobs(), 5);
+        assertThat(logWriter.fenceEarlierTerms()).isTrue();
+        Term.Dependencies dependencies = new Term.Dependencies(
+                replica, configuration, target, TOPICS, failoverLog, new OneTarget(), new MetricRegistry());
+        Term term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, dependencies);
+        thread = Thread.ofVirtual().start(term::run);
+    }
+
+    private static long deadline() {
+        return Clocks.deadlineAfter(5_000);
+    }
+
+    private void append(KeyedRecord... records) {
+        log.append(new Append(TOPICS.jobs(), List.of(records), new Append.Always()), deadline());
+    }
+
+    private static void await(BooleanSupplier condition) {
+        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
+            Clocks.sleep(1);
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    /**
+     * Guards against starting tasks seconds after their job was cancelled, by a leader whose reads of the log fail
+     * while its appends succeed.
+     */
+    @Test
+    void aLeaderThatCannotReadCancellationsStartsNothing() {
+        Step step =
+                new Step(2, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        append(JobRecords.encode(
+                new Job("a", "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1)));
+        lead();
+        await(() -> target.started.size() == 1);
+        leaderLog.readable = false;
+        append(JobRecords.encode(new CancelRecord("a", 1)));
+        Clocks.sleep(MAX_START_AFTER_CANCEL_MILLIS);
+        TaskId first = target.started.get(0);
+        target.stop(null, first, 1, 0, 0);
+        Clocks.sleep(1_000);
+        assertThat(target.started).containsExactly(first);
+    }
+
+    /** A log whose reads can be made to fail. */
+    private static final class UnreadableLog implements KeyedLog {
+        private final KeyedLog log;
+        volatile boolean readable = true;
+
+        UnreadableLog(KeyedLog log) {
+            this.log = log;
+        }
+
+        @Override
+        public AppendOutcome append(Append append, long deadline) {
+            return log.append(append, deadline);
+        }
+
+        @Override
+        public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
+            return readable ? log.read(topic, from, waitMillis, deadline) : new ReadOutcome.Unavailable("lost");
+        }
+
+        @Override
+        public NewestOutcome newest(String topic, String after, long deadline) {
+            return readable ? log.newest(topic, after, deadline) : new NewestOutcome.Unavailable("lost");
+        }
+    }
+
+    /** Decodes the registration of a single target; the in-memory log has the records of all topics in one. */
+    private static final class OneTarget implements TargetRecordDecoder {
+        @Override
+        public Optional<String> targetId(KeyedRecord record) {
+            return record.key().equals(TARGET_KEY) ? Optional.of("t") : Optional.empty();
+        }
+
+        @Override
+        public Optional<TargetInfo> decodeTarget(KeyedRecord record) {
+            Resources capacity = new Resources(32_000, 64_000, 8);
+            return Optional.of(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
+        }
+    }
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -221,6 +221,12 @@
         }
     }
 
+    /** Returns whether a start that has not been sent yet is still to be sent. */
+    public boolean isWanted(TargetCommand.Start start) {
+        TaskExecution task = currentTask(start);
+        return task != null && task.phase == Phase.STARTING;
+    }
+
     /** Handles the confirmation of a start by the target. Ignores confirmations of runs that are no longer current. */
     public void handleStarted(TargetCommand.Start start, ClockReading now) {
         TaskExecution task = currentTask(start);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -216,6 +216,23 @@
         assertThat(successor.stops).containsExactly(new TargetCommand.Stop("t1", 2, start.task(), start.run()));
     }
 
+    /** Guards against sending a start whose task was cancelled or moved while the record of the start was pending. */
+    @Test
+    void aStartIsNotWantedAfterItsJobWasCancelledOrItsTaskRequeued() {
+        fixture.addTarget("t1", "r1");
+        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(2, 4)));
+        fixture.pool.schedule(fixture.now());
+        List<TargetCommand.Start> starts = fixture.pool.takeBatch().starts();
+        assertThat(starts).hasSize(2);
+        assertThat(fixture.pool.isWanted(starts.get(0))).isTrue();
+        fixture.pool.handleLeaseExpiry("t1", fixture.now());
+        assertThat(fixture.pool.isWanted(starts.get(0))).isFalse();
+        fixture.pool.schedule(fixture.now());
+        List<TargetCommand.Start> again = fixture.pool.takeBatch().starts();
+        fixture.pool.cancel("a", fixture.now());
+        assertThat(fixture.pool.isWanted(again.get(0))).isFalse();
+    }
+
     @Test
     void aCancelledJobStopsAndStartsNothing() {
         fixture.addTarget("t1", "r1");
