--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -46,6 +46,12 @@
     /** Interval between reads of the target registrations, in milliseconds. */
     private static final long REGISTRATION_POLL_INTERVAL_MILLIS = 200;
 
+    /**
+     * Age of the replica from which nothing is started, in milliseconds. A cancellation takes effect within this time
+     * and the time for which a session sends a start again.
+     */
+    private static final long MAX_REPLICA_AGE_MILLIS = 2_000;
+
     /** How long the state of an ended job can be queried, in milliseconds. */
     private static final long ENDED_JOB_RETENTION_MILLIS = 180_000;
 
@@ -69,6 +75,9 @@
 
     private volatile boolean ended;
     private volatile boolean resigning;
+    /** Batches whose records are durable, to be released once all earlier events have been handled. */
+    private final List<Batch> durableBatches = new ArrayList<>();
+
     private boolean appendInFlight;
     private long lastHeartbeatNanos;
     private long lastPurgeNanos;
@@ -168,17 +177,20 @@
 
     private void runIteration() throws InterruptedException {
         Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        // Cancellations read until then are among the events.
+        ClockReading replicaAsOf = replica.asOf();
         long startNanos = System.nanoTime();
-        while (event != null) {
-            load.recordEvent(event.postedNanos());
-            event.action().run();
-            event = events.poll();
+        if (event != null) {
+            handleEvents(event);
         }
         if (ended) {
             return;
         }
         ClockReading now = Clocks.now();
-        if (!resigning) {
+        boolean current = replicaAsOf != null && Clocks.ageMillis(replicaAsOf) < MAX_REPLICA_AGE_MILLIS;
+        durableBatches.forEach(batch -> releaseBatch(batch, current));
+        durableBatches.clear();
+        if (!resigning && current) {
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
@@ -193,12 +205,25 @@
         load.reportIfDue(pool, Clocks.now());
     }
 
+    /**
+     * Handles {@code first} and the events that are waiting behind it. Events posted meanwhile are left to the next
+     * iteration, so that they cannot hold up the scheduling pass.
+     */
+    private void handleEvents(Event first) {
+        List<Event> waiting = new ArrayList<>(List.of(first));
+        events.drainTo(waiting);
+        for (Event event : waiting) {
+            load.recordEvent(event.postedNanos());
+            event.action().run();
+        }
+    }
+
     /** Appends the pending records in the background if there are any or a heartbeat is due. */
     private void startAppend(ClockReading now) {
         Batch batch = pool.takeBatch();
         boolean heartbeatDue = now.millisSince(lastHeartbeatNanos) >= HEARTBEAT_INTERVAL_MILLIS;
         if (batch.records().isEmpty() && tombstones.isEmpty() && !heartbeatDue) {
-            releaseBatch(batch);
+            durableBatches.add(batch);
             return;
         }
         List<KeyedRecord> records = new ArrayList<>(tombstones);
@@ -223,13 +248,18 @@
             end("deposed by a later term in the log");
             return;
         }
-        releaseBatch(batch);
+        durableBatches.add(batch);
     }
 
-    /** Sends the start commands and acknowledgements that depended on the records of {@code batch}. */
-    private void releaseBatch(Batch batch) {
+    /**
+     * Sends the start commands and acknowledgements that depended on the records of {@code batch}. Starts whose run is
+     * not wanted any more are not sent, and none if the replica is not current.
+     */
+    private void releaseBatch(Batch batch, boolean current) {
         for (TargetCommand.Start start : batch.starts()) {
-            if (!sessions.start(start)) {
+            if (!current || !pool.isWanted(start)) {
+                pool.handleStartFailure(start, current ? "not wanted" : "log not current", 0, Clocks.now());
+            } else if (!sessions.start(start)) {
                 pool.handleStartFailure(start, "no address", 0, Clocks.now());
             }
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -122,7 +122,10 @@
         }
     }
 
-    /** Targets of which each ends one run, successfully, before each of its reports. */
+    /**
+     * Targets of which each ends one run, successfully, before each of its reports. They report at once, so reports
+     * arrive faster than a term handles them.
+     */
     private static final class SequentialTargets implements TargetCalls {
         private final Map<String, SequentialTarget> targets = new HashMap<>();
 
