A lost topic is logged with its reason and what is missing

Change: the line ends with behind= (records missing as of the latest answer, or unknown) and reason=; regained has behind=. A read that no route answers names the reason of each route. A stopped consumer logs nothing.

Evidence, TopicConsumerTest on the code before: aLostTopicIsLoggedWithItsReason: was "dependency: log topic=jobs outcome=lost" aReadWithoutAnAnswerNamesTheReasonOfEachRoute: was "neither the log nor a peer answered" aStoppedConsumerDoesNotLogTheTopicAsLost: expected to be empty but was: [dependency: log topic=jobs outcome=lost]

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.StringJoiner;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -248,8 +249,7 @@
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
                 outcome -> !(outcome instanceof ReadOutcome.Unavailable));
         List<Route> routes = readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call));
-        ReadOutcome outcome = firstAnswer(routes, waitMillis, deadline, call);
-        return outcome == null ? new ReadOutcome.Unavailable("neither the log nor a peer answered") : outcome;
+        return firstAnswer(routes, waitMillis, deadline, call, ReadOutcome.Unavailable::new);
     }
 
     @Override
@@ -260,21 +260,33 @@
                 new Message.ReadNewest(topic, after),
                 reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
                 outcome -> outcome instanceof NewestOutcome.Page);
-        NewestOutcome outcome = firstAnswer(readRoutes(null), 0, deadline, call);
-        return outcome == null ? new NewestOutcome.Unavailable("neither the log nor a peer answered") : outcome;
+        return firstAnswer(readRoutes(null), 0, deadline, call, NewestOutcome.Unavailable::new);
     }
 
-    /** Returns the first answer of the log on one of {@code routes}, or null. */
-    private <T> T firstAnswer(List<Route> routes, long waitMillis, long deadline, Call<T> call) {
+    /** Returns the first answer of the log on one of {@code routes}, or {@code unavailable} with the reasons. */
+    private <T> T firstAnswer(
+            List<Route> routes, long waitMillis, long deadline, Call<T> call, Function<String, T> unavailable) {
+        StringJoiner reasons = new StringJoiner("; ");
+        reasons.setEmptyValue("the direct route failed recently and there is no peer");
         for (Route route : routes) {
             T outcome = call(route, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 setReachable(true);
                 return outcome;
             }
+            reasons.add((route.isDirect() ? "direct" : route.peer()) + ": " + reasonOf(outcome));
         }
         setReachable(false);
-        return null;
+        return unavailable.apply(reasons.toString());
+    }
+
+    private static String reasonOf(Object outcome) {
+        return switch (outcome) {
+            case null -> "no reply";
+            case ReadOutcome.Unavailable unavailable -> unavailable.reason();
+            case NewestOutcome.Unavailable unavailable -> unavailable.reason();
+            default -> outcome.toString();
+        };
     }
 
     /** Relays the call of a peer, on the direct route only. */
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -59,18 +59,6 @@
      */
     record PollSettings(long waitMillis, long delayMillis) {}
 
-    /** What one read achieved. */
-    private sealed interface ReadProgress {
-        /** The sink has all records that were in the topic when the read began. */
-        record Current() implements ReadProgress {}
-
-        /** The log answered, and more records were in the topic. */
-        record Behind() implements ReadProgress {}
-
-        /** There was no usable answer. */
-        record Failed() implements ReadProgress {}
-    }
-
     /**
      * How far a snapshot has been passed on.
      *
@@ -92,6 +80,9 @@
     /** Offset of the next record; -1 while a snapshot is needed. */
     private long nextOffset = -1;
 
+    /** Highest offset at which an answer said that the topic ended. */
+    private long latestEnd;
+
     /** How far a snapshot has been passed on; null if none has been started. */
     private SnapshotPosition snapshotPosition;
 
@@ -122,7 +113,10 @@
         while (!stopped) {
             ReadProgress outcome = current ? readRecords(pollSettings.waitMillis()) : awaitSharedRead();
             current = outcome instanceof ReadProgress.Current;
-            setAnswering(!(outcome instanceof ReadProgress.Failed));
+            if (stopped) {
+                return;
+            }
+            logChange(outcome);
             long delay = delayAfter(outcome);
             if (delay > 0 && !Clocks.sleep(delay)) {
                 return;
@@ -133,7 +127,7 @@
     private ReadProgress awaitSharedRead() {
         return sharedRead
                 .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
-                .orElseGet(ReadProgress.Failed::new);
+                .orElseGet(() -> new ReadProgress.Failed("no shared read ended in time"));
     }
 
     /** Returns the delay before the next read of this consumer's thread, in milliseconds. */
@@ -145,10 +139,23 @@
         };
     }
 
-    private void setAnswering(boolean answered) {
-        if (answered == failing) {
-            failing = !answered;
-            LOG.infof("dependency: log topic=%s outcome=%s", topic, answered ? "regained" : "lost");
+    private void logChange(ReadProgress progress) {
+        boolean failed = progress instanceof ReadProgress.Failed;
+        if (failed == failing) {
+            return;
+        }
+        failing = failed;
+        if (progress instanceof ReadProgress.Failed(String reason)) {
+            LOG.infof("dependency: log topic=%s outcome=lost behind=%s reason=%s", topic, describeLag(), reason);
+        } else {
+            LOG.infof("dependency: log topic=%s outcome=regained behind=%s", topic, describeLag());
+        }
+    }
+
+    /** Returns how many records of the topic are missing as of the latest answer, in words if that is not known. */
+    private String describeLag() {
+        synchronized (lock) {
+            return nextOffset < 0 ? "unknown" : String.valueOf(Math.max(0, latestEnd - nextOffset));
         }
     }
 
@@ -201,7 +208,7 @@
             }
             case ReadOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
-                yield new ReadProgress.Failed();
+                yield new ReadProgress.Failed(unavailable.reason());
             }
         };
     }
@@ -216,6 +223,7 @@
     /** Passes on the records that another thread has not passed on meanwhile. */
     private ReadProgress applyRecords(ReadOutcome.Records read, long from, ClockReading asOf) {
         synchronized (lock) {
+            latestEnd = Math.max(latestEnd, read.end());
             if (nextOffset < from) {
                 return new ReadProgress.Behind(); // A snapshot has been started since the read began.
             }
@@ -230,7 +238,7 @@
                 sink.caughtUp(asOf, nextOffset);
                 return new ReadProgress.Current();
             }
-            return records.isEmpty() ? new ReadProgress.Failed() : new ReadProgress.Behind();
+            return records.isEmpty() ? new ReadProgress.Failed("no records in the answer") : new ReadProgress.Behind();
         }
     }
 
@@ -249,7 +257,7 @@
             case NewestOutcome.Page page -> applyPage(page, position);
             case NewestOutcome.Unavailable unavailable -> {
                 LOG.debugf("consume: topic=%s outcome=unavailable reason=%s", topic, unavailable.reason());
-                yield new ReadProgress.Failed();
+                yield new ReadProgress.Failed(unavailable.reason());
             }
         };
     }
@@ -257,7 +265,7 @@
     /** Passes on the page after {@code position}, which is null for the first page. */
     private ReadProgress applyPage(NewestOutcome.Page page, SnapshotPosition position) {
         if (page.more() && page.items().isEmpty()) {
-            return new ReadProgress.Failed();
+            return new ReadProgress.Failed("no keys in the page");
         }
         long end = position == null ? page.end() : position.end();
         synchronized (lock) {
--- a/acacia-node/src/test/java/org/acaciaport/node/TopicConsumerTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TopicConsumerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.log.ReadOutcome;
 import org.junit.jupiter.api.Test;
 
 /** Tests how a consumer reads a topic whose records take several reads, against an in-memory log. */
@@ -101,4 +102,56 @@
                 .containsExactly(0L, TEST_TIMEOUT_MILLIS)
                 .inOrder();
     }
+
+    /** Guards against a log line that does not say why a topic was lost, or how much of it is missing. */
+    @Test
+    void aLostTopicIsLoggedWithItsReason() {
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(0, 1));
+        try (LogCapture capture = LogCapture.of(TopicConsumer.class)) {
+            consumer.start();
+            appendKeys(1);
+            assertTimeoutPreemptively(Duration.ofMillis(TEST_TIMEOUT_MILLIS), () -> awaitKeys(List.of("key-0")));
+            log.maxReadRecords = 0;
+            appendKeys(3);
+            awaitMessage(capture, "outcome=lost");
+            assertThat(capture.messagesContaining("outcome=lost").get(0))
+                    .matches(".*outcome=lost behind=[1-3] reason=no records in the answer.*");
+            log.maxReadRecords = Integer.MAX_VALUE;
+            awaitMessage(capture, "outcome=regained");
+            assertThat(capture.messagesContaining("outcome=regained").get(0)).contains("behind=0");
+        } finally {
+            consumer.stop();
+        }
+    }
+
+    private static void awaitMessage(LogCapture capture, String text) {
+        assertTimeoutPreemptively(Duration.ofMillis(TEST_TIMEOUT_MILLIS), () -> {
+            while (capture.messagesContaining(text).isEmpty()) {
+                Clocks.sleep(1);
+            }
+        });
+    }
+
+    /** Guards against the loss of the reason for which a route to the log failed. */
+    @Test
+    void aReadWithoutAnAnswerNamesTheReasonOfEachRoute() {
+        FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
+        log.failure = MemoryLog.Failure.REFUSE;
+        ReadOutcome outcome = failoverLog.read(TOPIC, 0, 0, Clocks.deadlineAfter(TEST_TIMEOUT_MILLIS));
+        assertThat(((ReadOutcome.Unavailable) outcome).reason()).contains("direct: refusing");
+    }
+
+    /** Guards against logging that a topic is lost when its consumer is stopped. */
+    @Test
+    void aStoppedConsumerDoesNotLogTheTopicAsLost() {
+        TopicConsumer consumer = newConsumer(new TopicConsumer.PollSettings(0, 0));
+        appendKeys(1);
+        try (LogCapture capture = LogCapture.of(TopicConsumer.class)) {
+            consumer.start();
+            assertTimeoutPreemptively(Duration.ofMillis(TEST_TIMEOUT_MILLIS), () -> awaitKeys(List.of("key-0")));
+            consumer.stop();
+            Clocks.sleep(100);
+            assertThat(capture.messagesContaining("outcome=lost")).isEmpty();
+        }
+    }
 }
