--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.StringJoiner;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.acaciaport.log.Append;
@@ -27,9 +26,6 @@
 public final class FailoverLog implements KeyedLog, WireServer.Handler {
     private static final Logger LOG = Logger.getLogger(FailoverLog.class);
 
-    /** Interval between probes of the direct route while it fails, in milliseconds. */
-    private static final long PROBE_INTERVAL_MILLIS = 400;
-
     /** Time without an answer from the log or a peer after which this node counts as isolated, in milliseconds. */
     private static final long ISOLATION_TIMEOUT_MILLIS = 1_000;
 
@@ -46,8 +42,7 @@
     private final RouteTimeouts pageTimeouts = RouteTimeouts.of(PAGE_TRANSFER_MILLIS);
     private volatile boolean directFails;
     private volatile boolean reachable = true;
-    private volatile long nextProbeNanos;
-    private final AtomicBoolean probing = new AtomicBoolean();
+    private final RouteProbes probes = new RouteProbes();
 
     /** When a peer or the log last answered, on the monotonic clock, in nanoseconds. */
     private volatile long lastContactNanos = System.nanoTime();
@@ -95,26 +90,17 @@
             routes.add(Route.DIRECT);
         }
         peers.candidates().forEach(peer -> routes.add(new Route(peer)));
-        if (directFails && System.nanoTime() - nextProbeNanos >= 0) {
+        if (directFails && probes.isDue()) {
             if (probe == null || routes.isEmpty()) {
-                nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+                probes.postpone();
                 routes.add(Route.DIRECT);
-            } else if (probing.compareAndSet(false, true)) {
-                Thread.ofVirtual().name("probe-log").start(() -> runProbe(probe));
+            } else {
+                probes.start(probe);
             }
         }
         return routes;
     }
 
-    private void runProbe(Runnable probe) {
-        try {
-            probe.run();
-        } finally {
-            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
-            probing.set(false);
-        }
-    }
-
     /** Returns the routes of an append in order; since callers wait for it, a failing direct route comes last. */
     private List<Route> appendRoutes() {
         List<Route> routes = new ArrayList<>();
@@ -187,7 +173,7 @@
     private void setDirectAnswers(boolean answered) {
         if (answered == directFails) {
             directFails = !answered;
-            nextProbeNanos = Clocks.deadlineAfter(PROBE_INTERVAL_MILLIS);
+            probes.postpone();
             LOG.infof("dependency: log way=direct outcome=%s", answered ? "regained" : "lost");
         }
     }
