--- a/acacia-node/src/test/java/org/acaciaport/node/SlowLinkLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/SlowLinkLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.ReentrantLock;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -31,10 +32,17 @@
     /** Held by the answer that transfers a chunk; fair, so that concurrent answers take turns. */
     private final ReentrantLock link = new ReentrantLock(true);
 
+    private final AtomicInteger transferredRecords = new AtomicInteger();
+
     SlowLinkLog(KeyedLog log) {
         this.log = log;
     }
 
+    /** Returns how many records the answers to reads had, each counted as often as it was in one. */
+    int transferredRecords() {
+        return transferredRecords.get();
+    }
+
     @Override
     public AppendOutcome append(Append append, long deadline) {
         return log.append(append, deadline);
@@ -54,6 +62,7 @@
             }
             records.add(record);
         }
+        transferredRecords.addAndGet(records.size());
         return transfer(bytes, deadline)
                 ? new ReadOutcome.Records(read.end(), records)
                 : new ReadOutcome.Unavailable("transfer took too long");
