The direct route to the log is probed as soon as it fails

Callers saw starts and states late by a second and more, after a single failed call of the leader to the log.

Cause: since relayed reads no longer wait for probes, nothing tried the direct route for 0.4 s after its first failure, and the probe then waited 0.4 s for new records. Meanwhile appends and reads waited for peers that had the same trouble.

RouteProbeTest#theDirectRouteIsProbedAsSoonAsItFails failed before: Unavailable instead of Records.

Change: a failed read on the direct route starts a probe at once, and probes do not wait for new records.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -228,14 +228,18 @@
 
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
-        Call<ReadOutcome> call = new Call<>(
+        Call<ReadOutcome> call = readCall(topic, from, waitMillis);
+        Runnable probe = () -> call(Route.DIRECT, 0, deadline, readCall(topic, from, 0));
+        return firstAnswer(probe, waitMillis, deadline, call, ReadOutcome.Unavailable::new);
+    }
+
+    private Call<ReadOutcome> readCall(String topic, long from, long waitMillis) {
+        return new Call<>(
                 readTimeouts,
                 callDeadline -> direct.read(topic, from, waitMillis, callDeadline),
                 new Message.ReadLog(topic, from, waitMillis),
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
                 outcome -> !(outcome instanceof ReadOutcome.Unavailable));
-        List<Route> routes = readRoutes(() -> call(Route.DIRECT, waitMillis, deadline, call));
-        return firstAnswer(routes, waitMillis, deadline, call, ReadOutcome.Unavailable::new);
     }
 
     @Override
@@ -246,20 +250,27 @@
                 new Message.ReadNewest(topic, after),
                 reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
                 outcome -> outcome instanceof NewestOutcome.Page);
-        return firstAnswer(readRoutes(null), 0, deadline, call, NewestOutcome.Unavailable::new);
+        return firstAnswer(null, 0, deadline, call, NewestOutcome.Unavailable::new);
     }
 
-    /** Returns the first answer of the log on one of {@code routes}, or {@code unavailable} with the reasons. */
+    /**
+     * Returns the first answer of the log on one of the routes of a read, or {@code unavailable} with the reasons.
+     *
+     * @param probe makes a short read on the direct route; null if there is none
+     */
     private <T> T firstAnswer(
-            List<Route> routes, long waitMillis, long deadline, Call<T> call, Function<String, T> unavailable) {
+            Runnable probe, long waitMillis, long deadline, Call<T> call, Function<String, T> unavailable) {
         StringJoiner reasons = new StringJoiner("; ");
         reasons.setEmptyValue("the direct route failed recently and there is no peer");
-        for (Route route : routes) {
+        for (Route route : readRoutes(probe)) {
             T outcome = call(route, waitMillis, deadline, call);
             if (outcome != null && call.answered().test(outcome)) {
                 setReachable(true);
                 return outcome;
             }
+            if (route.isDirect() && probe != null) {
+                probes.start(probe);
+            }
             reasons.add((route.isDirect() ? "direct" : route.peer()) + ": " + reasonOf(outcome));
         }
         setReachable(false);
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -19,6 +19,8 @@
         NONE,
         /** Calls have no effect and report that. */
         REFUSE,
+        /** The next read is refused; calls after it succeed. */
+        REFUSE_ONCE,
         /** Appends take effect but their answer is lost. */
         LOSE_ANSWER
     }
@@ -87,6 +89,10 @@
         if (failure == Failure.REFUSE) {
             return new ReadOutcome.Unavailable("refusing");
         }
+        if (failure == Failure.REFUSE_ONCE) {
+            failure = Failure.NONE;
+            return new ReadOutcome.Unavailable("refusing once");
+        }
         readWaits.add(waitMillis);
         if (from < first) {
             return new ReadOutcome.Expired(first);
--- a/acacia-node/src/test/java/org/acaciaport/node/RouteProbeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RouteProbeTest.java
@@ -23,6 +23,9 @@
     /** Longest time that a relayed read may take, in milliseconds. */
     private static final long MAX_READ_MILLIS = 700;
 
+    /** Time for one probe of a route that answers, in milliseconds; shorter than the interval between probes. */
+    private static final long PROBE_MILLIS = 200;
+
     /** A log that answers no call by its deadline. */
     private static final class SilentLog implements KeyedLog {
         private final AtomicInteger reads = new AtomicInteger();
@@ -70,4 +73,31 @@
             assertThat(silent.reads.get()).isGreaterThan(readsBefore);
         }
     }
+
+    /**
+     * Guards against reads and appends that wait for slow peers long after a single failed call on the direct route.
+     */
+    @Test
+    void theDirectRouteIsProbedAsSoonAsItFails() throws Exception {
+        MemoryLog direct = new MemoryLog();
+        FailoverLog silentPeer = new FailoverLog(new SilentLog(), new Peers("peer", List::of));
+        try (WireServer peer = WireServer.start(new InetSocketAddress("127.0.0.1", 0), silentPeer)) {
+            List<String> peers = List.of("127.0.0.1:" + peer.port());
+            FailoverLog log = new FailoverLog(direct, new Peers("self:1", () -> peers));
+            assertThat(log.read(TOPIC, 0, 0, Clocks.deadlineAfter(READING_MILLIS)))
+                    .isInstanceOf(ReadOutcome.Records.class);
+            direct.failure = MemoryLog.Failure.REFUSE_ONCE;
+            Thread reader = Thread.ofVirtual().start(() -> log.read(TOPIC, 0, 0, Clocks.deadlineAfter(READING_MILLIS)));
+            long deadline = Clocks.deadlineAfter(READING_MILLIS);
+            while (direct.failure != MemoryLog.Failure.NONE && Clocks.millisUntil(deadline) > 0) {
+                Clocks.sleep(1);
+            }
+            long start = System.nanoTime();
+            Clocks.sleep(PROBE_MILLIS);
+            assertThat(log.read(TOPIC, 0, 0, Clocks.deadlineAfter(READING_MILLIS)))
+                    .isInstanceOf(ReadOutcome.Records.class);
+            assertThat(-Clocks.millisUntil(start)).isLessThan(MAX_READ_MILLIS);
+            reader.join();
+        }
+    }
 }
