LogAccessTest: classes are loaded before the first deadline

Seen: aLostAnswerIsNeverARefusal failed when it ran alone or first; aRequestOfUnknownOutcomeIsAnsweredEarly… failed once beside six busy processes (Refused[no time left] after 2.68 s, deadline 2 s).

Cause: loading the classes that encode records counted against the deadline of the first request of the class, in real time.

Evidence: alone, aLostAnswerIsNeverARefusal took 0.26 s of its 0.3 s deadline before, and 0.06 to 0.08 s in three runs after. No assertion, bound or deadline changes.

--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.acaciaport.wire.WireServer;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
 /** Tests failover to relaying peers, the replica of the jobs, and answers to callers, against an in-memory log. */
@@ -41,6 +43,12 @@
     private final TopicConsumer jobConsumer =
             new TopicConsumer(TOPIC, failoverLog, new TopicConsumer.PollSettings(0, 0), replica);
 
+    /** Loads the classes that encode records, so that this takes no time from the deadline of the first request. */
+    @BeforeAll
+    static void loadClasses() throws IOException {
+        JobRecords.warmUp();
+    }
+
     private static long shortDeadline() {
         return Clocks.deadlineAfter(300);
     }
