A replica does not become older by an earlier read that ends later

Cause: a read that waited for new records set the moment of its own start, also if a shorter read had shown a later one meanwhile; up to 0.4 s back. Readiness, pending counts and the leader's starts depend on it. Evidence: ReplicaTest#anEarlierReadThatEndsLater… failed before by 1 ms set back.

--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -71,7 +71,9 @@
 
     @Override
     public synchronized void caughtUp(ClockReading asOf, long nextOffset) {
-        this.asOf = asOf;
+        if (this.asOf == null || asOf.monotonicNanos() - this.asOf.monotonicNanos() > 0) {
+            this.asOf = asOf;
+        }
         contents.nextOffset = nextOffset;
         earlier = null;
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
@@ -155,4 +155,13 @@
         assertThat(attached)
                 .containsExactly(new JobEntry(job("a"), progress, cancel), new JobEntry(job("b"), null, null));
     }
+
+    /** Guards against a copy that counts as outdated although a later read has shown that it is complete. */
+    @Test
+    void anEarlierReadThatEndsLaterDoesNotMakeTheReplicaOlder() {
+        ClockReading later = Clocks.now();
+        replica.caughtUp(later, 0);
+        replica.caughtUp(new ClockReading(later.monotonicNanos() - 1_000_000, later.wallClockMillis() - 1), 0);
+        assertThat(replica.asOf()).isEqualTo(later);
+    }
 }
