Tasks from a record of an earlier build get records of their own

Cause: the encoder took the tasks in an earlier build's record of a job as written. When that record was replaced by one without tasks, a log that keeps the newest record of each key had lost them. Change: the first change after a takeover encodes the whole job once.

--- a/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.JobProgress;
 
@@ -17,8 +19,15 @@
 final class ProgressEncoder {
     private final Map<String, JobProgress> encoded = new HashMap<>();
 
-    /** Sets the progress of a job that the log already has. */
+    /** Jobs of which it is not known in which records the log has their progress. */
+    private final Set<String> restored = new HashSet<>();
+
+    /**
+     * Sets the progress of a job that the log already has, in records of tasks or, from an earlier build, in that of
+     * the job. All of it is encoded once more with the next change.
+     */
     void restore(JobProgress progress) {
+        restored.add(progress.id());
         encoded.put(progress.id(), progress);
     }
 
@@ -26,15 +35,16 @@
     List<KeyedRecord> encode(JobProgress progress) {
         JobProgress previous = encoded.put(progress.id(), progress);
         List<KeyedRecord> records = new ArrayList<>();
+        boolean complete = previous == null || restored.remove(progress.id());
         Map<String, JobProgress.Task> removed = previous == null ? new HashMap<>() : tasksByKey(previous);
         tasksByKey(progress).forEach((key, task) -> {
-            if (!task.equals(removed.remove(key))) {
+            if (!task.equals(removed.remove(key)) || complete) {
                 records.add(JobRecords.encode(key, task));
             }
         });
         removed.keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
         JobProgress header = progress.withoutTasks();
-        if (previous == null || !header.equals(previous.withoutTasks())) {
+        if (complete || !header.equals(previous.withoutTasks())) {
             records.add(JobRecords.encode(header));
         }
         return records;
@@ -44,6 +54,7 @@
     List<KeyedRecord> remove(String id) {
         List<KeyedRecord> records = new ArrayList<>();
         JobProgress progress = encoded.remove(id);
+        restored.remove(id);
         if (progress != null) {
             tasksByKey(progress).keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
@@ -93,6 +93,16 @@
         assertThat(replica.find("a").progress()).isNull();
     }
 
+    /** Guards against tasks that are lost when the log keeps only the newest record of each key after an upgrade. */
+    @Test
+    void tasksInTheRecordOfTheirJobGetRecordsOfTheirOwnWithTheNextChange() {
+        JobProgress embedded = progress(JobState.RUNNING, running(0, 3), done(1), done(2));
+        encoder.restore(embedded);
+        JobProgress changed = progress(JobState.RUNNING, done(0), done(1), done(2));
+        apply(encoder.encode(changed));
+        assertThat(restored()).isEqualTo(changed);
+    }
+
     /** Guards against work that runs twice after an upgrade, whose log has the tasks in the record of their job. */
     @Test
     void tasksInTheRecordOfTheirJobAreRestored() {
