A leader that can write to the log but not read it resigns

Cause: since such a leader starts nothing, but it went on with its heartbeats, so no other node claimed. Evidence: TermTest#aLeaderThatCanOnlyWriteResigns failed before: the term was alive after 20 s. Change: it resigns once its copy is older than 6 s while its own appends are confirmed; a term ends when its resignation is durable. The age of the copy is read before the events, so that cancellations read until then are handled first.

--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -52,6 +52,12 @@
      */
     private static final long MAX_REPLICA_AGE_MILLIS = 2_000;
 
+    /**
+     * Age of the replica from which a term resigns whose records the log still takes, in milliseconds: another node may
+     * be able to read.
+     */
+    private static final long MAX_UNREAD_MILLIS = 6_000;
+
     /** How long the state of an ended job can be queried, in milliseconds. */
     private static final long ENDED_JOB_RETENTION_MILLIS = 180_000;
 
@@ -176,9 +182,9 @@
     }
 
     private void runIteration() throws InterruptedException {
-        Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        // Cancellations read until then are among the events.
+        // Cancellations read until then are among the events handled now.
         ClockReading replicaAsOf = replica.asOf();
+        Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         long startNanos = System.nanoTime();
         if (event != null) {
             handleEvents(event);
@@ -194,6 +200,10 @@
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
+        if (!resigning && canOnlyWrite(replicaAsOf)) {
+            LOG.infof("lead: epoch=%s outcome=resigning reason=the log cannot be read", epoch);
+            startResignation();
+        }
         pool.takeStops().forEach(sessions::stop);
         purge(now);
         if (!appendInFlight) {
@@ -218,6 +228,13 @@
         }
     }
 
+    /** Returns whether the log has taken records of this term all the while but could not be read. */
+    private boolean canOnlyWrite(ClockReading replicaAsOf) {
+        return replicaAsOf != null
+                && Clocks.ageMillis(replicaAsOf) > MAX_UNREAD_MILLIS
+                && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_REPLICA_AGE_MILLIS;
+    }
+
     /** Appends the pending records in the background if there are any or a heartbeat is due. */
     private void startAppend(ClockReading now) {
         Batch batch = pool.takeBatch();
@@ -234,20 +251,25 @@
             records.add(JobRecords.encode(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
         }
         appendInFlight = true;
+        boolean resignation = resigning;
         executor.execute(() -> {
             boolean appended = logWriter.append(records);
-            post(() -> handleAppendResult(appended, batch, now.monotonicNanos()));
+            post(() -> handleAppendResult(appended, resignation, batch, now.monotonicNanos()));
         });
     }
 
     /** Releases the commands of a durable batch; ends the term if the log rejected the append. */
-    private void handleAppendResult(boolean appended, Batch batch, long takenNanos) {
+    private void handleAppendResult(boolean appended, boolean resignation, Batch batch, long takenNanos) {
         appendInFlight = false;
         load.recordAppend(takenNanos);
         if (!appended) {
             end("deposed by a later term in the log");
             return;
         }
+        if (resignation) {
+            end("resigned");
+            return;
+        }
         durableBatches.add(batch);
     }
 
@@ -363,19 +385,18 @@
      */
     void resign(long millis) {
         long deadline = Clocks.deadlineAfter(millis);
-        post(() -> {
-            resigning = true;
-            // Makes a heartbeat due, so that the resignation is appended without delay.
-            lastHeartbeatNanos -= HEARTBEAT_INTERVAL_MILLIS * Clocks.NANOS_PER_MILLI;
-        });
+        post(this::startResignation);
         while (!ended && Clocks.millisUntil(deadline) > 0 && Clocks.sleep(LOOP_INTERVAL_MILLIS)) {
-            Replica.Leader leader = replica.leader();
-            if (leader != null && leader.record().resigned()) {
-                end("resigned");
-            }
+            // The term ends once the resignation is durable.
         }
     }
 
+    private void startResignation() {
+        resigning = true;
+        // Makes a heartbeat due, so that the resignation is appended without delay.
+        lastHeartbeatNanos -= HEARTBEAT_INTERVAL_MILLIS * Clocks.NANOS_PER_MILLI;
+    }
+
     private void close() {
         registrationConsumer.stop();
         replica.detach();
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -103,6 +103,17 @@
         assertThat(target.started).containsExactly(first);
     }
 
+    /** Guards against a pool in which nothing starts, since its leader cannot read the log and nobody replaces it. */
+    @Test
+    void aLeaderThatCanOnlyWriteResigns() {
+        lead();
+        leaderLog.readable = false;
+        await(() -> !thread.isAlive());
+        leaderLog.readable = true;
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        assertThat(replica.leader().record().resigned()).isTrue();
+    }
+
     /** A log whose reads can be made to fail. */
     private static final class UnreadableLog implements KeyedLog {
         private final KeyedLog log;
