A batch is appended as a whole, with time for its transfer

Cause: since a batch of more than 256 KiB went in several appends. A successor that read only the first found the tasks of an ended job deleted and its end missing, and started them from run 1. And an append had no time for its transfer: beside short appends, which keep the timeout at 0.3 s, a batch of 524 KB on a link of 7 Mbit/s was never appended. Change: one append a batch, as before; the routes of a large append get the time that a slow link needs for it.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -8,6 +8,7 @@
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
+import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.wire.Message;
@@ -35,6 +36,12 @@
     /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
     private static final long PAGE_TRANSFER_MILLIS = 2_000;
 
+    /** Size of an append up to which its transfer takes no time worth counting, in bytes. */
+    private static final long SMALL_APPEND_BYTES = 16 << 10;
+
+    /** Bytes that a slow link transfers in a millisecond, beside other traffic. */
+    private static final long SLOW_LINK_BYTES_PER_MILLI = 400;
+
     private final KeyedLog direct;
     private final Peers peers;
     private final RouteTimeouts appendTimeouts = RouteTimeouts.of(0);
@@ -112,7 +119,7 @@
     /**
      * Makes one call on one route; returns null if there was no usable answer in time.
      *
-     * @param waitMillis how long the log may hold back the answer, in milliseconds
+     * @param waitMillis how long the log may hold back the answer or the call may be in transfer, in milliseconds
      */
     private <T> T call(Route route, long waitMillis, long deadline, Call<T> call) {
         AdaptiveTimeout timeout =
@@ -200,7 +207,7 @@
             if (Clocks.millisUntil(deadline) <= 0) {
                 return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused("no time left");
             }
-            AppendOutcome outcome = call(route, 0, deadline, call);
+            AppendOutcome outcome = call(route, transferMillis(append), deadline, call);
             if (outcome != null && isAnswer(outcome)) {
                 setReachable(true);
                 return outcome;
@@ -215,6 +222,15 @@
         return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused(reason);
     }
 
+    /** Returns the time that a slow link needs to transfer {@code append}, in milliseconds; 0 if that is negligible. */
+    private static long transferMillis(Append append) {
+        long bytes = 0;
+        for (KeyedRecord record : append.records()) {
+            bytes += record.key().length() + record.value().length;
+        }
+        return bytes < SMALL_APPEND_BYTES ? 0 : bytes / SLOW_LINK_BYTES_PER_MILLI;
+    }
+
     private static boolean isAnswer(AppendOutcome outcome) {
         return switch (outcome) {
             case AppendOutcome.Refused refused -> false;
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
@@ -1,6 +1,5 @@
 package org.acaciaport.node;
 
-import java.util.ArrayList;
 import java.util.List;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -22,9 +21,6 @@
     private static final long ATTEMPT_TIMEOUT_MILLIS = 2_500;
     private static final long RETRY_DELAY_MILLIS = 50;
 
-    /** Bytes of keys and values in one append, so that a slow link transfers it well before its timeout. */
-    private static final int MAX_APPEND_BYTES = 256 << 10;
-
     private final KeyedLog log;
     private final String topic;
     private final long epoch;
@@ -51,28 +47,10 @@
     }
 
     /**
-     * Appends {@code records}, in several appends if they are large; returns false if a later term has begun or the
-     * thread is interrupted.
+     * Appends {@code records} as a whole, since they may hold only together: a successor that read a part of them could
+     * start finished work again. Returns false if a later term has begun or the thread is interrupted.
      */
     boolean append(List<KeyedRecord> records) {
-        List<KeyedRecord> part = new ArrayList<>();
-        int bytes = 0;
-        for (KeyedRecord record : records) {
-            int size = record.key().length() + record.value().length;
-            if (!part.isEmpty() && bytes + size > MAX_APPEND_BYTES) {
-                if (!appendAtOnce(part)) {
-                    return false;
-                }
-                part = new ArrayList<>();
-                bytes = 0;
-            }
-            part.add(record);
-            bytes += size;
-        }
-        return appendAtOnce(part);
-    }
-
-    private boolean appendAtOnce(List<KeyedRecord> records) {
         Append append = new Append(topic, records, new Append.Writer(WRITER, epoch, sequence));
         while (!Thread.currentThread().isInterrupted()) {
             ClockReading sent = Clocks.now();
--- a/acacia-node/src/test/java/org/acaciaport/node/SlowLinkTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/SlowLinkTest.java
@@ -6,6 +6,7 @@
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
+import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,14 @@
     /** Longest time that a test waits for an answer, in milliseconds. */
     private static final long TEST_TIMEOUT_MILLIS = 8_000;
 
+    /** Capacity of the link, in bytes per millisecond. */
+    private static final long LINK_BYTES_PER_MILLI = 875;
+
+    /** Size of an append that takes 0.6 s on that link, in bytes. */
+    private static final int LARGE_APPEND_BYTES = 525_000;
+
+    private static final int SHORT_APPEND_COUNT = 50;
+
     private final SlowLog slowLog = new SlowLog();
     private final FailoverLog log = new FailoverLog(slowLog, new Peers("self:1", List::of));
 
@@ -35,7 +44,12 @@
 
         @Override
         public AppendOutcome append(Append append, long deadline) {
-            return new AppendOutcome.Appended(0);
+            long bytes = append.records().stream()
+                    .mapToLong(record -> record.value().length)
+                    .sum();
+            return transfer(bytes / LINK_BYTES_PER_MILLI, deadline)
+                    ? new AppendOutcome.Appended(0)
+                    : new AppendOutcome.Unknown("transfer took too long");
         }
 
         @Override
@@ -53,8 +67,12 @@
         }
 
         private boolean transfer(long deadline) {
-            boolean inTime = Clocks.millisUntil(deadline) >= transferMillis;
-            Clocks.sleep(inTime ? transferMillis : Math.max(0, Clocks.millisUntil(deadline)) + 1);
+            return transfer(transferMillis, deadline);
+        }
+
+        private static boolean transfer(long millis, long deadline) {
+            boolean inTime = Clocks.millisUntil(deadline) >= millis;
+            Clocks.sleep(inTime ? millis : Math.max(0, Clocks.millisUntil(deadline)) + 1);
             return inTime;
         }
     }
@@ -112,4 +130,18 @@
         }
         assertThat(outcome).isInstanceOf(ReadOutcome.Records.class);
     }
+
+    /** Guards against a leader whose large batches never become durable, since short appends shorten the timeout. */
+    @Test
+    void aLargeAppendHasTimeForItsTransferAfterManyShortOnes() {
+        for (int i = 0; i < SHORT_APPEND_COUNT; i++) {
+            assertThat(append(1)).isInstanceOf(AppendOutcome.Appended.class);
+        }
+        assertThat(append(LARGE_APPEND_BYTES)).isInstanceOf(AppendOutcome.Appended.class);
+    }
+
+    private AppendOutcome append(int bytes) {
+        KeyedRecord record = new KeyedRecord("key", new byte[bytes]);
+        return log.append(new Append(TOPIC, List.of(record), new Append.Always()), testDeadline());
+    }
 }
