--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -25,17 +25,29 @@
     private static final long TIMEOUT_SECONDS = 20;
     private static final long HEARTBEAT_INTERVAL_MILLIS = 60;
 
+    /** Least delay of a VM with a hundredth of the largest one's capacity, in milliseconds. */
+    private static final long SMALL_VM_DELAY_MILLIS = ClaimDelay.MAX_MILLIS * 99 / 100 - 1;
+
     private final MemoryLog log = new MemoryLog();
     private final Replica replica = new Replica();
     private final FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
     private final TopicConsumer jobConsumer =
             new TopicConsumer(TOPICS.jobs(), failoverLog, new TopicConsumer.PollSettings(0, 1), replica);
 
+    private final ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
+            new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of("s"))));
+
     private LeaderElection newElection() {
-        ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
-                new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of("s"))));
+        publishConfiguration();
+        return newElectionWithoutConfiguration();
+    }
+
+    private void publishConfiguration() {
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
+    }
+
+    private LeaderElection newElectionWithoutConfiguration() {
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica, configuration, null, TOPICS, failoverLog, new NoTargets(), new MetricRegistry());
         return new LeaderElection(SELF, CAPACITY, dependencies, jobConsumer, new SplittableRandom(1));
@@ -93,6 +105,54 @@
         assertThat(hasClaimed()).isFalse();
     }
 
+    /** Appends the record of a node on a much larger VM, and returns once the replica has it. */
+    private void announceLargerVm() {
+        NodeRecord larger = new NodeRecord("larger", "larger:1", new VmCapacity(100, 10_000));
+        log.append(
+                new Append(TOPICS.jobs(), List.of(JobRecords.encode(larger)), new Append.Always()),
+                Clocks.deadlineAfter(1_000));
+        jobConsumer.start();
+        assertThat(jobConsumer.catchUp(Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS))))
+                .isTrue();
+    }
+
+    private long awaitClaimMillis(long startNanos) throws IOException {
+        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        while (!hasClaimed() && Clocks.millisUntil(deadline) > 0) {
+            Clocks.sleep(1);
+        }
+        assertThat(hasClaimed()).isTrue();
+        return -Clocks.millisUntil(startNanos);
+    }
+
+    /** Guards against a leader on a small VM while a larger one could lead. */
+    @Test
+    void aNodeOnASmallVmLeavesTheClaimToALargerOneForAWhile() throws Exception {
+        announceLargerVm();
+        LeaderElection election = newElection();
+        long start = System.nanoTime();
+        election.start();
+        long claimedAfterMillis = awaitClaimMillis(start);
+        election.stop(1_000);
+        jobConsumer.stop();
+        assertThat(claimedAfterMillis).isAtLeast(SMALL_VM_DELAY_MILLIS);
+    }
+
+    /** Guards against small VMs that lead since their delay has passed before any node could lead. */
+    @Test
+    void theDelayOfASmallVmBeginsOnceThereIsAConfiguration() throws Exception {
+        announceLargerVm();
+        LeaderElection election = newElectionWithoutConfiguration();
+        election.start();
+        Clocks.sleep(2 * ClaimDelay.MAX_MILLIS);
+        long start = System.nanoTime();
+        publishConfiguration();
+        long claimedAfterMillis = awaitClaimMillis(start);
+        election.stop(1_000);
+        jobConsumer.stop();
+        assertThat(claimedAfterMillis).isAtLeast(SMALL_VM_DELAY_MILLIS);
+    }
+
     /** Ignores all records, since the in-memory log has the records of all topics in one. */
     private static final class NoTargets implements TargetRecordDecoder {
         @Override
