--- a/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
@@ -35,7 +35,6 @@
     @Override
     public synchronized void reset() {
         requestedEvacuations.clear();
-        asOf = null;
     }
 
     @Override
@@ -69,7 +68,9 @@
 
     @Override
     public synchronized void caughtUp(ClockReading asOf, long nextOffset) {
-        this.asOf = asOf;
+        if (this.asOf == null || asOf.monotonicNanos() - this.asOf.monotonicNanos() > 0) {
+            this.asOf = asOf;
+        }
         if (!activeEvacuations.equals(requestedEvacuations)) {
             activeEvacuations = Set.copyOf(requestedEvacuations);
             LOG.infof("configuration: evacuated=%s offset=%s outcome=in-force", activeEvacuations, nextOffset);
@@ -84,7 +85,7 @@
 
     /**
      * Returns the moment as of which the configuration is known to be the latest; null if the records have not been
-     * read completely yet, initially or after a reset.
+     * read completely yet. While a snapshot is being read, that is the moment before it.
      */
     synchronized ClockReading asOf() {
         return asOf;
