--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -81,6 +81,7 @@
 
     private volatile boolean ended;
     private volatile boolean resigning;
+
     /** Batches whose records are durable, to be released once all earlier events have been handled. */
     private final List<Batch> durableBatches = new ArrayList<>();
 
