The load log says which steps wait longest, and for what

Once a second at most five steps that have waited 3 s are logged: phases, how long, the target awaited, eligible and excluded targets, free slots on all targets and on one rack.

--- a/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
@@ -7,6 +7,7 @@
 import org.acaciaport.pool.Backlog;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Pool;
+import org.acaciaport.pool.WaitingStep;
 import org.jboss.logging.Logger;
 
 /**
@@ -76,7 +77,7 @@
         return duration;
     }
 
-    /** Logs the load of the last second, and what waits in {@code pool}, if a second has passed. */
+    /** Logs the load of the last second and the steps that have waited longest, if a second has passed. */
     void reportIfDue(Pool pool, ClockReading now) {
         if (now.monotonicNanos() - nextReportNanos < 0) {
             return;
@@ -101,6 +102,7 @@
                 backlog.stopping(),
                 backlog.usedAccelerators(),
                 backlog.accelerators());
+        pool.longestWaitingSteps(now).forEach(TermLoad::report);
         eventCount = 0;
         passCount = 0;
         longestEventWaitNanos = 0;
@@ -110,6 +112,25 @@
         nextReportNanos = now.nanosAfter(REPORT_INTERVAL_MILLIS);
     }
 
+    private static void report(WaitingStep step) {
+        LOG.infof(
+                "wait: request=%s task=%s gang=%s waiting=%s reserved=%s occupying=%s waited_ms=%s reserved_ms=%s"
+                        + " awaits=%s eligible=%s excluded=%s free_slots=%s free_slots_on_one_rack=%s",
+                step.first().job(),
+                step.first(),
+                step.gang(),
+                step.waiting(),
+                step.reserved(),
+                step.occupying(),
+                step.waitedMillis(),
+                step.reservedMillis(),
+                step.awaitedTarget(),
+                step.eligibleTargets(),
+                step.excludedTargets(),
+                step.freeSlots(),
+                step.freeSlotsOnOneRack());
+    }
+
     private static long toMillis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -347,6 +347,7 @@
 
     private void reserve(PlacementUnit unit, List<TargetState> chosen, String why) {
         unit.step().reservationExpiresNanos = now.monotonicNanos();
+        unit.step().reservedNanos = now.monotonicNanos();
         for (int i = 0; i < unit.size(); i++) {
             chosen.get(i).put(unit.tasks().get(i), Phase.RESERVED);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -327,6 +327,11 @@
         return Backlog.of(jobs.values(), targets.values());
     }
 
+    /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
+    public List<WaitingStep> longestWaitingSteps(ClockReading now) {
+        return WaitingStep.longest(jobs.values(), targets.values(), settings, now);
+    }
+
     /** Returns the ids of the targets that may have active runs. */
     public Collection<String> occupiedTargets() {
         List<String> ids = new ArrayList<>();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -34,6 +34,9 @@
      */
     long reservationExpiresNanos;
 
+    /** Monotonic clock reading at which resources were last reserved for a task, in nanoseconds; 0 until then. */
+    long reservedNanos;
+
     /** Monotonic clock reading at which the step became ready to run, in nanoseconds; 0 until then. */
     long readyNanos;
 
