--- /dev/null
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -0,0 +1,113 @@
+package org.acaciaport.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests that accepted work starts while most of the pool is free. */
+final class WaitingWorkTest {
+    /** Longest time for which work may wait while there is room for it twice over, in milliseconds. */
+    private static final int MAX_WAIT_WITH_ROOM_MILLIS = 3_000;
+
+    private static final int PASS_INTERVAL_MILLIS = 50;
+
+    private final PoolFixture fixture = new PoolFixture();
+
+    /** Guards against a gang that waits for the end of certain runs (LOST) while other targets become free. */
+    @Test
+    void aGangWithAnAdvanceReservationUsesRoomThatBecomesFreeElsewhere() {
+        List<TaskId> running = occupyTargets(10);
+        fixture.submit(fixture.job("gang", "y", 1, PoolFixture.gang(2, 8, false)));
+        fixture.advance(3_100);
+        WaitingStep gang = fixture.pool.longestWaitingSteps(fixture.now()).get(0);
+        assertThat(gang.reserved()).isEqualTo(2);
+        endRunsExceptOn(gang.awaitedTarget(), running);
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("gang")).hasSize(2);
+    }
+
+    /** Guards against a single task that waits for the end of a stop (LOST) while other targets are free. */
+    @Test
+    void aTaskThatWaitsForAStopUsesRoomThatBecomesFreeElsewhere() {
+        List<TaskId> running = occupyTargets(4);
+        fixture.submit(fixture.job("urgent", "y", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+        endRunsExceptOn(fixture.stops.get(0).target(), running);
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("urgent")).hasSize(1);
+    }
+
+    /** Guards against a gang that waits for a whole rack (LOST) while most of each rack is free. */
+    @Test
+    void aTightGangSpreadsOverRacksWhileMostOfThePoolIsFree() {
+        for (int rack = 0; rack < 3; rack++) {
+            for (int i = 0; i < 4; i++) {
+                fixture.addTarget("t" + rack + i, "r" + rack);
+            }
+        }
+        occupyOneTargetOfEachRack();
+        fixture.submit(fixture.job("gang", "y", 1, PoolFixture.gang(4, 8, true)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("gang")).hasSize(4);
+    }
+
+    /** Guards against a job that holds up others of the same demand (LOST) since it failed on the free targets. */
+    @Test
+    void aJobThatMayNotUseTheFreeTargetsDoesNotHoldUpOthersOfTheSameDemand() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        fixture.submit(fixture.job("failing", "x", 1, PoolFixture.independentTasks(1, 8)));
+        TargetCommand.Start first = fixture.starts.get(0);
+        String other = first.target().equals("t1") ? "t2" : "t1";
+        Step longStep =
+                new Step(1, new Resources(1_000, 1_000, 8), 600_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("long", "x", 1, longStep));
+        assertThat(fixture.starts.get(1).target()).isEqualTo(other);
+        fixture.endRun(first.task(), TargetReport.EndReason.FAILED);
+        fixture.submit(fixture.job("other", "x", 1, PoolFixture.independentTasks(1, 8)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("other")).hasSize(1);
+    }
+
+    /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
+    private List<TaskId> occupyTargets(int count) {
+        for (int i = 0; i < count; i++) {
+            fixture.addTarget("t" + i, "r1");
+        }
+        fixture.submit(fixture.job("busy", "x", 1, PoolFixture.independentTasks(count, 8)));
+        assertThat(fixture.running).hasSize(count);
+        return new ArrayList<>(fixture.running.keySet());
+    }
+
+    /** Runs a long task on one target of each rack. */
+    private void occupyOneTargetOfEachRack() {
+        for (int rack = 0; rack < 3; rack++) {
+            Step.Constraints inRack = new Step.Constraints("r" + rack, "", 0, false);
+            Step one = new Step(1, new Resources(1_000, 1_000, 8), 600_000, List.of(), inRack, Step.Mode.PLAIN);
+            fixture.submit(fixture.job("busy" + rack, "x", 1, one));
+        }
+        assertThat(fixture.running).hasSize(3);
+    }
+
+    private void endRunsExceptOn(String target, List<TaskId> tasks) {
+        for (TaskId task : tasks) {
+            if (!fixture.running.get(task).target().equals(target)) {
+                fixture.endRun(task, TargetReport.EndReason.DONE);
+            }
+        }
+    }
+
+    private void pass(int millis) {
+        for (int elapsed = 0; elapsed < millis; elapsed += PASS_INTERVAL_MILLIS) {
+            fixture.advance(PASS_INTERVAL_MILLIS);
+        }
+    }
+
+    private List<TargetCommand.Start> startsOf(String job) {
+        return fixture.starts.stream()
+                .filter(start -> start.task().job().equals(job))
+                .toList();
+    }
+}
