A reservation gives way to resources that are free at once

Cause: a reserved unit was not placed again. A gang below the highest priority keeps an advance reservation until the last run on its targets has ended, and the predicted ends are rough; a task that waits for a stop keeps its reservation until the stop is reported. There was no deadline, and only one advance reservation exists at a time, so other gangs waited behind it. Change: each pass reviews the reservations that are older than 0.5 s and whose resources are still in use, in scheduling order, and moves the unit if it fits into resources that are free at once, its own included; otherwise the reservation stays as it was. So no unit can wait for a run while there is room for it. The times of a reservation are those of its tasks: tasks of one step that are placed one by one no longer share them.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 
@@ -46,6 +47,9 @@
      */
     private static final long ADVANCE_RESERVATION_HOLD_MILLIS = 1_000;
 
+    /** Age from which a reservation gives way to resources that are free at once, in milliseconds. */
+    private static final long MIN_RESERVATION_MILLIS = 500;
+
     /** Interval between searches for running tasks that could make room for the same step, in milliseconds. */
     private static final long SEARCH_INTERVAL_MILLIS = 100;
 
@@ -106,7 +110,11 @@
         }
         waiting.sort(schedulingOrder());
         for (PlacementUnit unit : waiting) {
-            place(unit);
+            if (unit.isIn(Phase.WAITING)) {
+                place(unit);
+            } else if (unit.isIn(Phase.RESERVED)) {
+                reviewReservation(unit);
+            }
         }
         new UnitStarter(context, placement, now).startReserved(jobs);
     }
@@ -149,7 +157,7 @@
     private void collectWaiting(StepExecution step, List<PlacementUnit> waiting) {
         if (!step.spec.mode().gang()) {
             for (TaskExecution task : step.tasks) {
-                if (task.phase == Phase.WAITING) {
+                if (task.phase == Phase.WAITING || task.phase == Phase.RESERVED) {
                     waiting.add(new PlacementUnit(step, List.of(task)));
                 }
             }
@@ -157,9 +165,11 @@
         }
         if (step.tasks.stream().allMatch(task -> task.phase == Phase.WAITING)) {
             waiting.add(new PlacementUnit(step, step.tasks));
-        } else if (step.tasks.get(0).phase == Phase.RESERVED
-                && step.job.spec.terms().priority() > 0) {
-            advanceReservations++;
+        } else if (step.tasks.stream().allMatch(task -> task.phase == Phase.RESERVED)) {
+            waiting.add(new PlacementUnit(step, step.tasks));
+            if (step.job.spec.terms().priority() > 0) {
+                advanceReservations++;
+            }
         }
     }
 
@@ -170,14 +180,10 @@
         if (cacheable && unplaceable.contains(key)) {
             return;
         }
-        Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
-        racks.values()
-                .forEach(rack -> rack.removeIf(target ->
-                        context.targetHealth().isExcludedForJob(unit.job().id(), target, targets)));
-        List<LocalityTier> tiers = LocalityTier.of(unit, racks, isOverdueClaim(unit), waitedMillis(unit));
+        List<LocalityTier> tiers = localityTiers(unit);
         boolean searchDue = now.monotonicNanos() - unit.step().nextSearchNanos >= 0;
         for (LocalityTier tier : tiers) {
-            if (placeInFreeCapacity(unit, tier)
+            if (placeInFreeCapacity(unit, tier, TargetState::projectedFree)
                     || searchDue && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
                 return;
             }
@@ -195,6 +201,35 @@
         }
     }
 
+    /**
+     * Moves a unit whose reserved resources are still in use to resources that are free at once. The runs that it waits
+     * for may take much longer than predicted or may not end at all.
+     */
+    private void reviewReservation(PlacementUnit unit) {
+        long reservedNanos = unit.tasks().get(0).reservedNanos;
+        if (now.millisSince(reservedNanos) < MIN_RESERVATION_MILLIS || unit.areReservedResourcesFree()) {
+            return;
+        }
+        List<TargetState> held = unit.targets();
+        unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
+        for (LocalityTier tier : localityTiers(unit)) {
+            if (placeInFreeCapacity(unit, tier, TargetState::freeAtOnce)) {
+                return;
+            }
+        }
+        for (int i = 0; i < unit.size(); i++) {
+            held.get(i).put(unit.tasks().get(i), Phase.RESERVED);
+        }
+    }
+
+    private List<LocalityTier> localityTiers(PlacementUnit unit) {
+        Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
+        racks.values()
+                .forEach(rack -> rack.removeIf(target ->
+                        context.targetHealth().isExcludedForJob(unit.job().id(), target, targets)));
+        return LocalityTier.of(unit, racks, isOverdueClaim(unit), waitedMillis(unit));
+    }
+
     private long waitedMillis(PlacementUnit unit) {
         return now.millisSince(unit.step().readyNanos);
     }
@@ -208,17 +243,18 @@
                 && accountDemand.isWithinGuarantee(unit.job().account());
     }
 
-    private boolean placeInFreeCapacity(PlacementUnit unit, LocalityTier tier) {
+    private boolean placeInFreeCapacity(
+            PlacementUnit unit, LocalityTier tier, Function<TargetState, Resources> available) {
         List<TargetState> best = null;
         long leastFree = Long.MAX_VALUE;
         for (List<TargetState> group : tier.groups()) {
-            List<TargetState> chosen = Placement.selectTargets(unit, group, TargetState::projectedFree);
+            List<TargetState> chosen = Placement.selectTargets(unit, group, available);
             if (chosen == null) {
                 continue;
             }
             long free = 0;
             for (TargetState target : group) {
-                free += target.projectedFree().accelerators();
+                free += available.apply(target).accelerators();
             }
             if (free < leastFree) {
                 best = chosen;
@@ -243,7 +279,7 @@
             return false;
         }
         reserve(unit, best.targets(), "soon");
-        unit.step().reservationExpiresNanos = now.nanosAfter(COMPLETION_WAIT_TIMEOUT_MILLIS - waitedMillis(unit));
+        setReservationExpiry(unit, COMPLETION_WAIT_TIMEOUT_MILLIS - waitedMillis(unit));
         return true;
     }
 
@@ -341,15 +377,20 @@
         }
         advanceReservations++;
         reserve(unit, best.targets(), "set-aside");
-        unit.step().reservationExpiresNanos = now.nanosAfter(ADVANCE_RESERVATION_HOLD_MILLIS);
+        setReservationExpiry(unit, ADVANCE_RESERVATION_HOLD_MILLIS);
         return true;
     }
 
+    private void setReservationExpiry(PlacementUnit unit, long millis) {
+        unit.tasks().forEach(task -> task.reservationExpiresNanos = now.nanosAfter(millis));
+    }
+
     private void reserve(PlacementUnit unit, List<TargetState> chosen, String why) {
-        unit.step().reservationExpiresNanos = now.monotonicNanos();
-        unit.step().reservedNanos = now.monotonicNanos();
         for (int i = 0; i < unit.size(); i++) {
-            chosen.get(i).put(unit.tasks().get(i), Phase.RESERVED);
+            TaskExecution task = unit.tasks().get(i);
+            task.reservedNanos = now.monotonicNanos();
+            task.reservationExpiresNanos = now.monotonicNanos();
+            chosen.get(i).put(task, Phase.RESERVED);
         }
         LOG.infof(
                 "place: request=%s step=%s tasks=%s cores=%.1f account=%s target=%s why=%s waited_ms=%s",
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -1,6 +1,8 @@
 package org.acaciaport.pool;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The tasks that are placed together: all tasks of a gang, or a single task.
@@ -26,4 +28,28 @@
     int size() {
         return tasks.size();
     }
+
+    /** Returns whether all tasks are in {@code phase}. */
+    boolean isIn(Phase phase) {
+        return tasks.stream().allMatch(task -> task.phase == phase);
+    }
+
+    /** Returns the targets of the tasks, in their order. */
+    List<TargetState> targets() {
+        return tasks.stream().map(task -> task.target).toList();
+    }
+
+    /** Returns whether the resources reserved for the tasks are free, so that they could start. */
+    boolean areReservedResourcesFree() {
+        Map<TargetState, Resources> free = new HashMap<>();
+        for (TaskExecution task : tasks) {
+            Resources remaining =
+                    free.getOrDefault(task.target, task.target.freeNow()).minus(task.demand());
+            if (!Resources.NONE.fitsIn(remaining)) {
+                return false;
+            }
+            free.put(task.target, remaining);
+        }
+        return true;
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -28,15 +28,6 @@
     /** Monotonic clock reading of the next search among running tasks, in nanoseconds; the search is expensive. */
     long nextSearchNanos;
 
-    /**
-     * Monotonic clock reading, in nanoseconds, until which a unit of the highest priority keeps a reservation whose
-     * resources are still in use.
-     */
-    long reservationExpiresNanos;
-
-    /** Monotonic clock reading at which resources were last reserved for a task, in nanoseconds; 0 until then. */
-    long reservedNanos;
-
     /** Monotonic clock reading at which the step became ready to run, in nanoseconds; 0 until then. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -57,6 +57,11 @@
         return freeNow().plus(stopping).minus(reserved);
     }
 
+    /** Returns the resources that a unit could use at once: free now, and not reserved. */
+    Resources freeAtOnce() {
+        return freeNow().minus(reserved);
+    }
+
     Resources capacity() {
         return info == null ? Resources.NONE : info.capacity();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -43,6 +43,15 @@
     /** Monotonic clock reading at the confirmation of the newest run, in nanoseconds; 0 while it is unconfirmed. */
     long confirmedNanos;
 
+    /** Monotonic clock reading at the newest reservation of resources, in nanoseconds. */
+    long reservedNanos;
+
+    /**
+     * Monotonic clock reading, in nanoseconds, until which a unit of the highest priority keeps a reservation whose
+     * resources are still in use.
+     */
+    long reservationExpiresNanos;
+
     /** Monotonic clock reading at the newest stop command, in nanoseconds. */
     long stopSentNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -1,9 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Starts reserved units once the reserved resources are free. A gang starts as a whole.
@@ -53,19 +51,13 @@
     }
 
     private void start(PlacementUnit unit) {
-        Map<TargetState, Resources> free = new HashMap<>();
-        boolean enough = true;
         for (TaskExecution task : unit.tasks()) {
             if (!placement.isEligible(unit, task.target, now.monotonicNanos())) {
                 unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
                 return;
             }
-            Resources remaining =
-                    free.getOrDefault(task.target, task.target.freeNow()).minus(task.demand());
-            free.put(task.target, remaining);
-            enough &= Resources.NONE.fitsIn(remaining);
         }
-        if (!enough) {
+        if (!unit.areReservedResourcesFree()) {
             cancelExpiredReservation(unit);
             return;
         }
@@ -86,7 +78,7 @@
 
     /** Cancels an expired reservation of a unit of the highest priority, so that the next pass chooses anew. */
     private void cancelExpiredReservation(PlacementUnit unit) {
-        if (unit.priority() != 0 || now.monotonicNanos() - unit.step().reservationExpiresNanos < 0) {
+        if (unit.priority() != 0 || now.monotonicNanos() - unit.tasks().get(0).reservationExpiresNanos < 0) {
             return;
         }
         for (TaskExecution task : unit.tasks()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingStep.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingStep.java
@@ -17,7 +17,7 @@
  * @param reserved tasks with reserved resources
  * @param occupying tasks that may have a run
  * @param waitedMillis time since the step became ready, in milliseconds
- * @param reservedMillis time since resources were last reserved for a task of the step, in milliseconds
+ * @param reservedMillis age of the oldest reservation of the step, in milliseconds; 0 if there is none
  * @param awaitedTarget a target with reserved resources that are still in use; empty if there is none
  * @param eligibleTargets targets that accept tasks of the step now, regardless of their free resources
  * @param excludedTargets targets that do not, since they were excluded after a failure
@@ -105,7 +105,7 @@
                 count(step, Phase.RESERVED),
                 count(step, Phase.STARTING) + count(step, Phase.RUNNING) + count(step, Phase.STOPPING),
                 now.millisSince(step.readyNanos),
-                step.reservedNanos == 0 ? 0 : now.millisSince(step.reservedNanos),
+                reservedMillis(step, now),
                 awaitedTarget(step),
                 eligible,
                 excluded,
@@ -117,6 +117,16 @@
         return (int) step.tasks.stream().filter(task -> task.phase == phase).count();
     }
 
+    private static long reservedMillis(StepExecution step, ClockReading now) {
+        long longest = 0;
+        for (TaskExecution task : step.tasks) {
+            if (task.phase == Phase.RESERVED) {
+                longest = Math.max(longest, now.millisSince(task.reservedNanos));
+            }
+        }
+        return longest;
+    }
+
     private static String awaitedTarget(StepExecution step) {
         for (TaskExecution task : step.tasks) {
             if (task.phase == Phase.RESERVED && !task.demand().fitsIn(task.target.freeNow())) {
