Work does not wait for one rack while most of the capacity is free

Second cause of the same class, a wait without a deadline: a tight gang that one rack could take when idle was tried on single racks only, for ever below the highest priority; a task waited for the rack of its data for as long as its estimate. Change: after 2 s any unit accepts targets outside its preferred locality if less than half of the capacity of its service is in use. The longer run then takes nothing from others; while the pool is busy, the wait is as it was.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -20,7 +20,7 @@
      * Returns the tiers in which {@code unit} may be placed, best locality first.
      *
      * @param racks eligible targets by rack
-     * @param overdue whether the unit is within its guarantee and has waited too long to require the best locality
+     * @param overdue whether the unit has waited too long to require the best locality
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
     static List<LocalityTier> of(
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -130,6 +130,19 @@
         return racks;
     }
 
+    /** Returns whether less than half of the capacity of the registered targets of {@code service} is in use. */
+    boolean isMostlyFree(String service) {
+        double free = 0;
+        double total = 0;
+        for (TargetState target : targets) {
+            if (target.registered && target.info.service().equals(service)) {
+                free += target.freeNow().coreEquivalents();
+                total += target.capacity().coreEquivalents();
+            }
+        }
+        return 2 * free > total;
+    }
+
     /** Returns whether all tasks of {@code unit} would fit on one of {@code racks} if its targets were idle. */
     static boolean fitsOnOneRack(PlacementUnit unit, Map<String, List<TargetState>> racks) {
         for (List<TargetState> rack : racks.values()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,9 @@
     /** Time after which a claim accepts targets outside its preferred locality, in milliseconds. */
     private static final long CLAIM_LOCALITY_WAIT_MILLIS = 1_000;
 
+    /** Time after which any unit accepts such targets while most of the capacity is free, in milliseconds. */
+    private static final long MOSTLY_FREE_LOCALITY_WAIT_MILLIS = 2_000;
+
     /** Time that a gang waits before it may get an advance reservation, in milliseconds. */
     private static final long ADVANCE_RESERVATION_WAIT_MILLIS = 3_000;
 
@@ -71,6 +75,10 @@
     private final AccountDemand accountDemand;
     private final ClockReading now;
     private final Set<DemandKey> unplaceable = new HashSet<>();
+
+    /** Whether most of the capacity was free when the pass first asked, by service. */
+    private final Map<String, Boolean> mostlyFreeByService = new HashMap<>();
+
     private int advanceReservations;
 
     PlacementPass(
@@ -227,15 +235,25 @@
         racks.values()
                 .forEach(rack -> rack.removeIf(target ->
                         context.targetHealth().isExcludedForJob(unit.job().id(), target, targets)));
-        return LocalityTier.of(unit, racks, isOverdueClaim(unit), waitedMillis(unit));
+        return LocalityTier.of(unit, racks, isOverdue(unit), waitedMillis(unit));
     }
 
     private long waitedMillis(PlacementUnit unit) {
         return now.millisSince(unit.step().readyNanos);
     }
 
-    private boolean isOverdueClaim(PlacementUnit unit) {
-        return isClaim(unit) && waitedMillis(unit) > CLAIM_LOCALITY_WAIT_MILLIS;
+    /**
+     * Returns whether the unit has waited too long to require the best locality. While most of the capacity is free,
+     * the longer run that results takes nothing from others.
+     */
+    private boolean isOverdue(PlacementUnit unit) {
+        long waitedMillis = waitedMillis(unit);
+        return waitedMillis > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
+                || waitedMillis > MOSTLY_FREE_LOCALITY_WAIT_MILLIS && isMostlyFree(unit);
+    }
+
+    private boolean isMostlyFree(PlacementUnit unit) {
+        return mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
     }
 
     private boolean isClaim(PlacementUnit unit) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -53,6 +53,20 @@
         assertThat(startsOf("gang")).hasSize(4);
     }
 
+    /** Guards against a task that waits for the rack of its data (LOST) while most of the pool is free. */
+    @Test
+    void aTaskLeavesTheRackOfItsDataWhileMostOfThePoolIsFree() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r2");
+        fixture.addTarget("t3", "r3");
+        Step.Constraints nearRack = new Step.Constraints("", "r1", 0, false);
+        Step step = new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), nearRack, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("busy", "x", 1, step));
+        fixture.submit(fixture.job("waiting", "x", 1, step));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("waiting")).hasSize(1);
+    }
+
     /** Guards against a job that holds up others of the same demand (LOST) since it failed on the free targets. */
     @Test
     void aJobThatMayNotUseTheFreeTargetsDoesNotHoldUpOthersOfTheSameDemand() {
