A job's own reason for not fitting does not hold up others of its demand

Failed before: WaitingWorkTest#aJobThatMayNotUseTheFreeTargetsDoesNotHoldUpOthersOfTheSameDemand (0 starts in 3 s, 1 expected). Change: the key of the cache holds all that decides (priority, claim, whether the rack may be left), a job that has failed somewhere neither fills nor uses it, and room that is free and room that running tasks could make are remembered apart, so that a search that was not due does not cancel one that is.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -37,8 +37,11 @@
             return List.of(anywhere);
         }
         LocalityTier nearData = new LocalityTier(List.of(racks.get(constraints.nearRack())));
-        long localityWaitMillis =
-                (long) (LOCALITY_WAIT_FACTOR * unit.step().spec.estimateMillis());
-        return overdue || waitedMillis > localityWaitMillis ? List.of(nearData, anywhere) : List.of(nearData);
+        return mayLeaveRack(unit, overdue, waitedMillis) ? List.of(nearData, anywhere) : List.of(nearData);
+    }
+
+    /** Returns whether a task that prefers the rack of its data accepts targets outside it. */
+    static boolean mayLeaveRack(PlacementUnit unit, boolean overdue, long waitedMillis) {
+        return overdue || waitedMillis > LOCALITY_WAIT_FACTOR * unit.step().spec.estimateMillis();
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -74,8 +74,12 @@
     private final Placement placement;
     private final AccountDemand accountDemand;
     private final ClockReading now;
+    /** Demands for which there is no free room. */
     private final Set<DemandKey> unplaceable = new HashSet<>();
 
+    /** Demands for which no running tasks can make room. */
+    private final Set<DemandKey> unsearchable = new HashSet<>();
+
     /** Whether most of the capacity was free when the pass first asked, by service. */
     private final Map<String, Boolean> mostlyFreeByService = new HashMap<>();
 
@@ -106,8 +110,19 @@
 
     /**
      * The properties that decide whether a single task fits; a demand that did not fit is not tried again in the pass.
+     *
+     * @param leavesRack whether targets outside {@code nearRack} are accepted
+     * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
+     * @param claim whether it may also take the room of others of the highest priority
      */
-    private record DemandKey(String service, Resources demand, String label, String nearRack) {}
+    private record DemandKey(
+            String service,
+            Resources demand,
+            String label,
+            String nearRack,
+            boolean leavesRack,
+            boolean urgent,
+            boolean claim) {}
 
     void run() {
         List<PlacementUnit> waiting = new ArrayList<>();
@@ -182,31 +197,61 @@
     }
 
     private void place(PlacementUnit unit) {
-        Step.Constraints constraints = unit.step().spec.constraints();
-        DemandKey key = new DemandKey(unit.job().service(), unit.demand(), constraints.label(), constraints.nearRack());
-        boolean cacheable = unit.size() == 1 && constraints.spreadLimit() == 0;
-        if (cacheable && unplaceable.contains(key)) {
+        DemandKey key = demandKey(unit);
+        boolean cacheable = isCacheable(unit);
+        boolean mayFit = !cacheable || !unplaceable.contains(key);
+        boolean searches = isSearchDue(unit) && !(cacheable && unsearchable.contains(key));
+        if (!mayFit && !searches) {
             return;
         }
         List<LocalityTier> tiers = localityTiers(unit);
-        boolean searchDue = now.monotonicNanos() - unit.step().nextSearchNanos >= 0;
         for (LocalityTier tier : tiers) {
-            if (placeInFreeCapacity(unit, tier, TargetState::projectedFree)
-                    || searchDue && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
+            if (mayFit && placeInFreeCapacity(unit, tier, TargetState::projectedFree)
+                    || searches && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
                 return;
             }
         }
         for (LocalityTier tier : tiers) {
-            if (searchDue && reserveInAdvance(unit, tier)) {
+            if (searches && reserveInAdvance(unit, tier)) {
                 return;
             }
         }
-        if (searchDue) {
-            unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
-        }
         if (cacheable) {
             unplaceable.add(key);
         }
+        if (searches) {
+            unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
+            if (cacheable) {
+                unsearchable.add(key);
+            }
+        }
+    }
+
+    private DemandKey demandKey(PlacementUnit unit) {
+        Step.Constraints constraints = unit.step().spec.constraints();
+        boolean leavesRack = !constraints.nearRack().isEmpty()
+                && LocalityTier.mayLeaveRack(unit, isOverdue(unit), waitedMillis(unit));
+        return new DemandKey(
+                unit.job().service(),
+                unit.demand(),
+                constraints.label(),
+                constraints.nearRack(),
+                leavesRack,
+                unit.priority() == 0,
+                isClaim(unit));
+    }
+
+    /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
+    private boolean isCacheable(PlacementUnit unit) {
+        return unit.size() == 1
+                && unit.step().spec.constraints().spreadLimit() == 0
+                && !context.targetHealth().hasFailed(unit.job().id());
+    }
+
+    /** Returns whether running tasks are to be searched for room now: only for gangs and the highest priority. */
+    private boolean isSearchDue(PlacementUnit unit) {
+        return (unit.priority() == 0 || unit.step().spec.mode().gang())
+                && now.monotonicNanos() - unit.step().nextSearchNanos >= 0;
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
@@ -69,6 +69,11 @@
         return failedTargets != null && failedTargets.contains(target.id) && failedTargets.size() < all.size();
     }
 
+    /** Returns whether runs of {@code job} have failed, so that it may be excluded from targets. */
+    boolean hasFailed(String job) {
+        return failedTargetsByJob.containsKey(job);
+    }
+
     void removeJob(String job) {
         failedTargetsByJob.remove(job);
     }
