--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -143,6 +143,20 @@
         return 2 * free > total;
     }
 
+    /** Returns whether twice the tasks of {@code unit} would fit into resources that are free at once. */
+    boolean fitsTwice(PlacementUnit unit, long nowNanos) {
+        int slots = 0;
+        for (TargetState target : targets) {
+            if (isEligible(unit, target, nowNanos)) {
+                slots += countSlots(unit, target, target.freeAtOnce());
+            }
+            if (slots >= 2 * unit.size()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether all tasks of {@code unit} would fit on one of {@code racks} if its targets were idle. */
     static boolean fitsOnOneRack(PlacementUnit unit, Map<String, List<TargetState>> racks) {
         for (List<TargetState> rack : racks.values()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -24,8 +24,8 @@
     /** Time after which a claim accepts targets outside its preferred locality, in milliseconds. */
     private static final long CLAIM_LOCALITY_WAIT_MILLIS = 1_000;
 
-    /** Time after which any unit accepts such targets while most of the capacity is free, in milliseconds. */
-    private static final long MOSTLY_FREE_LOCALITY_WAIT_MILLIS = 2_000;
+    /** Time after which any unit accepts such targets while there is ample room for it, in milliseconds. */
+    private static final long AMPLE_ROOM_LOCALITY_WAIT_MILLIS = 2_000;
 
     /** Time that a gang waits before it may get an advance reservation, in milliseconds. */
     private static final long ADVANCE_RESERVATION_WAIT_MILLIS = 3_000;
@@ -288,17 +288,19 @@
     }
 
     /**
-     * Returns whether the unit has waited too long to require the best locality. While most of the capacity is free,
-     * the longer run that results takes nothing from others.
+     * Returns whether the unit has waited too long to require the best locality. While there is ample room, the longer
+     * run that results takes nothing from others.
      */
     private boolean isOverdue(PlacementUnit unit) {
         long waitedMillis = waitedMillis(unit);
         return waitedMillis > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
-                || waitedMillis > MOSTLY_FREE_LOCALITY_WAIT_MILLIS && isMostlyFree(unit);
+                || waitedMillis > AMPLE_ROOM_LOCALITY_WAIT_MILLIS && hasAmpleRoom(unit);
     }
 
-    private boolean isMostlyFree(PlacementUnit unit) {
-        return mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
+    /** Returns whether most of the capacity is free, and enough at once for twice the unit. */
+    private boolean hasAmpleRoom(PlacementUnit unit) {
+        return mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree)
+                && placement.fitsTwice(unit, now.monotonicNanos());
     }
 
     private boolean isClaim(PlacementUnit unit) {
