The score of a simulated load leaves PoolSimulation

Change: LoadScore computes the results, with named limits in place of numbers and a sum by kind in place of an array. The 35 tests of acacia-pool pass.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -65,7 +65,8 @@
 
     private record Event(long millis, long number, Runnable action) {}
 
-    private record Submission(WorkKind kind, WorkKind.Sample sample) {}
+    /** A submitted request and its kind. */
+    record Submission(WorkKind kind, WorkKind.Sample sample) {}
 
     /** A run on a target. The runs of a gang make progress only once all of them have started. */
     private static final class Running {
@@ -96,7 +97,7 @@
             simulation.millis = event.millis;
             event.action.run();
         }
-        return simulation.results();
+        return LoadScore.of(simulation.submissions.values(), simulation.doneMillis, simulation.wastedCoreSeconds);
     }
 
     private void schedule(long atMillis, Runnable action) {
@@ -263,51 +264,4 @@
         }
         pool.handleReport(new TargetReport(target, 1, now().monotonicNanos() - 1, runs, ended), now());
     }
-
-    private Results results() {
-        Map<String, double[]> sums = new LinkedHashMap<>();
-        for (Submission submission : submissions.values()) {
-            WorkKind kind = submission.kind();
-            Job job = submission.sample().job();
-            double weight = 0.3 + 0.7 * Math.min(4, workCoreSeconds(submission) / meanWorkCoreSeconds(kind));
-            double[] sum = sums.computeIfAbsent(kind.name(), name -> new double[5]);
-            double objectiveMillis =
-                    kind.terms().stretch() * submission.sample().criticalPathSeconds() * 1_000
-                            + kind.terms().objectiveMillis();
-            long tookMillis = doneMillis.getOrDefault(job.id(), Long.MAX_VALUE / 2) - job.acceptedMillis();
-            int outcome = tookMillis > 3 * objectiveMillis ? 2 : tookMillis > objectiveMillis ? 1 : 0;
-            sum[0] += weight * kind.value();
-            sum[1] += weight * (outcome == 0 ? kind.value() : outcome == 1 ? kind.lateValue() : 0);
-            sum[2 + outcome]++;
-        }
-        Map<String, KindResult> kinds = new LinkedHashMap<>();
-        sums.forEach((name, sum) ->
-                kinds.put(name, new KindResult(sum[1] / sum[0], (int) sum[2], (int) sum[3], (int) sum[4])));
-        double maxValue = 0;
-        double earnedValue = 0;
-        for (double[] sum : sums.values()) {
-            maxValue += sum[0];
-            earnedValue += sum[1];
-        }
-        return new Results(kinds, earnedValue / maxValue, wastedCoreSeconds);
-    }
-
-    private static double workCoreSeconds(Submission submission) {
-        double sum = 0;
-        for (int i = 0; i < submission.sample().taskSeconds().length; i++) {
-            Step step = submission.sample().job().steps().get(i);
-            sum += step.count()
-                    * step.demand().coreEquivalents()
-                    * submission.sample().taskSeconds()[i];
-        }
-        return sum;
-    }
-
-    private static double meanWorkCoreSeconds(WorkKind kind) {
-        double accelerators = 0;
-        for (int each : kind.accelerators()) {
-            accelerators += (double) each / kind.accelerators().length;
-        }
-        return kind.meanSteps() * kind.meanTasks() * (kind.cores() + 8 * accelerators) * kind.meanSeconds();
-    }
 }
