The creation of calls leaves FailoverLog

Change: LogCalls creates the calls with their timeouts; LogCall is one of them and holds the time that the log may hold back its answer, which was passed beside it. The log lines keep their logger, since the JSON format prints its name. Evidence: no change of behaviour. The tests of acacia-pool (35), acacia-wire (4) and acacia-node (74) pass.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -4,11 +4,9 @@
 import java.util.List;
 import java.util.StringJoiner;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
-import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.wire.Message;
@@ -30,23 +28,9 @@
     /** Time without an answer from the log or a peer after which this node counts as isolated, in milliseconds. */
     private static final long ISOLATION_TIMEOUT_MILLIS = 1_000;
 
-    /** Time for the transfer of the records of a read on a slow link that several reads share, in milliseconds. */
-    private static final long READ_TRANSFER_MILLIS = 300;
-
-    /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
-    private static final long PAGE_TRANSFER_MILLIS = 2_000;
-
-    /** Size of an append up to which its transfer takes no time worth counting, in bytes. */
-    private static final long SMALL_APPEND_BYTES = 16 << 10;
-
-    /** Bytes that a slow link transfers in a millisecond, beside other traffic. */
-    private static final long SLOW_LINK_BYTES_PER_MILLI = 400;
-
     private final KeyedLog direct;
+    private final LogCalls calls;
     private final Peers peers;
-    private final RouteTimeouts appendTimeouts = RouteTimeouts.of(0);
-    private final RouteTimeouts readTimeouts = RouteTimeouts.of(READ_TRANSFER_MILLIS);
-    private final RouteTimeouts pageTimeouts = RouteTimeouts.of(PAGE_TRANSFER_MILLIS);
     private volatile boolean directFails;
     private volatile boolean reachable = true;
     private final RouteProbes probes = new RouteProbes();
@@ -56,6 +40,7 @@
 
     FailoverLog(KeyedLog direct, Peers peers) {
         this.direct = direct;
+        calls = new LogCalls(direct);
         this.peers = peers;
     }
 
@@ -116,12 +101,9 @@
         return routes;
     }
 
-    /**
-     * Makes one call on one route; returns null if there was no usable answer in time.
-     *
-     * @param waitMillis how long the log may hold back the answer or the call may be in transfer, in milliseconds
-     */
-    private <T> T call(Route route, long waitMillis, long deadline, Call<T> call) {
+    /** Makes one call on one route; returns null if there was no usable answer in time. */
+    private <T> T call(Route route, long deadline, LogCall<T> call) {
+        long waitMillis = call.waitMillis();
         AdaptiveTimeout timeout =
                 route.isDirect() ? call.timeouts().direct() : call.timeouts().peer();
         long timeoutMillis = Math.max(1, Math.min(waitMillis + timeout.currentMillis(), Clocks.millisUntil(deadline)));
@@ -129,7 +111,7 @@
         T outcome = route.isDirect()
                 ? call.direct().apply(Clocks.deadlineAfter(timeoutMillis))
                 : askPeer(route.peer(), call, timeoutMillis);
-        boolean answered = outcome != null && call.answered().test(outcome);
+        boolean answered = call.isAnswer(outcome);
         double durationMillis = (double) (System.nanoTime() - startNanos) / Clocks.NANOS_PER_MILLI;
         if (answered && waitMillis == 0 && durationMillis < timeout.currentMillis()) {
             timeout.recordAnswer(durationMillis);
@@ -150,23 +132,7 @@
         return outcome;
     }
 
-    /**
-     * A call of the log that can be made directly or through a peer.
-     *
-     * @param timeouts the timeouts of this kind of call
-     * @param direct makes the direct call, given its deadline
-     * @param query the message to a peer
-     * @param read extracts the outcome from a peer's reply; returns null for a reply of another type
-     * @param answered whether an outcome shows that the log answered
-     */
-    private record Call<T>(
-            RouteTimeouts timeouts,
-            Function<Long, T> direct,
-            Message query,
-            Function<Message, T> read,
-            Predicate<T> answered) {}
-
-    private <T> T askPeer(String peer, Call<T> call, long timeoutMillis) {
+    private <T> T askPeer(String peer, LogCall<T> call, long timeoutMillis) {
         try {
             Message reply = peers.ask(peer, call.query(), timeoutMillis);
             lastContactNanos = System.nanoTime();
@@ -195,20 +161,15 @@
     @Override
     public AppendOutcome append(Append append, long deadline) {
         boolean canRepeat = !(append.condition() instanceof Append.AtEnd);
-        Call<AppendOutcome> call = new Call<>(
-                appendTimeouts,
-                callDeadline -> direct.append(append, callDeadline),
-                new Message.AppendLog(append),
-                reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
-                FailoverLog::isAnswer);
+        LogCall<AppendOutcome> call = calls.append(append);
         boolean anyUnanswered = false;
         String reason = "no way to the log";
         for (Route route : appendRoutes()) {
             if (Clocks.millisUntil(deadline) <= 0) {
                 return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused("no time left");
             }
-            AppendOutcome outcome = call(route, transferMillis(append), deadline, call);
-            if (outcome != null && isAnswer(outcome)) {
+            AppendOutcome outcome = call(route, deadline, call);
+            if (call.isAnswer(outcome)) {
                 setReachable(true);
                 return outcome;
             }
@@ -222,51 +183,15 @@
         return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused(reason);
     }
 
-    /** Returns the time that a slow link needs to transfer {@code append}, in milliseconds; 0 if that is negligible. */
-    private static long transferMillis(Append append) {
-        long bytes = 0;
-        for (KeyedRecord record : append.records()) {
-            bytes += record.key().length() + record.value().length;
-        }
-        return bytes < SMALL_APPEND_BYTES ? 0 : bytes / SLOW_LINK_BYTES_PER_MILLI;
-    }
-
-    private static boolean isAnswer(AppendOutcome outcome) {
-        return switch (outcome) {
-            case AppendOutcome.Refused refused -> false;
-            case AppendOutcome.Unknown unknown -> false;
-            case AppendOutcome.Appended appended -> true;
-            case AppendOutcome.NotAtEnd other -> true;
-            case AppendOutcome.Deposed deposed -> true;
-            case AppendOutcome.OutOfSequence other -> true;
-        };
-    }
-
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
-        Call<ReadOutcome> call = readCall(topic, from, waitMillis);
-        Runnable probe = () -> call(Route.DIRECT, 0, deadline, readCall(topic, from, 0));
-        return firstAnswer(probe, waitMillis, deadline, call, ReadOutcome.Unavailable::new);
-    }
-
-    private Call<ReadOutcome> readCall(String topic, long from, long waitMillis) {
-        return new Call<>(
-                readTimeouts,
-                callDeadline -> direct.read(topic, from, waitMillis, callDeadline),
-                new Message.ReadLog(topic, from, waitMillis),
-                reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
-                outcome -> !(outcome instanceof ReadOutcome.Unavailable));
+        Runnable probe = () -> call(Route.DIRECT, deadline, calls.read(topic, from, 0));
+        return firstAnswer(probe, deadline, calls.read(topic, from, waitMillis), ReadOutcome.Unavailable::new);
     }
 
     @Override
     public NewestOutcome newest(String topic, String after, long deadline) {
-        Call<NewestOutcome> call = new Call<>(
-                pageTimeouts,
-                callDeadline -> direct.newest(topic, after, callDeadline),
-                new Message.ReadNewest(topic, after),
-                reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
-                outcome -> outcome instanceof NewestOutcome.Page);
-        return firstAnswer(null, 0, deadline, call, NewestOutcome.Unavailable::new);
+        return firstAnswer(null, deadline, calls.newest(topic, after), NewestOutcome.Unavailable::new);
     }
 
     /**
@@ -274,13 +199,12 @@
      *
      * @param probe makes a short read on the direct route; null if there is none
      */
-    private <T> T firstAnswer(
-            Runnable probe, long waitMillis, long deadline, Call<T> call, Function<String, T> unavailable) {
+    private <T> T firstAnswer(Runnable probe, long deadline, LogCall<T> call, Function<String, T> unavailable) {
         StringJoiner reasons = new StringJoiner("; ");
         reasons.setEmptyValue("the direct route failed recently and there is no peer");
         for (Route route : readRoutes(probe)) {
-            T outcome = call(route, waitMillis, deadline, call);
-            if (outcome != null && call.answered().test(outcome)) {
+            T outcome = call(route, deadline, call);
+            if (call.isAnswer(outcome)) {
                 setReachable(true);
                 return outcome;
             }
