The tests of answers to callers leave LogAccessTest

LogAccessTest had 349 lines and two subjects. Change: the nine tests of answers to callers are in JobServiceTest; the tests of relays, the replica and leaders' appends stay. Names, assertions, bounds and deadlines are as before. LogAccessFixture holds what both use; the configuration and the service that two places built are built there once. Both classes load classes before the first test: besides the record types, the fixture now submits a request and reads the log once, since some tests with a deadline of 300 ms no longer run after others that did so.

--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
@@ -1,16 +1,16 @@
 package org.acaciaport.node;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.acaciaport.node.LogAccessFixture.TOPIC;
+import static org.acaciaport.node.LogAccessFixture.await;
+import static org.acaciaport.node.LogAccessFixture.shortDeadline;
+import static org.acaciaport.node.LogAccessFixture.submit;
 
-import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -18,57 +18,20 @@
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
-import org.acaciaport.pool.Job;
-import org.acaciaport.pool.JobProgress;
-import org.acaciaport.pool.JobState;
-import org.acaciaport.pool.Resources;
-import org.acaciaport.pool.Step;
 import org.acaciaport.wire.WireServer;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
-/** Tests failover to relaying peers, the replica of the jobs, and answers to callers, against an in-memory log. */
+/** Tests failover to relaying peers, the replica of the jobs, and appends of leaders, against an in-memory log. */
 final class LogAccessTest {
-    private static final String TOPIC = "jobs";
-    private static final Topics TOPICS = new Topics(TOPIC, "operators", "targets");
-    private static final List<Step> STEPS =
-            List.of(new Step(1, Resources.NONE, 1, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN));
-    private static final OperatorConfiguration.Queue QUEUE =
-            new OperatorConfiguration.Queue("q", "host", "/p/", "s", false, new Job.Terms(0, 3, 1.5, 250));
-    private static final JobService.Access.Granted ACCESS = new JobService.Access.Granted(QUEUE, "account", "");
+    private final LogAccessFixture fixture = new LogAccessFixture();
+    private final MemoryLog log = fixture.log;
+    private final Replica replica = fixture.replica;
+    private final TopicConsumer jobConsumer = fixture.jobConsumer;
 
-    private final MemoryLog log = new MemoryLog();
-    private final Replica replica = new Replica();
-    private final FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
-    private final TopicConsumer jobConsumer =
-            new TopicConsumer(TOPIC, failoverLog, new TopicConsumer.PollSettings(0, 0), replica);
-
-    /** Loads the classes that encode records, so that this takes no time from the deadline of the first request. */
     @BeforeAll
     static void loadClasses() throws IOException {
-        JobRecords.warmUp();
-    }
-
-    private static long shortDeadline() {
-        return Clocks.deadlineAfter(300);
-    }
-
-    private JobService newJobService(KeyedRecord published) {
-        ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
-                new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
-        configuration.apply(published, 0);
-        configuration.caughtUp(Clocks.now(), 1);
-        Term.Dependencies dependencies =
-                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null, new MetricRegistry());
-        return new JobService(dependencies, jobConsumer, 4_000);
-    }
-
-    private JobService.Answer submit(JobService jobService, String id) {
-        return jobService.submit(ACCESS, id, "payload", STEPS, Job.Schedule.NOW, shortDeadline());
-    }
-
-    private AppendOutcome append(KeyedRecord record) {
-        return log.append(new Append(TOPIC, List.of(record), new Append.Always()), shortDeadline());
+        LogAccessFixture.loadClasses();
     }
 
     @Test
@@ -157,38 +120,6 @@
         assertThat(seen).doesNotContain(false);
     }
 
-    /**
-     * Guards against holding requests until their deadline during an outage of the log, and then answering that their
-     * outcome is unknown although nothing was written. Callers retry a request that was refused in time, but not one
-     * whose outcome was answered as unknown at its deadline.
-     */
-    @Test
-    void requestsAreRefusedImmediatelyWhileTheLogIsUnreachable() {
-        log.failure = MemoryLog.Failure.REFUSE;
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        assertThat(submit(jobService, "a")).isInstanceOf(JobService.Answer.Refused.class);
-        int calls = log.calls;
-        assertThat(submit(jobService, "b")).isInstanceOf(JobService.Answer.Refused.class);
-        assertThat(log.calls).isEqualTo(calls);
-    }
-
-    /**
-     * Guards against callers that wait a second before they retry although only this node is partitioned, so that the
-     * retry would reach another node.
-     */
-    @Test
-    void callersOfAnIsolatedNodeRetryImmediately() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        assertThat(submit(jobService, "a")).isInstanceOf(JobService.Answer.Accepted.class);
-        log.failure = MemoryLog.Failure.REFUSE;
-        submit(jobService, "b");
-        assertThat(jobService.retryAfterSeconds()).isEqualTo(1);
-        await(() -> jobService.retryAfterSeconds() == 0);
-        log.failure = MemoryLog.Failure.NONE;
-        jobConsumer.catchUp(shortDeadline());
-        assertThat(jobService.retryAfterSeconds()).isEqualTo(1);
-    }
-
     /** During an outage of the log, reachable peers show that this node is not isolated, so callers must pause. */
     @Test
     void aNodeWithReachablePeersIsNotIsolatedDuringAnOutageOfTheLog() throws Exception {
@@ -206,72 +137,9 @@
         }
     }
 
-    @Test
-    void aLostAnswerIsNeverARefusal() {
-        log.failure = MemoryLog.Failure.LOSE_ANSWER;
-        assertThat(submit(newJobService(KeyedRecord.tombstone("config")), "a"))
-                .isInstanceOf(JobService.Answer.Undetermined.class);
-    }
-
-    /**
-     * Guards against holding a request of unknown outcome until its deadline. This happens when a data centre is
-     * partitioned during an append; the caller needs the remaining time to try a node that reaches the log.
-     */
-    @Test
-    void aRequestOfUnknownOutcomeIsAnsweredEarlyWhileTheLogIsUnreachable() {
-        log.failure = MemoryLog.Failure.LOSE_ANSWER;
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        long deadline = Clocks.deadlineAfter(2_000);
-        JobService.Answer answer = jobService.submit(ACCESS, "a", "payload", STEPS, Job.Schedule.NOW, deadline);
-        assertThat(answer).isInstanceOf(JobService.Answer.Undetermined.class);
-        assertThat(log.calls).isEqualTo(1);
-    }
-
-    /**
-     * Guards against answering a request with no time left as undetermined, although nothing was sent. This happens to
-     * retries that arrive a few milliseconds before their deadline.
-     */
-    @Test
-    void aRequestWithNoTimeLeftIsRefusedAndNotSent() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        JobService.Answer answer =
-                jobService.submit(ACCESS, "a", "payload", STEPS, Job.Schedule.NOW, System.nanoTime());
-        assertThat(answer).isInstanceOf(JobService.Answer.Refused.class);
-        assertThat(log.calls).isEqualTo(0);
-    }
-
-    @Test
-    void aRepeatedSubmissionIsOneJobAndKeepsItsProgress() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        assertThat(submit(jobService, "a")).isInstanceOf(JobService.Answer.Accepted.class);
-        append(JobRecords.encode(new JobProgress("a", JobState.DONE, 1, List.of(), List.of())));
-        submit(jobService, "a");
-        assertThat(jobConsumer.catchUp(shortDeadline())).isTrue();
-        assertThat(jobService.queryState(ACCESS, "a", shortDeadline()))
-                .isEqualTo(new JobService.Answer.State(JobState.DONE));
-    }
-
-    @Test
-    void aJobOfAnotherAccountIsNotShown() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        submit(jobService, "a");
-        JobService.Access.Granted other = new JobService.Access.Granted(QUEUE, "other", "a");
-        assertThat(jobService.queryState(other, "a", shortDeadline())).isInstanceOf(JobService.Answer.NoJob.class);
-        assertThat(jobService.cancel(other, "a", shortDeadline())).isInstanceOf(JobService.Answer.NoJob.class);
-    }
-
-    @Test
-    void onlyACurrentReplicaReportsThatAJobDoesNotExist() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
-        assertThat(jobService.queryState(ACCESS, "none", shortDeadline())).isInstanceOf(JobService.Answer.NoJob.class);
-        log.failure = MemoryLog.Failure.REFUSE;
-        assertThat(jobService.queryState(ACCESS, "none", shortDeadline()))
-                .isInstanceOf(JobService.Answer.Refused.class);
-    }
-
     @Test
     void theReplicaIsRebuiltFromASnapshotWhenRecordsHaveExpired() {
-        JobService jobService = newJobService(KeyedRecord.tombstone("config"));
+        JobService jobService = fixture.newJobService(KeyedRecord.tombstone("config"));
         submit(jobService, "a");
         assertThat(jobConsumer.catchUp(shortDeadline())).isTrue();
         submit(jobService, "b");
@@ -302,12 +170,6 @@
         assertThat(log.readWaits.get(0)).isEqualTo(0);
     }
 
-    private static void await(BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
-            Thread.onSpinWait();
-        }
-    }
-
     @Test
     void aDeposedLeaderCannotAppend() {
         LeaderLogWriter first = new LeaderLogWriter(log, TOPIC, 5);
@@ -331,19 +193,4 @@
         ReadOutcome read = log.read(TOPIC, 0, 0, shortDeadline());
         assertThat(((ReadOutcome.Records) read).records()).hasSize(1);
     }
-
-    @Test
-    void callsAreAuthorizedOnlyWhileTheConfigurationIsCurrent() {
-        ConfigurationView configuration = new ConfigurationView(record -> new OperatorRecordDecoder.Published(
-                new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
-        Term.Dependencies dependencies =
-                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null, new MetricRegistry());
-        JobService jobService = new JobService(dependencies, jobConsumer, 1);
-        assertThat(jobService.authorize("host", "/p/a", "key"))
-                .isInstanceOf(JobService.Access.StaleConfiguration.class);
-        configuration.apply(KeyedRecord.tombstone("config"), 0);
-        configuration.caughtUp(new org.acaciaport.pool.ClockReading(System.nanoTime(), 0), 1);
-        assertThat(jobService.authorize("host", "/p/a", "key"))
-                .isInstanceOf(JobService.Access.StaleConfiguration.class);
-    }
 }
