--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/DemandKey.java
@@ -0,0 +1,41 @@
+package org.acaciaport.pool;
+
+/**
+ * The properties that decide whether a single task fits; a demand that did not fit is not tried again in the pass.
+ *
+ * <p>Immutable.
+ *
+ * @param service name of the service
+ * @param demand resources of the task
+ * @param label label that the target must have; empty for no restriction
+ * @param nearRack preferred rack; empty for no preference
+ * @param leavesRack whether targets outside {@code nearRack} are accepted
+ * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
+ * @param claim whether it may also take the room of others of the highest priority
+ */
+record DemandKey(
+        String service,
+        Resources demand,
+        String label,
+        String nearRack,
+        boolean leavesRack,
+        boolean urgent,
+        boolean claim) {
+    /**
+     * Returns the key of {@code unit}.
+     *
+     * @param leavesRack whether targets outside the preferred rack are accepted
+     * @param claim whether the unit is a claim
+     */
+    static DemandKey of(PlacementUnit unit, boolean leavesRack, boolean claim) {
+        Step.Constraints constraints = unit.step().spec.constraints();
+        return new DemandKey(
+                unit.job().service(),
+                unit.demand(),
+                constraints.label(),
+                constraints.nearRack(),
+                leavesRack,
+                unit.priority() == 0,
+                claim);
+    }
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -1,8 +1,6 @@
 package org.acaciaport.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -78,31 +76,11 @@
      */
     record Context(Outbox outbox, TargetHealth targetHealth, TaskLifecycle taskLifecycle) {}
 
-    /**
-     * The properties that decide whether a single task fits; a demand that did not fit is not tried again in the pass.
-     *
-     * @param leavesRack whether targets outside {@code nearRack} are accepted
-     * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
-     * @param claim whether it may also take the room of others of the highest priority
-     */
-    private record DemandKey(
-            String service,
-            Resources demand,
-            String label,
-            String nearRack,
-            boolean leavesRack,
-            boolean urgent,
-            boolean claim) {}
-
     void run() {
-        List<PlacementUnit> waiting = new ArrayList<>();
-        for (JobExecution job : jobs) {
-            if (!job.state.isTerminal()) {
-                collectWaiting(job, waiting);
-            }
-        }
-        waiting.sort(schedulingOrder());
-        for (PlacementUnit unit : waiting) {
+        List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
+        advanceReservations =
+                (int) units.stream().filter(PlacementPass::isReservedGang).count();
+        for (PlacementUnit unit : units) {
             if (unit.isIn(Phase.WAITING)) {
                 place(unit);
             } else if (unit.isIn(Phase.RESERVED)) {
@@ -112,58 +90,9 @@
         new UnitStarter(context, placement, now).startReserved(jobs);
     }
 
-    private Comparator<PlacementUnit> schedulingOrder() {
-        return Comparator.comparingInt(PlacementUnit::priority)
-                .thenComparing(unit -> unit.priority() == 0
-                        && !accountDemand.isWithinGuarantee(unit.job().account()))
-                .thenComparing(
-                        unit -> unit.step().job.objective.deadlineStatus(unit.step().occurrence, now.wallClockMillis()))
-                .thenComparingLong(unit -> unit.step().slackMillis(now))
-                .thenComparing(unit -> unit.job().id());
-    }
-
-    private void collectWaiting(JobExecution job, List<PlacementUnit> waiting) {
-        job.openDueOccurrences(now.wallClockMillis());
-        for (List<StepExecution> steps : job.openOccurrences()) {
-            for (StepExecution step : steps) {
-                if (step.isDone() || !arePredecessorsDone(step, steps)) {
-                    continue;
-                }
-                if (step.readyNanos == 0) {
-                    step.readyNanos = now.monotonicNanos();
-                    step.nextSearchNanos = now.monotonicNanos();
-                }
-                collectWaiting(step, waiting);
-            }
-        }
-    }
-
-    private static boolean arePredecessorsDone(StepExecution step, List<StepExecution> steps) {
-        for (int earlier : step.spec.after()) {
-            if (!steps.get(earlier).isDone()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private void collectWaiting(StepExecution step, List<PlacementUnit> waiting) {
-        if (!step.spec.mode().gang()) {
-            for (TaskExecution task : step.tasks) {
-                if (task.phase == Phase.WAITING || task.phase == Phase.RESERVED) {
-                    waiting.add(new PlacementUnit(step, List.of(task)));
-                }
-            }
-            return;
-        }
-        if (step.tasks.stream().allMatch(task -> task.phase == Phase.WAITING)) {
-            waiting.add(new PlacementUnit(step, step.tasks));
-        } else if (step.tasks.stream().allMatch(task -> task.phase == Phase.RESERVED)) {
-            waiting.add(new PlacementUnit(step, step.tasks));
-            if (step.job.spec.terms().priority() > 0) {
-                advanceReservations++;
-            }
-        }
+    /** Returns whether the unit is a gang below the highest priority with reserved resources. */
+    private static boolean isReservedGang(PlacementUnit unit) {
+        return unit.priority() > 0 && unit.step().spec.mode().gang() && unit.isIn(Phase.RESERVED);
     }
 
     private void place(PlacementUnit unit) {
@@ -198,17 +127,9 @@
     }
 
     private DemandKey demandKey(PlacementUnit unit) {
-        Step.Constraints constraints = unit.step().spec.constraints();
-        boolean leavesRack = !constraints.nearRack().isEmpty()
+        boolean leavesRack = !unit.step().spec.constraints().nearRack().isEmpty()
                 && LocalityTier.mayLeaveRack(unit, isOverdue(unit), waitedMillis(unit));
-        return new DemandKey(
-                unit.job().service(),
-                unit.demand(),
-                constraints.label(),
-                constraints.nearRack(),
-                leavesRack,
-                unit.priority() == 0,
-                isClaim(unit));
+        return DemandKey.of(unit, leavesRack, isClaim(unit));
     }
 
     /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
