A call to an unusable address fails with the exception that callers handle

Callers saw: a call to an address with a port out of range, without a host or that is no URI threw IllegalArgumentException. WorkerClient and StoreLog handle only PlatformException and IOException, so the exception ended the thread that made the call.

Cause: Jetty checks a URI when the request is made or when it is sent, and throws unchecked. JsonClient.exchange passed that on.

Evidence: JsonClientTest failed before in all 9 cases ("expected: <PlatformException> but was: <IllegalArgumentException>") for 127.0.0.1:99999, 127.0.0.1:-5, 127.0.0.1:x, "a b:5", "[::1", "%%%:80", "", ":80" and "a_b:5"; all 9 pass after it.

Why it works: Jetty throws before it opens a connection, so NOT_DONE is true, and callers repeat or refuse as with a refused connection.

--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonClient.java
@@ -136,15 +136,24 @@
     /**
      * Sends {@code call} and returns the response, whatever its status.
      *
-     * @throws PlatformException if there was no response within {@code millis} milliseconds
+     * @throws PlatformException if there was no response within {@code millis} milliseconds; with kind NOT_DONE if the
+     *     URI is unusable
      */
     public Response exchange(RawCall call, long millis) throws PlatformException {
-        Request request = client.newRequest(call.uri()).method(call.method());
-        request.headers(fields -> call.headers().forEach(fields::put));
-        if (call.body().length > 0) {
-            request.body(new BytesRequestContent(call.type(), call.body()));
+        try {
+            Request request = client.newRequest(call.uri()).method(call.method());
+            request.headers(fields -> call.headers().forEach(fields::put));
+            if (call.body().length > 0) {
+                request.body(new BytesRequestContent(call.type(), call.body()));
+            }
+            return send(request, millis);
+        } catch (IllegalArgumentException e) {
+            // Jetty rejects some unusable addresses when the request is made, and others when it is sent.
+            throw new PlatformException(
+                    PlatformException.Kind.NOT_DONE,
+                    "cannot call " + call.uri() + " (" + e.getMessage() + "); check the address",
+                    e);
         }
-        return send(request, millis);
     }
 
     /**
