One place parses addresses, without a lookup of names

SettingsCheck.parseAddress took any four groups of digits and passed them to InetAddress.getByName, which looks up a text such as 999.1.1.1 as a host name. The network has no name service.

--- a/acacia-platform/src/main/java/org/acaciaport/program/SettingsCheck.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/SettingsCheck.java
@@ -1,12 +1,9 @@
 package org.acaciaport.program;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import org.acaciaport.address.SocketAddresses;
 
 /**
  * Validates the values of settings and collects the problems found.
@@ -14,9 +11,6 @@
  * <p>Not thread-safe.
  */
 public final class SettingsCheck {
-    private static final Pattern ADDRESS = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3}){3}):([0-9]{1,5})");
-    private static final int MAX_PORT = 65_535;
-
     private final List<String> problems = new ArrayList<>();
 
     /** Requires {@code min <= value <= max}. */
@@ -57,15 +51,6 @@
 
     /** Returns the socket address given by {@code text} as IP:PORT, or null if it is invalid. */
     public static InetSocketAddress parseAddress(String text) {
-        Matcher matcher = ADDRESS.matcher(text);
-        if (!matcher.matches()) {
-            return null;
-        }
-        int port = Integer.parseInt(matcher.group(2));
-        try {
-            return port > MAX_PORT ? null : new InetSocketAddress(InetAddress.getByName(matcher.group(1)), port);
-        } catch (UnknownHostException e) {
-            return null;
-        }
+        return SocketAddresses.parseLocal(text).orElse(null);
     }
 }
