A job's past occurrences, estimates and dependencies cannot end the pool

Callers would see: no leader stays, as the record of one accepted job ends each one that reads it. A recurring job whose first time is long past opened all its occurrences at once, in memory: 100,000 with 10 tasks made 1,000,000 tasks. A step that depends on a later one made the pool throw. A very large stretch or estimate made the objective wrap into the past, so the job counted as missed.

Cause: JobExecution opened every due occurrence; Job and Step took any value; Objective added without a limit.

Why it works: occurrences open in order up to 100,000 tasks of a job, at least one, and the next one opens when an earlier one has ended. Jackson turns an exception of a record's constructor into the IOException on which a reader skips a record. An objective has a largest value.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -1,6 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A submitted job, with the settings of its queue at the time of acceptance.
@@ -27,9 +28,27 @@
         List<Step> steps,
         Schedule schedule,
         long acceptedMillis) {
-    /** Creates a job with an immutable copy of {@code steps}. */
+    /**
+     * Creates a job with an immutable copy of {@code steps}.
+     *
+     * @throws IllegalArgumentException if a step depends on a step that is not an earlier one
+     */
     public Job {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(queue, "queue");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(account, "account");
+        Objects.requireNonNull(terms, "terms");
+        Objects.requireNonNull(payload, "payload");
+        Objects.requireNonNull(schedule, "schedule");
         steps = List.copyOf(steps);
+        for (int i = 0; i < steps.size(); i++) {
+            for (int earlier : steps.get(i).after()) {
+                if (earlier < 0 || earlier >= i) {
+                    throw new IllegalArgumentException("step " + i + " of job " + id + " depends on step " + earlier);
+                }
+            }
+        }
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -14,9 +14,13 @@
  * {@code openOccurrences}, in {@code doneOccurrences}, or not yet due.
  */
 final class JobExecution {
+    /** Largest number of tasks of the open occurrences of a recurring job; they are held in memory. */
+    private static final int MAX_OPEN_TASKS = 100_000;
+
     final Job spec;
     final Objective objective;
     final Set<Integer> doneOccurrences = new TreeSet<>();
+    private final long tasksPerOccurrence;
     private final TreeMap<Integer, List<StepExecution>> openOccurrences = new TreeMap<>();
     JobState state = JobState.QUEUED;
     long endedMillis;
@@ -24,6 +28,7 @@
     JobExecution(Job spec) {
         this.spec = spec;
         objective = Objective.of(spec);
+        tasksPerOccurrence = spec.steps().stream().mapToLong(Step::count).sum();
     }
 
     /** Returns the steps of an occurrence, and opens the occurrence if it is not open. */
@@ -52,7 +57,10 @@
         return id.index() < 0 || id.index() >= tasks.size() ? null : tasks.get(id.index());
     }
 
-    /** Opens the occurrences that are due by {@code nowMillis}, in milliseconds since the Unix epoch. */
+    /**
+     * Opens the occurrences that are due by {@code nowMillis}, in milliseconds since the Unix epoch. Beyond
+     * {@value #MAX_OPEN_TASKS} tasks, they open as earlier ones end.
+     */
     void openDueOccurrences(long nowMillis) {
         int next = 0;
         if (!openOccurrences.isEmpty()) {
@@ -61,12 +69,16 @@
         for (int done : doneOccurrences) {
             next = Math.max(next, done + 1);
         }
-        while (next < spec.occurrenceCount() && spec.dueMillis(next) <= nowMillis) {
+        while (next < spec.occurrenceCount() && spec.dueMillis(next) <= nowMillis && hasRoomForOccurrence()) {
             occurrence(next);
             next++;
         }
     }
 
+    private boolean hasRoomForOccurrence() {
+        return openOccurrences.isEmpty() || (openOccurrences.size() + 1L) * tasksPerOccurrence <= MAX_OPEN_TASKS;
+    }
+
     /** Marks an open occurrence as done, and ends the job if it was the last one. */
     void closeOccurrence(int occurrence, long nowMillis) {
         openOccurrences.remove(occurrence);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
@@ -15,6 +15,9 @@
     /** Multiple of its objective up to which a late occurrence is still useful. */
     private static final int LATE_LIMIT_FACTOR = 3;
 
+    /** Longest critical path and longest part of an objective, in milliseconds: a hundred years. */
+    private static final long MAX_MILLIS = 36_500L * 24 * 60 * 60 * 1_000;
+
     /** Prospect of an occurrence that starts now. Declared in scheduling order: earlier constants go first. */
     enum DeadlineStatus {
         /** The occurrence can still complete within its objective. */
@@ -34,15 +37,18 @@
             for (int earlier : step.after()) {
                 start = Math.max(start, ends.get(earlier));
             }
-            ends.add(start + step.estimateMillis());
-            longest = Math.max(longest, start + step.estimateMillis());
+            long end = Math.min(MAX_MILLIS, start + Math.min(MAX_MILLIS, step.estimateMillis()));
+            ends.add(end);
+            longest = Math.max(longest, end);
         }
         return new Objective(job, longest);
     }
 
     /** Returns the time within which an occurrence should complete, in milliseconds. */
     private long durationMillis() {
-        return (long) (job.terms().stretch() * criticalPathMillis) + job.terms().objectiveMillis();
+        long proportionalMillis = (long) (job.terms().stretch() * criticalPathMillis);
+        return Math.min(MAX_MILLIS, proportionalMillis)
+                + Math.min(MAX_MILLIS, job.terms().objectiveMillis());
     }
 
     /** Returns the status of an occurrence that would start at {@code nowMillis}. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Step.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Step.java
@@ -1,6 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A step of a job: identical tasks that may run once the steps they depend on are done.
@@ -18,8 +19,18 @@
         int count, Resources demand, long estimateMillis, List<Integer> after, Constraints constraints, Mode mode) {
     private static final double MILLIS_PER_SECOND = 1e3;
 
-    /** Creates a step with an immutable copy of {@code after}. */
+    /**
+     * Creates a step with an immutable copy of {@code after}.
+     *
+     * @throws IllegalArgumentException if {@code count} is not positive
+     */
     public Step {
+        if (count < 1) {
+            throw new IllegalArgumentException("count " + count + " of a step is not positive");
+        }
+        Objects.requireNonNull(demand, "demand");
+        Objects.requireNonNull(constraints, "constraints");
+        Objects.requireNonNull(mode, "mode");
         after = List.copyOf(after);
     }
 
@@ -32,6 +43,12 @@
      * @param tight whether the tasks run slower if they are spread over several racks
      */
     public record Constraints(String label, String nearRack, int spreadLimit, boolean tight) {
+        /** Requires texts, which may be empty. */
+        public Constraints {
+            Objects.requireNonNull(label, "label");
+            Objects.requireNonNull(nearRack, "nearRack");
+        }
+
         /** No constraints. */
         public static final Constraints NONE = new Constraints("", "", 0, false);
     }
