A peer with an odd address fails the call to it, not the caller

Callers would see: a node whose replica has the record of a node with an unusable address, or such a seed, gives up calls to the log that another peer could relay, as the call to that peer threw an unchecked exception.

Cause: Peers cut an address at its last colon and parsed the port, without a check. FailoverLog tries the next route on WireException only.

Evidence: PeersTest failed before: "expected: WireException, but was: StringIndexOutOfBoundsException" for the empty address, the first of eight.

Why it works: an address that SocketAddresses cannot parse is a WireException of kind NOT_SENT, as with a peer that refuses the connection; the peer then moves to the end of the order. Addresses of peers have been IPv4 ones before, since they come from the listening address.

--- a/acacia-node/src/main/java/org/acaciaport/node/Peers.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Peers.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
+import org.acaciaport.address.SocketAddresses;
 import org.acaciaport.wire.Message;
 import org.acaciaport.wire.WireClient;
 import org.acaciaport.wire.WireException;
@@ -72,7 +73,7 @@
      * @throws WireException if no reply came in time
      */
     Message ask(String address, Message query, long timeoutMillis) throws WireException {
-        WireClient client = clients.computeIfAbsent(address, Peers::connect);
+        WireClient client = clientOf(address);
         Message reply = client.call(query, timeoutMillis);
         preferred = address;
         return reply;
@@ -86,9 +87,14 @@
         }
     }
 
-    private static WireClient connect(String address) {
-        int colon = address.lastIndexOf(':');
-        return WireClient.of(
-                new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+    private WireClient clientOf(String address) throws WireException {
+        WireClient known = clients.get(address);
+        if (known != null) {
+            return known;
+        }
+        InetSocketAddress parsed = SocketAddresses.parseRemote(address)
+                .orElseThrow(() -> new WireException(
+                        WireException.Kind.NOT_SENT, "peer address '" + address + "' is not IP:PORT", null));
+        return clients.computeIfAbsent(address, missing -> WireClient.of(parsed));
     }
 }
