A record of another form in the jobs' topic is skipped and ends no reader

Callers would see: nodes that end or no longer follow the log, again after each start, as one record in the product's own topic has another form.

Cause: Replica skips a record on IOException, but other exceptions came up. The decoder of MessagePack throws unchecked on a byte that is no code. It allocates as many bytes as the length of a text states, before it reads them: five bytes end the process or its thread by OutOfMemoryError. Nil is decoded to null. A key such as task/x without a job was cut out of range.

Why it works: MessagePackCheck walks over a value without allocating, and refuses lengths beyond its end; JobRecords checks each value with it and turns what is left into IOException. Records require their components, and Jackson turns what their constructors throw into IOException too.

Messages between nodes are decoded without that check; not part of this change.

--- /dev/null
+++ b/acacia-core/src/main/java/org/acaciaport/encoding/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * Checks of encoded values before they are decoded.
+ *
+ * <p>Start with {@link org.acaciaport.encoding.MessagePackCheck}.
+ */
+package org.acaciaport.encoding;
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.acaciaport.encoding.MessagePackCheck;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
@@ -11,6 +12,7 @@
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.acaciaport.wire.Codecs;
+import org.msgpack.core.MessagePackException;
 
 /**
  * Encodes and decodes the scheduler's own records in the log, in MessagePack. The prefix of a key determines the type
@@ -47,9 +49,17 @@
         return TASK_PREFIX + job + TASK_SEPARATOR + task.occurrence() + "." + task.step() + "." + task.index();
     }
 
-    /** Returns the id of the job in a key that {@link #taskKey} returned. */
-    static String jobOfTaskKey(String key) {
-        return key.substring(TASK_PREFIX.length(), key.lastIndexOf(TASK_SEPARATOR));
+    /**
+     * Returns the id of the job in a key that {@link #taskKey} returned.
+     *
+     * @throws IOException if another program made the key, and it names no job
+     */
+    static String jobOfTaskKey(String key) throws IOException {
+        int end = key.lastIndexOf(TASK_SEPARATOR);
+        if (end <= TASK_PREFIX.length()) {
+            throw new IOException("the key names no job");
+        }
+        return key.substring(TASK_PREFIX.length(), end);
     }
 
     static KeyedRecord encode(CancelRecord cancel) {
@@ -78,7 +88,16 @@
      * @throws IOException if the value is not an encoded {@code type}
      */
     static <T> T decode(KeyedRecord record, Class<T> type) throws IOException {
-        return Codecs.messagePack().readValue(record.value(), type);
+        MessagePackCheck.requireComplete(record.value());
+        try {
+            T value = Codecs.messagePack().readValue(record.value(), type);
+            if (value == null) {
+                throw new IOException("the value is nil");
+            }
+            return value;
+        } catch (MessagePackException e) {
+            throw new IOException("the value is not MessagePack", e);
+        }
     }
 
     /** Encodes and decodes a record of each type. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -86,7 +86,7 @@
             String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
             contents.putProgress(id, decode(record, JobProgress.class));
         } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
-            contents.putTask(key, decode(record, JobProgress.Task.class));
+            contents.putTask(JobRecords.jobOfTaskKey(key), key, decode(record, JobProgress.Task.class));
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
@@ -98,7 +98,10 @@
     }
 
     /** Adds or, for null, removes a job. A repeated submission leaves the first in place. */
-    private void applyJob(String id, Job job) {
+    private void applyJob(String id, Job job) throws IOException {
+        if (job != null && !job.id().equals(id)) {
+            throw new IOException("the record is that of another job");
+        }
         JobEntry entry = contents.entry(id);
         if (job != null && entry.job() != null) {
             return;
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -60,13 +60,12 @@
     void putProgress(String id, JobProgress progress) {
         put(id, entry(id).with(progress == null ? null : progress.withoutTasks()));
         if (progress != null) {
-            progress.tasks().forEach(task -> putTask(JobRecords.taskKey(id, task), task));
+            progress.tasks().forEach(task -> putTask(id, JobRecords.taskKey(id, task), task));
         }
     }
 
-    /** Sets or, for null, removes the progress of a task. */
-    void putTask(String key, JobProgress.Task task) {
-        String id = JobRecords.jobOfTaskKey(key);
+    /** Sets or, for null, removes the progress of a task of job {@code id}. */
+    void putTask(String id, String key, JobProgress.Task task) {
         if (task != null) {
             tasks.computeIfAbsent(id, job -> new HashMap<>()).put(key, task);
             return;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
@@ -1,6 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * The persistent progress of a job. Together with the {@link Job}, it is all that a new leader needs to take over.
@@ -18,6 +19,8 @@
         String id, JobState state, long endedMillis, List<Integer> doneOccurrences, List<Task> tasks) {
     /** Creates a record with immutable copies of the lists. */
     public JobProgress {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(state, "state");
         doneOccurrences = List.copyOf(doneOccurrences);
         tasks = List.copyOf(tasks);
     }
@@ -54,5 +57,11 @@
             boolean done,
             String target,
             long incarnation,
-            String saved) {}
+            String saved) {
+        /** Requires texts, which may be empty. */
+        public Task {
+            Objects.requireNonNull(target, "target");
+            Objects.requireNonNull(saved, "saved");
+        }
+    }
 }
