An occurrence that had not started runs after a change of leader

Callers would see: a recurring job never ends after a change of leader, as one of its occurrences never starts.

Cause: the records of a job tell of tasks that have started and of occurrences that are done. A new leader opened the occurrences after the highest of those, so one that was due before it but had not started stayed closed for ever.

Evidence: RecurringJobTest failed before: "missing (1): j.0.0.0; expected: [j.0.0.0, j.3.0.0], but was: [j.3.0.0]", with occurrence 1 done and 2 running.

Why it works: each number is opened once in order from 0, unless it is done or was opened by the restore.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -21,6 +21,10 @@
     final Objective objective;
     final Set<Integer> doneOccurrences = new TreeSet<>();
     private final long tasksPerOccurrence;
+
+    /** Lowest number of an occurrence that was not yet opened for being due; a restore opens some beyond it. */
+    private int nextOccurrence;
+
     private final TreeMap<Integer, List<StepExecution>> openOccurrences = new TreeMap<>();
     JobState state = JobState.QUEUED;
     long endedMillis;
@@ -62,16 +66,13 @@
      * {@value #MAX_OPEN_TASKS} tasks, they open as earlier ones end.
      */
     void openDueOccurrences(long nowMillis) {
-        int next = 0;
-        if (!openOccurrences.isEmpty()) {
-            next = openOccurrences.lastKey() + 1;
-        }
-        for (int done : doneOccurrences) {
-            next = Math.max(next, done + 1);
-        }
-        while (next < spec.occurrenceCount() && spec.dueMillis(next) <= nowMillis && hasRoomForOccurrence()) {
-            occurrence(next);
-            next++;
+        while (nextOccurrence < spec.occurrenceCount()
+                && spec.dueMillis(nextOccurrence) <= nowMillis
+                && hasRoomForOccurrence()) {
+            if (!doneOccurrences.contains(nextOccurrence)) {
+                occurrence(nextOccurrence);
+            }
+            nextOccurrence++;
         }
     }
 
