Test that a target whose registration became unreadable gets no new work

An entry that cannot be read names no worker to use, also when it replaces a sound one of the same key.

The test fails: "expected: 1, but was: 2, [first.0.0.0, second.0.0.0]".

--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,13 @@
     private static final Topics TOPICS = new Topics("jobs", "operators", "targets");
     private static final String SERVICE = "render";
     private static final String TARGET_KEY = "target";
+
+    /** The value of a record that names no target. */
+    private static final byte[] UNREADABLE = {2};
+
+    /** Time after which a change of a registration is in force, in milliseconds. */
+    private static final long REGISTRATION_MILLIS = 2_000;
+
     private static final long TIMEOUT_SECONDS = 20;
 
     /** Time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds. */
@@ -139,6 +147,29 @@
         }
     }
 
+    /** Guards against work for a target whose registration another program has replaced by one that names none. */
+    @Test
+    void aTargetWhoseRegistrationBecameUnreadableGetsNoNewWork() {
+        lead();
+        append(JobRecords.encode(job("first")));
+        await(() -> target.started.size() == 1);
+        append(new KeyedRecord(TARGET_KEY, UNREADABLE));
+        assertThat(jobConsumer.catchUp(deadline())).isTrue();
+        Clocks.sleep(REGISTRATION_MILLIS);
+        append(JobRecords.encode(job("second")));
+        Clocks.sleep(REGISTRATION_MILLIS);
+        assertThat(target.started).hasSize(1);
+        append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
+        await(() -> target.started.size() == 2);
+    }
+
+    private static Job job(String id) {
+        Step step =
+                new Step(1, new Resources(1_000, 1_000, 1), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+    }
+
     /** Decodes the registration of a single target; the in-memory log has the records of all topics in one. */
     private static final class OneTarget implements TargetRecordDecoder {
         @Override
@@ -148,6 +179,9 @@
 
         @Override
         public Optional<TargetInfo> decodeTarget(KeyedRecord record) {
+            if (Arrays.equals(record.value(), UNREADABLE)) {
+                return Optional.empty();
+            }
             Resources capacity = new Resources(32_000, 64_000, 8);
             return Optional.of(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
         }
