A target is unregistered by a record that names no target

The published protocol says that such an entry names no worker to use. Its runs go on, and its next sound registration makes it usable again.

--- a/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
@@ -4,11 +4,13 @@
 import java.util.Set;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
+import org.acaciaport.pool.TargetInfo;
 
 /**
  * Reports the registration and unregistration of targets to a term.
  *
- * <p>Guarded by the lock of its consumer. Targets that a new snapshot no longer contains count as unregistered.
+ * <p>Guarded by the lock of its consumer. A target is unregistered by a record that names no
+ * target, and by a new snapshot that has no record of it.
  */
 final class RegistrationTracker implements TopicConsumer.Sink {
     private final TargetRecordDecoder decoder;
@@ -35,11 +37,7 @@
                 unregister(id);
                 return;
             }
-            decoder.decodeTarget(record).ifPresent(info -> {
-                unconfirmed.remove(id);
-                registered.add(id);
-                term.register(info);
-            });
+            decoder.decodeTarget(record).ifPresentOrElse(this::register, () -> unregister(id));
         });
     }
 
@@ -50,6 +48,12 @@
         missing.forEach(this::unregister);
     }
 
+    private void register(TargetInfo info) {
+        unconfirmed.remove(info.id());
+        registered.add(info.id());
+        term.register(info);
+    }
+
     private void unregister(String id) {
         unconfirmed.remove(id);
         if (registered.remove(id)) {
