A call to a target that throws counts as unanswered

Operators saw work that could run and did not. With a registration whose address cannot be called, the client throws IllegalArgumentException instead of answering. The exception ended the session's thread while the field "thread" stayed set, so no later registration with a good address revived the session. A start that threw was neither confirmed nor failed, so its task waited for ever; a stop that threw was not sent again.

What else throws in a session goes through BackgroundTasks, which logs it ("background: task=... outcome=failed reason=... at=...") and tells the session: a start is resolved by a later report, a failed poll counts as no answer and is repeated after a pause. The thread's field is reset however the thread ends. Starts that a report resolves are taken after the report was passed on, so that an exception there does not lose them.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -25,6 +25,8 @@
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
+ *   <li>A call that throws counts as unanswered, and so does a report that cannot be handled. No exception ends the
+ *       session, and while a report is needed, a thread polls the target.
  * </ul>
  */
 final class TargetSession {
@@ -133,7 +135,7 @@
             long earlierLeasesEndNanos) {
         this.id = endpoint.id();
         this.endpoint = endpoint;
-        this.calls = calls;
+        this.calls = new GuardedTargetCalls(calls);
         this.events = events;
         this.baseFence = baseFence;
         lease = new TargetLease(earlierLeasesEndNanos);
@@ -202,16 +204,39 @@
     }
 
     private void run() {
-        while (shouldContinue()) {
-            if (!events.isLeading()) {
-                Clocks.sleep(PAUSE_MILLIS);
-                continue;
+        try {
+            while (shouldContinue()) {
+                BackgroundTasks.run("target-" + id, this::poll, this::handleFailedPoll);
             }
-            if (!pollReport(waitMillis()) && !Clocks.sleep(PAUSE_MILLIS)) {
-                return;
-            }
-            resendStops();
-            awaitDurable();
+        } finally {
+            releaseThread();
+        }
+    }
+
+    /** Lets another thread poll the target if this one still does, so if it ends by an exception. */
+    private synchronized void releaseThread() {
+        if (thread == Thread.currentThread()) {
+            thread = null;
+        }
+    }
+
+    private void poll() {
+        if (!events.isLeading()) {
+            Clocks.sleep(PAUSE_MILLIS);
+            return;
+        }
+        if (!pollReport(waitMillis())) {
+            Clocks.sleep(PAUSE_MILLIS);
+        }
+        resendStops();
+        awaitDurable();
+    }
+
+    private void handleFailedPoll(String reason) {
+        try {
+            handleNoAnswer(reason);
+        } finally {
+            Clocks.sleep(BackgroundTasks.RETRY_DELAY_MILLIS);
         }
     }
 
@@ -265,7 +290,6 @@
     /** Applies a report that was requested with {@code fence}. */
     private void applyReport(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
-        List<UnansweredStart> resolvable = new ArrayList<>();
         synchronized (this) {
             if (report.incarnation() < incarnation) {
                 return;
@@ -281,19 +305,27 @@
             for (TargetReport.Ended end : report.ended()) {
                 lastReportedEnd = Math.max(lastReportedEnd, end.number());
             }
-            for (UnansweredStart unanswered : unansweredStarts) {
-                if (unanswered.fence() < fence) {
-                    resolvable.add(unanswered);
-                }
-            }
-            unansweredStarts.removeAll(resolvable);
             if (unresponsive) {
                 unresponsive = false;
                 LOG.infof("dependency: target=%s outcome=regained", id);
             }
         }
         events.reported(report);
-        resolvable.forEach(unanswered -> resolve(unanswered, report));
+        for (UnansweredStart unanswered : takeResolvable(fence)) {
+            resolveLaterIfFailed(unanswered.start(), unanswered.sentNanos(), () -> resolve(unanswered, report));
+        }
+    }
+
+    /** Removes the unanswered starts that a report requested with {@code fence} resolves, and returns them. */
+    private synchronized List<UnansweredStart> takeResolvable(long fence) {
+        List<UnansweredStart> resolvable = new ArrayList<>();
+        for (UnansweredStart unanswered : unansweredStarts) {
+            if (unanswered.fence() < fence) {
+                resolvable.add(unanswered);
+            }
+        }
+        unansweredStarts.removeAll(resolvable);
+        return resolvable;
     }
 
     /** Determines the outcome of an unanswered start from a report taken under a higher fencing token. */
@@ -353,7 +385,13 @@
 
     /** Sends a start command; its record must be durable. */
     void start(TargetCommand.Start start) {
-        send(start, System.nanoTime());
+        long firstNanos = System.nanoTime();
+        resolveLaterIfFailed(start, firstNanos, () -> send(start, firstNanos));
+    }
+
+    /** Runs {@code work}, which may send {@code start}; if it throws, the start counts as unanswered. */
+    private void resolveLaterIfFailed(TargetCommand.Start start, long firstNanos, Runnable work) {
+        BackgroundTasks.run("start-" + id, work, reason -> recordUnanswered(start, fence(), firstNanos, reason));
     }
 
     private void send(TargetCommand.Start start, long firstNanos) {
@@ -440,7 +478,7 @@
 
     /** Sends a stop command, again and again until the target confirms it. */
     void stop(TargetCommand.Stop stop) {
-        sendStop(stop);
+        BackgroundTasks.run("stop-" + id, () -> sendStop(stop), reason -> {});
         synchronized (this) {
             setOccupied(occupied);
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
@@ -22,6 +22,9 @@
     /** How many of the next stop commands are lost. */
     volatile int stopsToLose;
 
+    /** How many of the next start commands throw before they arrive. */
+    volatile int startsToThrow;
+
     /** Stop commands that arrived, by task, in order. */
     final List<TaskId> stops = new CopyOnWriteArrayList<>();
 
@@ -46,6 +49,10 @@
 
     @Override
     public synchronized CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
+        if (startsToThrow > 0) {
+            startsToThrow--;
+            throw new IllegalArgumentException("unsupported URI");
+        }
         if (stopped.getOrDefault(request.task(), 0) >= request.run()) {
             return new Refused(RefusalReason.OLD_RUN, OptionalLong.of(clock()));
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -65,6 +65,14 @@
         thread = Thread.ofVirtual().start(term::run);
     }
 
+    /** Returns a job whose tasks need a whole target each. */
+    private static Job newJob(String id, int count) {
+        Resources demand = new Resources(1_000, 1_000, 8);
+        Step step = new Step(count, demand, 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+    }
+
     private static long deadline() {
         return Clocks.deadlineAfter(5_000);
     }
@@ -87,11 +95,7 @@
      */
     @Test
     void aLeaderThatCannotReadCancellationsStartsNothing() {
-        Step step =
-                new Step(2, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
-        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
-        append(JobRecords.encode(
-                new Job("a", "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1)));
+        append(JobRecords.encode(newJob("a", 2)));
         lead();
         await(() -> target.started.size() == 1);
         leaderLog.readable = false;
@@ -114,6 +118,16 @@
         assertThat(replica.leader().record().resigned()).isTrue();
     }
 
+    /** Guards against a task that waits for ever, since the call that was to start it threw. */
+    @Test
+    void aTaskWhoseStartThrowsRunsInTheEnd() {
+        target.startsToThrow = 2;
+        append(JobRecords.encode(newJob("a", 1)));
+        lead();
+        await(() -> target.isRunning(new TaskId("a", 0, 0, 0)));
+        assertThat(target.started).hasSize(1);
+    }
+
     /** A log whose reads can be made to fail. */
     private static final class UnreadableLog implements KeyedLog {
         private final KeyedLog log;
