A record that cannot be applied does not end its topic's consumer

Operators saw machines that stopped following a list after one odd entry. An exception of a sink ended the thread "follow-*"; with a record whose apply always throws, the offset never moved, and every catch-up on behalf of a caller or of a claim of the leadership threw as well. The key of a task's record that names no job had this effect on the topic of jobs.

SkippingSink leaves out a record that its sink cannot apply and logs key, offset and reason; the later ones apply. What else throws during a read counts as a failed read, which is logged with its reason and repeated after the usual delay. Replica counts a record as read before it applies it, so that a skipped one does not make a claim at the end of the log fail.

--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -61,12 +61,12 @@
 
     @Override
     public synchronized void apply(KeyedRecord record, long offset) {
+        contents.nextOffset = offset + 1;
         try {
             applyRecord(record);
         } catch (IOException e) {
             LOG.errorf("log: key=%s offset=%s outcome=skipped reason=%s", record.key(), offset, e.getMessage());
         }
-        contents.nextOffset = offset + 1;
     }
 
     @Override
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
@@ -15,7 +16,8 @@
  * <p>Starts from a snapshot, the newest record of each key, and takes another snapshot whenever the log no longer has
  * the next record. A snapshot goes on after a failed page. Reads on at once while an answer leaves records of the topic
  * unread. A read waits for new records only if the one before it left none unread, so that the sink counts as current
- * as soon as possible after a snapshot or a failed read.
+ * as soon as possible after a snapshot or a failed read. A record that the sink cannot apply is left out, and any other
+ * exception counts as a failed read, so that neither ends the consumer.
  *
  * <p>Runs on its own thread. {@link #catchUp} is thread-safe. Reads that do not wait for new records, those of callers
  * included, are made one at a time.
@@ -94,8 +96,8 @@
         this.log = log;
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
-        this.sink = sink;
-        sharedRead = new SharedRead<>("catch-up-" + topic, this::readOn);
+        this.sink = new SkippingSink(topic, sink);
+        sharedRead = new SharedRead<>("catch-up-" + topic, () -> attempt(this::readOn));
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -111,7 +113,7 @@
     private void run() {
         boolean current = false;
         while (!stopped) {
-            ReadProgress outcome = current ? readRecords(pollSettings.waitMillis()) : awaitSharedRead();
+            ReadProgress outcome = current ? attempt(() -> readRecords(pollSettings.waitMillis())) : awaitSharedRead();
             current = outcome instanceof ReadProgress.Current;
             if (stopped) {
                 return;
@@ -124,6 +126,14 @@
         }
     }
 
+    private static ReadProgress attempt(Supplier<ReadProgress> read) {
+        try {
+            return read.get();
+        } catch (RuntimeException | Error e) {
+            return new ReadProgress.Failed(BackgroundTasks.describe(e));
+        }
+    }
+
     private ReadProgress awaitSharedRead() {
         return sharedRead
                 .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
