A route to the log that throws counts as one without an answer

Callers saw a call of the log fail with an exception although another route would have served it: a peer whose address cannot be parsed, or a store address that the client rejects, threw through FailoverLog into the threads of consumers, of the election and of the announcement. A peer whose call was relayed by such a node got no reply and waited for its timeout.

GuardedLog makes an exception of the direct route an outcome: unavailable for a read, unknown for an append, since it may have been sent. An exception of a call to a peer counts as no reply, so that the next route is tried and the peer comes last.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -22,7 +22,7 @@
  *
  * <p>Thread-safe. A relayed call is never relayed again. An append is retried on another route only if it had no effect
  * on the first or a repetition is harmless. Once an attempt has had no answer, the outcome is never
- * {@link AppendOutcome.Refused}.
+ * {@link AppendOutcome.Refused}. A route that throws counts as one without an answer.
  */
 public final class FailoverLog implements KeyedLog, WireServer.Handler {
     private static final Logger LOG = Logger.getLogger(FailoverLog.class);
@@ -55,7 +55,7 @@
     private volatile long lastContactNanos = System.nanoTime();
 
     FailoverLog(KeyedLog direct, Peers peers) {
-        this.direct = direct;
+        this.direct = new GuardedLog(direct);
         this.peers = peers;
     }
 
@@ -171,8 +171,8 @@
             Message reply = peers.ask(peer, call.query(), timeoutMillis);
             lastContactNanos = System.nanoTime();
             return call.read().apply(reply);
-        } catch (WireException e) {
-            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, e.getMessage());
+        } catch (WireException | RuntimeException e) {
+            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, BackgroundTasks.describe(e));
             return null;
         }
     }
