A check whether to lead that throws does not end the election's thread

The checks before a claim, a read to the end of the topic included, ran outside the catch of LeaderElection. One exception there ended the thread "lead", and the node never led again; with a record that all nodes read, no node did. A term that threw also left its consumer polling without a delay.

Each round now runs as a background task: an exception is logged, and the next round follows after a pause, in which other nodes may claim. The poll delay is restored however a term ends.

Failed before: LeaderElectionTest.aCheckThatThrowsIsRepeated, "expected to be at least: 2" after 'Exception in thread "lead" java.lang.NullPointerException'.

--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -12,7 +12,8 @@
  *
  * <p>Runs on its own thread. A candidate appends its leader record on condition that the log still ends where its
  * replica ends, so at most one of several candidates succeeds. The offset of that record is the epoch of the term,
- * which is therefore unique.
+ * which is therefore unique. An exception ends neither the thread nor the node's candidacy: after a pause, in which
+ * other nodes may claim, it checks again.
  */
 final class LeaderElection {
     private static final Logger LOG = Logger.getLogger(LeaderElection.class);
@@ -68,20 +69,28 @@
 
     private void run() {
         while (!stopped) {
-            if (hasWaitedToClaim() && isLeadershipVacant()) {
-                try {
-                    claimAndLead();
-                } catch (RuntimeException e) {
-                    LOG.errorf(e, "lead: outcome=failed");
-                }
-                term = null;
-            }
+            BackgroundTasks.run("lead", this::leadIfVacant, reason -> Clocks.sleep(BackgroundTasks.RETRY_DELAY_MILLIS));
             if (!Clocks.sleep(CHECK_INTERVAL_MILLIS)) {
                 return;
             }
         }
     }
 
+    private void leadIfVacant() {
+        if (!hasWaitedToClaim() || !isLeadershipVacant()) {
+            return;
+        }
+        try {
+            claimAndLead();
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "lead: outcome=failed");
+            throw e;
+        } finally {
+            term = null;
+            jobConsumer.setPollContinuously(false);
+        }
+    }
+
     /**
      * Returns whether this node could lead and has seen no live leader for as long as it leaves the claim to nodes on
      * larger VMs.
@@ -152,7 +161,6 @@
         if (!stopped) {
             next.run();
         }
-        jobConsumer.setPollContinuously(false);
     }
 
     /**
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -48,9 +48,13 @@
     }
 
     private LeaderElection newElectionWithoutConfiguration() {
+        return newElectionWithoutConfiguration(CAPACITY);
+    }
+
+    private LeaderElection newElectionWithoutConfiguration(VmCapacity capacity) {
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica, configuration, null, TOPICS, failoverLog, new NoTargets(), new MetricRegistry());
-        return new LeaderElection(SELF, CAPACITY, dependencies, jobConsumer, new SplittableRandom(1));
+        return new LeaderElection(SELF, capacity, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
     private void appendLeaderRecord(LeaderRecord record) {
@@ -116,6 +120,31 @@
                 .isTrue();
     }
 
+    /** Guards against a node that never leads again, since one check whether to lead threw. */
+    @Test
+    void aCheckThatThrowsIsRepeated() {
+        announceLargerVm();
+        publishConfiguration();
+        VmCapacity missing = null;
+        LeaderElection election = newElectionWithoutConfiguration(missing);
+        try (LogCapture capture = LogCapture.of(BackgroundTasks.class)) {
+            election.start();
+            long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+            while (failures(capture) < 2 && Clocks.millisUntil(deadline) > 0) {
+                Clocks.sleep(1);
+            }
+            assertThat(failures(capture)).isAtLeast(2);
+        } finally {
+            election.stop(1_000);
+            jobConsumer.stop();
+        }
+    }
+
+    private static int failures(LogCapture capture) {
+        return capture.messagesContaining("background: task=lead outcome=failed reason=")
+                .size();
+    }
+
     private long awaitClaimMillis(long startNanos) throws IOException {
         long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
         while (!hasClaimed() && Clocks.millisUntil(deadline) > 0) {
