A term ends with the reason when an append throws; odd jobs are left out

An append that threw left appendInFlight set: the term wrote no record and released no command any more, but did not end. A job that the pool cannot take, as one of its steps comes after a step that does not exist, threw out of Term.run: from restore() before the try, so that the replica's listener and the threads of the term stayed behind, and at each later leader again, so that no job ran anywhere. The reason of a term that threw was in no line of the "lead:" kind.

An append that throws ends the term, since whether it took effect is not known; the next term reads the log. Any exception on the thread of the term ends it with a logged reason, and everything is closed. A job that the pool rejects is logged and left out; one that was restored in part is removed, as its finished tasks could run again. The pool is unchanged by a rejected job, because it throws before it adds it.

Failed before: TermTest.anAppendThatThrowsEndsTheTerm (alive after 20 s), aJobThatThePoolCannotTakeKeepsNoOtherJobFromRunning (nothing runs after "IndexOutOfBoundsException: Index 7 out of bounds for length 0"), aTermThatThrowsEndsWithTheReason (no such line).

--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -25,7 +25,8 @@
  * ends.
  *
  * <p>Only the thread in {@link #run} uses the pool; other threads post events to it. A start command is sent only after
- * the record of that start is durable.
+ * the record of that start is durable. An exception of an event, a pass or an append ends the term, as the pool may be
+ * inconsistent with the log; a job that the pool rejects is left out instead, as it would end each later term.
  */
 final class Term implements TargetSession.Events, Replica.Listener {
     private static final Logger LOG = Logger.getLogger(Term.class);
@@ -142,16 +143,19 @@
 
     /** Schedules until the term ends or the thread is interrupted. */
     void run() {
-        restore();
-        configuration.setListener(() -> post(() -> pool.configure(configuration.poolSettings())));
-        pool.configure(configuration.poolSettings());
-        registrationConsumer.start();
         try {
+            restore();
+            configuration.setListener(() -> post(() -> pool.configure(configuration.poolSettings())));
+            pool.configure(configuration.poolSettings());
+            registrationConsumer.start();
             while (!ended) {
                 runIteration();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (RuntimeException | Error e) {
+            end("failed: " + BackgroundTasks.describe(e));
+            throw e;
         } finally {
             close();
         }
@@ -165,13 +169,7 @@
             if (entry.job() == null) {
                 continue;
             }
-            JobProgress progress = entry.progress();
-            if (progress == null) {
-                pool.submit(entry.job());
-            } else {
-                pool.restore(entry.job(), progress, now);
-                progressEncoder.restore(progress);
-            }
+            skipIfRejected(entry.job(), () -> restore(entry, now));
             if (entry.cancel() != null) {
                 cancels.add(entry.cancel());
             }
@@ -182,6 +180,33 @@
                 epoch, pool.occupiedTargets().size());
     }
 
+    private void restore(JobEntry entry, ClockReading now) {
+        JobProgress progress = entry.progress();
+        if (progress == null) {
+            pool.submit(entry.job());
+            return;
+        }
+        try {
+            pool.restore(entry.job(), progress, now);
+            progressEncoder.restore(progress);
+        } catch (RuntimeException e) {
+            // With a part of its progress, the job could run finished tasks again.
+            pool.removeJob(entry.job().id());
+            throw e;
+        }
+    }
+
+    /** Adds a job to the pool by {@code add}; leaves out a job that the pool rejects, as each later term would too. */
+    private void skipIfRejected(Job job, Runnable add) {
+        try {
+            add.run();
+        } catch (RuntimeException e) {
+            LOG.errorf(
+                    "accept: request=%s queue=%s outcome=skipped reason=%s",
+                    job.id(), job.queue(), BackgroundTasks.describe(e));
+        }
+    }
+
     private void runIteration() throws InterruptedException {
         // Cancellations read until then are among the events handled now.
         ClockReading replicaAsOf = replica.asOf();
@@ -253,10 +278,12 @@
         }
         appendInFlight = true;
         boolean resignation = resigning;
-        executor.execute(() -> {
+        Runnable append = () -> {
             boolean appended = logWriter.append(records);
             post(() -> handleAppendResult(appended, resignation, batch, now.monotonicNanos()));
-        });
+        };
+        // Whether the records were appended is not known; the next term reads the log.
+        executor.execute(() -> BackgroundTasks.run("append", append, reason -> end("append failed: " + reason)));
     }
 
     /** Releases the commands of a durable batch; ends the term if the log rejected the append. */
@@ -328,7 +355,7 @@
 
     @Override
     public void submitted(Job job) {
-        post(() -> pool.submit(job));
+        post(() -> skipIfRejected(job, () -> pool.submit(job)));
     }
 
     @Override
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -16,6 +16,8 @@
 import org.acaciaport.log.NewestOutcome;
 import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.JobState;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.acaciaport.pool.TargetInfo;
@@ -37,9 +39,11 @@
     private final MemoryLog log = new MemoryLog();
     private final UnreadableLog leaderLog = new UnreadableLog(log);
     private final FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
+    private final BrokenAppendLog leaderLogWriterLog = new BrokenAppendLog(failoverLog);
     private final Replica replica = new Replica();
     private final TopicConsumer jobConsumer =
             new TopicConsumer(TOPICS.jobs(), leaderLog, new TopicConsumer.PollSettings(0, 5), replica);
+    private Term term;
     private Thread thread;
 
     @AfterEach
@@ -57,11 +61,11 @@
                 new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of(SERVICE))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
-        LeaderLogWriter logWriter = new LeaderLogWriter(failoverLog, TOPICS.jobs(), 5);
+        LeaderLogWriter logWriter = new LeaderLogWriter(leaderLogWriterLog, TOPICS.jobs(), 5);
         assertThat(logWriter.fenceEarlierTerms()).isTrue();
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica, configuration, target, TOPICS, failoverLog, new OneTarget(), new MetricRegistry());
-        Term term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, dependencies);
+        term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, dependencies);
         thread = Thread.ofVirtual().start(term::run);
     }
 
@@ -128,6 +132,86 @@
         assertThat(target.started).hasSize(1);
     }
 
+    /**
+     * Guards against a term that holds back its records and commands for ever, since one append threw and counts as in
+     * progress.
+     */
+    @Test
+    void anAppendThatThrowsEndsTheTerm() {
+        lead();
+        await(() -> replica.leader() != null);
+        try (LogCapture capture = LogCapture.of(Term.class)) {
+            leaderLogWriterLog.broken = true;
+            await(() -> !thread.isAlive());
+            assertThat(capture.messagesContaining("outcome=ended reason=append failed: "))
+                    .hasSize(1);
+        }
+    }
+
+    /** Guards against a job that ends the term of each leader in turn, so that no job is run any more. */
+    @Test
+    void aJobThatThePoolCannotTakeKeepsNoOtherJobFromRunning() {
+        append(JobRecords.encode(newOddJob("b")), JobRecords.encode(newJob("c", 1)));
+        append(JobRecords.encode(new CancelRecord("b", 1)));
+        append(JobRecords.encode(newOddJob("d")));
+        append(JobRecords.encode(new JobProgress("d", JobState.RUNNING, 0, List.of(), List.of())));
+        lead();
+        await(() -> target.isRunning(new TaskId("c", 0, 0, 0)));
+        append(JobRecords.encode(newOddJob("e")), JobRecords.encode(new CancelRecord("c", 1)));
+        append(JobRecords.encode(newJob("f", 1)));
+        await(() -> target.isRunning(new TaskId("f", 0, 0, 0)));
+    }
+
+    /** Returns a job whose only step comes after one that does not exist. */
+    private static Job newOddJob(String id) {
+        Resources demand = new Resources(1_000, 1_000, 8);
+        Step step = new Step(1, demand, 60_000, List.of(7), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+    }
+
+    /** Guards against a term that ends by an exception and leaves its threads and its subscriptions behind. */
+    @Test
+    void aTermThatThrowsEndsWithTheReason() {
+        lead();
+        await(() -> replica.leader() != null);
+        try (LogCapture capture = LogCapture.of(Term.class)) {
+            term.reported(null);
+            await(() -> !thread.isAlive());
+            assertThat(capture.messagesContaining("outcome=ended reason=failed: java.lang.NullPointerException"))
+                    .hasSize(1);
+        }
+        assertThat(term.isLeading()).isFalse();
+    }
+
+    /** A log whose appends can be made to throw. */
+    private static final class BrokenAppendLog implements KeyedLog {
+        private final KeyedLog log;
+        volatile boolean broken;
+
+        BrokenAppendLog(KeyedLog log) {
+            this.log = log;
+        }
+
+        @Override
+        public AppendOutcome append(Append append, long deadline) {
+            if (broken) {
+                throw new IllegalArgumentException("unsupported URI");
+            }
+            return log.append(append, deadline);
+        }
+
+        @Override
+        public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
+            return log.read(topic, from, waitMillis, deadline);
+        }
+
+        @Override
+        public NewestOutcome newest(String topic, String after, long deadline) {
+            return log.newest(topic, after, deadline);
+        }
+    }
+
     /** A log whose reads can be made to fail. */
     private static final class UnreadableLog implements KeyedLog {
         private final KeyedLog log;
