Exceptions that end threads reach the structured log

No uncaught-exception handler was installed: what ended a thread was printed to standard error in the JVM's own form, if it was seen at all.

Logs.configure, which each program calls first, installs a handler that logs "background: task=<thread> outcome=ended reason=... at=...", in one line of limited length. The announcement of a node and the probes of a route run as background tasks, so that an exception does not end the first (the node's address would stay unknown to the others) and has its line in the second. The description of exceptions moves to acacia-core, for the modules that need it.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -5,6 +5,7 @@
 import java.util.StringJoiner;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -172,7 +173,7 @@
             lastContactNanos = System.nanoTime();
             return call.read().apply(reply);
         } catch (WireException | RuntimeException e) {
-            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, BackgroundTasks.describe(e));
+            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, Failures.reasonOf(e));
             return null;
         }
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/GuardedLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/GuardedLog.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -25,7 +26,7 @@
         try {
             return log.append(append, deadline);
         } catch (RuntimeException e) {
-            return new AppendOutcome.Unknown(BackgroundTasks.describe(e));
+            return new AppendOutcome.Unknown(Failures.reasonOf(e));
         }
     }
 
@@ -34,7 +35,7 @@
         try {
             return log.read(topic, from, waitMillis, deadline);
         } catch (RuntimeException e) {
-            return new ReadOutcome.Unavailable(BackgroundTasks.describe(e));
+            return new ReadOutcome.Unavailable(Failures.reasonOf(e));
         }
     }
 
@@ -43,7 +44,7 @@
         try {
             return log.newest(topic, after, deadline);
         } catch (RuntimeException e) {
-            return new NewestOutcome.Unavailable(BackgroundTasks.describe(e));
+            return new NewestOutcome.Unavailable(Failures.reasonOf(e));
         }
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/GuardedTargetCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/GuardedTargetCalls.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import org.acaciaport.failure.Failures;
 import org.acaciaport.pool.TaskId;
 
 /**
@@ -44,6 +45,6 @@
     }
 
     private static NoAnswer unanswered(RuntimeException thrown) {
-        return new NoAnswer(BackgroundTasks.describe(thrown));
+        return new NoAnswer(Failures.reasonOf(thrown));
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -130,7 +131,7 @@
     private void announce() {
         NodeRecord record = new NodeRecord(settings.name(), address(settings.wireAddress()), settings.capacity());
         Append append = new Append(settings.topics().jobs(), List.of(JobRecords.encode(record)), new Append.Always());
-        while (!(log.append(append, Clocks.deadlineAfter(DURABLE_TIMEOUT_MILLIS)) instanceof AppendOutcome.Appended)) {
+        while (!appendAnnouncement(append)) {
             if (!Clocks.sleep(ANNOUNCE_RETRY_DELAY_MILLIS)) {
                 return;
             }
@@ -138,6 +139,16 @@
         LOG.infof("announce: node=%s address=%s", record.name(), record.address());
     }
 
+    private boolean appendAnnouncement(Append append) {
+        AtomicBoolean appended = new AtomicBoolean();
+        Runnable attempt = () -> {
+            AppendOutcome outcome = log.append(append, Clocks.deadlineAfter(DURABLE_TIMEOUT_MILLIS));
+            appended.set(outcome instanceof AppendOutcome.Appended);
+        };
+        BackgroundTasks.run("announce", attempt, reason -> Clocks.sleep(BackgroundTasks.RETRY_DELAY_MILLIS));
+        return appended.get();
+    }
+
     /**
      * Encodes and decodes each kind of record once, so that the build can archive the classes that this loads.
      *
--- a/acacia-node/src/main/java/org/acaciaport/node/RouteProbes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/RouteProbes.java
@@ -35,7 +35,7 @@
 
     private void run(Runnable probe) {
         try {
-            probe.run();
+            BackgroundTasks.run("probe-log", probe, reason -> {});
         } finally {
             postpone();
             running.set(false);
--- a/acacia-node/src/main/java/org/acaciaport/node/SkippingSink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/SkippingSink.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.jboss.logging.Logger;
@@ -33,7 +34,7 @@
         } catch (RuntimeException | StackOverflowError e) {
             LOG.errorf(
                     "consume: topic=%s key=%s offset=%s outcome=skipped reason=%s",
-                    topic, record.key(), offset, BackgroundTasks.describe(e));
+                    topic, record.key(), offset, Failures.reasonOf(e));
         }
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
@@ -154,7 +155,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (RuntimeException | Error e) {
-            end("failed: " + BackgroundTasks.describe(e));
+            end("failed: " + Failures.reasonOf(e));
             throw e;
         } finally {
             close();
@@ -203,7 +204,7 @@
         } catch (RuntimeException e) {
             LOG.errorf(
                     "accept: request=%s queue=%s outcome=skipped reason=%s",
-                    job.id(), job.queue(), BackgroundTasks.describe(e));
+                    job.id(), job.queue(), Failures.reasonOf(e));
         }
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
@@ -130,7 +131,7 @@
         try {
             return read.get();
         } catch (RuntimeException | Error e) {
-            return new ReadProgress.Failed(BackgroundTasks.describe(e));
+            return new ReadProgress.Failed(Failures.reasonOf(e));
         }
     }
 
--- a/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
+++ b/acacia-platform/src/main/java/org/acaciaport/program/Logs.java
@@ -57,7 +57,7 @@
         }
     }
 
-    /** Replaces the logging configuration of this process. */
+    /** Replaces the logging configuration of this process, and logs exceptions that end threads from now on. */
     public static void configure(LogSettings settings) {
         System.setProperty("org.jboss.logging.provider", "slf4j");
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
@@ -74,6 +74,7 @@
         root.addAppender(bounded);
         root.setLevel(Level.toLevel(settings.level()));
         context.getLogger("org.eclipse.jetty").setLevel(Level.WARN);
+        UncaughtExceptions.logAll();
     }
 
     private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogSettings settings) {
