A frame that holds no message closes its connection

A frame whose body decodes to nothing, or that the decoder rejects with an unchecked exception, ended the thread that reads a client's replies: the connection stayed open, its queries waited until a ping had failed, and new ones were sent on it. At a server, an envelope without a message reached the handler, which threw, so that the query got no reply.

Frames rejects both with an IOException, as it does other frames of a peer that does not run this program; both sides then close the connection, and its queries fail at once. The reader of a client closes its connection on any exception.

Failed before: OddFrameTest, three of four tests: "expected IOException but was NullPointerException", "nothing was thrown", and for the query another message than "was lost". The fourth passes before too: a server answers further queries after one that throws.

--- a/acacia-wire/src/main/java/org/acaciaport/wire/Frames.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Frames.java
@@ -36,11 +36,25 @@
         if (body.length < length) {
             throw new IOException("connection was closed in the middle of a frame");
         }
-        Envelope envelope = Codecs.messagePack().readValue(body, Envelope.class);
+        Envelope envelope = decode(body);
         if (envelope.version() != Envelope.VERSION) {
             throw new IOException("peer uses protocol version " + envelope.version() + ", not " + Envelope.VERSION
                     + "; run the same release on both");
         }
         return envelope;
     }
+
+    /** Decodes a body; the decoder throws unchecked exceptions as well for bytes that are no MessagePack. */
+    private static Envelope decode(byte[] body) throws IOException {
+        Envelope envelope;
+        try {
+            envelope = Codecs.messagePack().readValue(body, Envelope.class);
+        } catch (RuntimeException e) {
+            throw new IOException("frame cannot be decoded; check that the peer runs this program", e);
+        }
+        if (envelope == null || envelope.message() == null) {
+            throw new IOException("frame holds no message; check that the peer runs this program");
+        }
+        return envelope;
+    }
 }
--- a/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/WireClient.java
@@ -200,7 +200,7 @@
                         reply.complete(envelope.message());
                     }
                 }
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException e) {
                 close();
                 pending.values().forEach(reply -> reply.completeExceptionally(e));
             }
