--- a/acacia-node/src/test/java/org/acaciaport/node/OddRecordTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/SkippedRecordTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests that a topic is followed beyond records that its sink cannot apply, against an in-memory log. */
-final class OddRecordTest {
+final class SkippedRecordTest {
     private static final String TOPIC = "targets";
     private static final long TIMEOUT_SECONDS = 20;
 
