Periodic tasks of a scheduler go on after an exception

An executor repeats a periodic task no more once it has thrown, and keeps the exception in a future that nobody reads. A scheduler of acacia-scheduler whose renewal threw once would have neither renewed nor claimed the leadership again, and one whose reading of the list of VMs threw would have kept the list, both without a log line.

PeriodicTasks.logged logs what such a task throws and lets the executor repeat it.

The two callers were not made to throw in a test.

--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LeaderElection.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/LeaderElection.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.directory.Directory;
 import org.acaciaport.directory.Leader;
+import org.acaciaport.program.PeriodicTasks;
 import org.acaciaport.record.LogRecord;
 import org.jboss.logging.Logger;
 
@@ -53,7 +54,8 @@
     void start() {
         long period = settings.leases().leaderMillis() / RENEWALS_PER_LEASE;
         long first = ThreadLocalRandom.current().nextLong(period / 2 + 1);
-        timer.scheduleAtFixedRate(this::renewOrCampaign, first, period, TimeUnit.MILLISECONDS);
+        Runnable task = PeriodicTasks.logged("leadership", this::renewOrCampaign);
+        timer.scheduleAtFixedRate(task, first, period, TimeUnit.MILLISECONDS);
     }
 
     /** Records a leader record of this data centre on the log, by which {@code leader} was elected or renewed. */
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/Scheduler.java
@@ -24,6 +24,7 @@
 import org.acaciaport.platform.TargetClient;
 import org.acaciaport.platform.VmList;
 import org.acaciaport.program.OperatorService;
+import org.acaciaport.program.PeriodicTasks;
 import org.acaciaport.program.ServerProgram;
 import org.acaciaport.program.SettingsCheck;
 import org.acaciaport.record.LogEntry;
@@ -110,7 +111,8 @@
                 parseAddress(settings.listen().operators()), new OperatorService(metrics, this::health));
         replica.start(this);
         election.start();
-        timer.scheduleWithFixedDelay(this::refreshVmList, 0, VM_LIST_REFRESH_MILLIS, TimeUnit.MILLISECONDS);
+        Runnable refresh = PeriodicTasks.logged("vm-list", this::refreshVmList);
+        timer.scheduleWithFixedDelay(refresh, 0, VM_LIST_REFRESH_MILLIS, TimeUnit.MILLISECONDS);
         LOG.infof(
                 "scheduler: started vm=%s data-centre=%s",
                 settings.vm().name(), settings.vm().dataCentre());
