A session keeps its unanswered starts and unconfirmed stops in classes

No change of behaviour: the two collections of TargetSession and the questions asked of them move to UnansweredStarts and UnconfirmedStops, both under the session's lock as before.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -1,9 +1,6 @@
 package org.acaciaport.node;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -88,26 +85,12 @@
         boolean isLeading();
     }
 
-    /**
-     * A start command whose outcome is unknown.
-     *
-     * @param start the command
-     * @param fence fencing token that it was sent with
-     * @param sentNanos when it was first sent, on the monotonic clock, in nanoseconds
-     */
-    private record UnansweredStart(TargetCommand.Start start, long fence, long sentNanos) {}
-
     private final String id;
     private final TargetCalls calls;
     private final Events events;
     private final long baseFence;
-    private final List<UnansweredStart> unansweredStarts = new ArrayList<>();
-
-    /**
-     * Stop commands that the target has not confirmed, with the reading of the monotonic clock from which each is sent
-     * again, in nanoseconds.
-     */
-    private final Map<TargetCommand.Stop, Long> unconfirmedStops = new LinkedHashMap<>();
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts();
+    private final UnconfirmedStops unconfirmedStops = new UnconfirmedStops();
 
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
@@ -311,25 +294,17 @@
             }
         }
         events.reported(report);
-        for (UnansweredStart unanswered : takeResolvable(fence)) {
+        for (UnansweredStarts.UnansweredStart unanswered : takeResolvable(fence)) {
             resolveLaterIfFailed(unanswered.start(), unanswered.sentNanos(), () -> resolve(unanswered, report));
         }
     }
 
-    /** Removes the unanswered starts that a report requested with {@code fence} resolves, and returns them. */
-    private synchronized List<UnansweredStart> takeResolvable(long fence) {
-        List<UnansweredStart> resolvable = new ArrayList<>();
-        for (UnansweredStart unanswered : unansweredStarts) {
-            if (unanswered.fence() < fence) {
-                resolvable.add(unanswered);
-            }
-        }
-        unansweredStarts.removeAll(resolvable);
-        return resolvable;
+    private synchronized List<UnansweredStarts.UnansweredStart> takeResolvable(long fence) {
+        return unansweredStarts.takeResolvable(fence);
     }
 
     /** Determines the outcome of an unanswered start from a report taken under a higher fencing token. */
-    private void resolve(UnansweredStart unanswered, TargetReport report) {
+    private void resolve(UnansweredStarts.UnansweredStart unanswered, TargetReport report) {
         TargetCommand.Start start = unanswered.start();
         boolean running =
                 report.running().stream().anyMatch(run -> run.task().equals(start.task()) && run.run() == start.run());
@@ -398,7 +373,7 @@
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
         synchronized (this) {
-            if (isStopped(start)) {
+            if (unconfirmedStops.concern(start)) {
                 events.notStarted(start, "stopped", 0);
                 return;
             }
@@ -425,22 +400,12 @@
         }
     }
 
-    /** Returns whether an unconfirmed stop concerns the run that {@code start} would start. */
-    private boolean isStopped(TargetCommand.Start start) {
-        for (TargetCommand.Stop stop : unconfirmedStops.keySet()) {
-            if (stop.task().equals(start.task()) && stop.run() >= start.run()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Records an unanswered start, and increments the fencing token so that a delayed copy is rejected. */
     private synchronized void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
         LOG.infof(
                 "start: request=%s task=%s run=%s target=%s outcome=unanswered reason=%s",
                 start.task().job(), start.task(), start.run(), id, reason);
-        unansweredStarts.add(new UnansweredStart(start, fence, firstNanos));
+        unansweredStarts.add(start, fence, firstNanos);
         if (fence() == fence) {
             fenceIncrements++;
         }
@@ -515,13 +480,7 @@
     }
 
     private synchronized List<TargetCommand.Stop> dueStops() {
-        List<TargetCommand.Stop> due = new ArrayList<>();
-        unconfirmedStops.forEach((stop, resendNanos) -> {
-            if (System.nanoTime() - resendNanos >= 0) {
-                due.add(stop);
-            }
-        });
-        return due;
+        return unconfirmedStops.due();
     }
 
     /** Returns whether a stop with this reply need not be sent again. */
