--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Supplier;
-import org.acaciaport.failure.Failures;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.NewestOutcome;
@@ -98,7 +96,7 @@
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
         this.sink = new SkippingSink(topic, sink);
-        sharedRead = new SharedRead<>("catch-up-" + topic, () -> attempt(this::readOn));
+        sharedRead = new SharedRead<>("catch-up-" + topic, () -> ReadProgress.of(this::readOn));
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -114,7 +112,8 @@
     private void run() {
         boolean current = false;
         while (!stopped) {
-            ReadProgress outcome = current ? attempt(() -> readRecords(pollSettings.waitMillis())) : awaitSharedRead();
+            ReadProgress outcome =
+                    current ? ReadProgress.of(() -> readRecords(pollSettings.waitMillis())) : awaitSharedRead();
             current = outcome instanceof ReadProgress.Current;
             if (stopped) {
                 return;
@@ -127,14 +126,6 @@
         }
     }
 
-    private static ReadProgress attempt(Supplier<ReadProgress> read) {
-        try {
-            return read.get();
-        } catch (RuntimeException | Error e) {
-            return new ReadProgress.Failed(Failures.reasonOf(e));
-        }
-    }
-
     private ReadProgress awaitSharedRead() {
         return sharedRead
                 .await(Clocks.deadlineAfter(SHARED_READ_TIMEOUT_MILLIS))
