--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +25,7 @@
 import org.acaciaport.pool.Step;
 import org.acaciaport.pool.TargetInfo;
 import org.acaciaport.pool.TaskId;
+import org.acaciaport.wire.Codecs;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -150,24 +154,24 @@
 
     /** Guards against a job that ends the term of each leader in turn, so that no job is run any more. */
     @Test
-    void aJobThatThePoolCannotTakeKeepsNoOtherJobFromRunning() {
-        append(JobRecords.encode(newOddJob("b")), JobRecords.encode(newJob("c", 1)));
+    void aJobThatThePoolCannotTakeKeepsNoOtherJobFromRunning() throws Exception {
+        append(encodeOddJob("b"), JobRecords.encode(newJob("c", 1)));
         append(JobRecords.encode(new CancelRecord("b", 1)));
-        append(JobRecords.encode(newOddJob("d")));
+        append(encodeOddJob("d"));
         append(JobRecords.encode(new JobProgress("d", JobState.RUNNING, 0, List.of(), List.of())));
         lead();
         await(() -> target.isRunning(new TaskId("c", 0, 0, 0)));
-        append(JobRecords.encode(newOddJob("e")), JobRecords.encode(new CancelRecord("c", 1)));
+        append(encodeOddJob("e"), JobRecords.encode(new CancelRecord("c", 1)));
         append(JobRecords.encode(newJob("f", 1)));
         await(() -> target.isRunning(new TaskId("f", 0, 0, 0)));
     }
 
-    /** Returns a job whose only step comes after one that does not exist. */
-    private static Job newOddJob(String id) {
-        Resources demand = new Resources(1_000, 1_000, 8);
-        Step step = new Step(1, demand, 60_000, List.of(7), Step.Constraints.NONE, Step.Mode.PLAIN);
-        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
-        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+    /** Returns the record of a job whose only step comes after one that does not exist. */
+    private static KeyedRecord encodeOddJob(String id) throws IOException {
+        KeyedRecord sound = JobRecords.encode(newJob(id, 1));
+        JsonNode job = Codecs.messagePack().readTree(sound.value());
+        ((ObjectNode) job.at("/steps/0")).putArray("after").add(7);
+        return new KeyedRecord(sound.key(), Codecs.messagePack().writeValueAsBytes(job));
     }
 
     /** Guards against a term that ends by an exception and leaves its threads and its subscriptions behind. */
