--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.StringJoiner;
 import java.util.function.Function;
+import org.acaciaport.failure.Failures;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -20,7 +21,7 @@
  *
  * <p>Thread-safe. A relayed call is never relayed again. An append is retried on another route only if it had no effect
  * on the first or a repetition is harmless. Once an attempt has had no answer, the outcome is never
- * {@link AppendOutcome.Refused}.
+ * {@link AppendOutcome.Refused}. A route that throws counts as one without an answer.
  */
 public final class FailoverLog implements KeyedLog, WireServer.Handler {
     private static final Logger LOG = Logger.getLogger(FailoverLog.class);
@@ -39,8 +40,8 @@
     private volatile long lastContactNanos = System.nanoTime();
 
     FailoverLog(KeyedLog direct, Peers peers) {
-        this.direct = direct;
-        calls = new LogCalls(direct);
+        this.direct = new GuardedLog(direct);
+        calls = new LogCalls(this.direct);
         this.peers = peers;
     }
 
@@ -137,8 +138,8 @@
             Message reply = peers.ask(peer, call.query(), timeoutMillis);
             lastContactNanos = System.nanoTime();
             return call.read().apply(reply);
-        } catch (WireException e) {
-            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, e.getMessage());
+        } catch (WireException | RuntimeException e) {
+            LOG.debugf("dependency: peer=%s outcome=unavailable reason=%s", peer, Failures.reasonOf(e));
             return null;
         }
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -1,9 +1,6 @@
 package org.acaciaport.node;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalLong;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -25,6 +22,8 @@
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
+ *   <li>A call that throws counts as unanswered, and so does a report that cannot be handled. No exception ends the
+ *       session, and while a report is needed, a thread polls the target.
  * </ul>
  */
 final class TargetSession {
@@ -86,26 +85,12 @@
         boolean isLeading();
     }
 
-    /**
-     * A start command whose outcome is unknown.
-     *
-     * @param start the command
-     * @param fence fencing token that it was sent with
-     * @param sentNanos when it was first sent, on the monotonic clock, in nanoseconds
-     */
-    private record UnansweredStart(TargetCommand.Start start, long fence, long sentNanos) {}
-
     private final String id;
     private final TargetCalls calls;
     private final Events events;
     private final long baseFence;
-    private final List<UnansweredStart> unansweredStarts = new ArrayList<>();
-
-    /**
-     * Stop commands that the target has not confirmed, with the reading of the monotonic clock from which each is sent
-     * again, in nanoseconds.
-     */
-    private final Map<TargetCommand.Stop, Long> unconfirmedStops = new LinkedHashMap<>();
+    private final UnansweredStarts unansweredStarts = new UnansweredStarts();
+    private final UnconfirmedStops unconfirmedStops = new UnconfirmedStops();
 
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
@@ -133,7 +118,7 @@
             long earlierLeasesEndNanos) {
         this.id = endpoint.id();
         this.endpoint = endpoint;
-        this.calls = calls;
+        this.calls = new GuardedTargetCalls(calls);
         this.events = events;
         this.baseFence = baseFence;
         lease = new TargetLease(earlierLeasesEndNanos);
@@ -202,16 +187,39 @@
     }
 
     private void run() {
-        while (shouldContinue()) {
-            if (!events.isLeading()) {
-                Clocks.sleep(PAUSE_MILLIS);
-                continue;
-            }
-            if (!pollReport(waitMillis()) && !Clocks.sleep(PAUSE_MILLIS)) {
-                return;
+        try {
+            while (shouldContinue()) {
+                BackgroundTasks.run("target-" + id, this::poll, this::handleFailedPoll);
             }
-            resendStops();
-            awaitDurable();
+        } finally {
+            releaseThread();
+        }
+    }
+
+    /** Lets another thread poll the target if this one still does, so if it ends by an exception. */
+    private synchronized void releaseThread() {
+        if (thread == Thread.currentThread()) {
+            thread = null;
+        }
+    }
+
+    private void poll() {
+        if (!events.isLeading()) {
+            Clocks.sleep(PAUSE_MILLIS);
+            return;
+        }
+        if (!pollReport(waitMillis())) {
+            Clocks.sleep(PAUSE_MILLIS);
+        }
+        resendStops();
+        awaitDurable();
+    }
+
+    private void handleFailedPoll(String reason) {
+        try {
+            handleNoAnswer(reason);
+        } finally {
+            Clocks.sleep(BackgroundTasks.RETRY_DELAY_MILLIS);
         }
     }
 
@@ -265,7 +273,6 @@
     /** Applies a report that was requested with {@code fence}. */
     private void applyReport(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
-        List<UnansweredStart> resolvable = new ArrayList<>();
         synchronized (this) {
             if (report.incarnation() < incarnation) {
                 return;
@@ -281,23 +288,23 @@
             for (TargetReport.Ended end : report.ended()) {
                 lastReportedEnd = Math.max(lastReportedEnd, end.number());
             }
-            for (UnansweredStart unanswered : unansweredStarts) {
-                if (unanswered.fence() < fence) {
-                    resolvable.add(unanswered);
-                }
-            }
-            unansweredStarts.removeAll(resolvable);
             if (unresponsive) {
                 unresponsive = false;
                 LOG.infof("dependency: target=%s outcome=regained", id);
             }
         }
         events.reported(report);
-        resolvable.forEach(unanswered -> resolve(unanswered, report));
+        for (UnansweredStarts.UnansweredStart unanswered : takeResolvable(fence)) {
+            resolveLaterIfFailed(unanswered.start(), unanswered.sentNanos(), () -> resolve(unanswered, report));
+        }
+    }
+
+    private synchronized List<UnansweredStarts.UnansweredStart> takeResolvable(long fence) {
+        return unansweredStarts.takeResolvable(fence);
     }
 
     /** Determines the outcome of an unanswered start from a report taken under a higher fencing token. */
-    private void resolve(UnansweredStart unanswered, TargetReport report) {
+    private void resolve(UnansweredStarts.UnansweredStart unanswered, TargetReport report) {
         TargetCommand.Start start = unanswered.start();
         boolean running =
                 report.running().stream().anyMatch(run -> run.task().equals(start.task()) && run.run() == start.run());
@@ -353,14 +360,20 @@
 
     /** Sends a start command; its record must be durable. */
     void start(TargetCommand.Start start) {
-        send(start, System.nanoTime());
+        long firstNanos = System.nanoTime();
+        resolveLaterIfFailed(start, firstNanos, () -> send(start, firstNanos));
+    }
+
+    /** Runs {@code work}, which may send {@code start}; if it throws, the start counts as unanswered. */
+    private void resolveLaterIfFailed(TargetCommand.Start start, long firstNanos, Runnable work) {
+        BackgroundTasks.run("start-" + id, work, reason -> recordUnanswered(start, fence(), firstNanos, reason));
     }
 
     private void send(TargetCommand.Start start, long firstNanos) {
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
         synchronized (this) {
-            if (isStopped(start)) {
+            if (unconfirmedStops.concern(start)) {
                 events.notStarted(start, "stopped", 0);
                 return;
             }
@@ -387,22 +400,12 @@
         }
     }
 
-    /** Returns whether an unconfirmed stop concerns the run that {@code start} would start. */
-    private boolean isStopped(TargetCommand.Start start) {
-        for (TargetCommand.Stop stop : unconfirmedStops.keySet()) {
-            if (stop.task().equals(start.task()) && stop.run() >= start.run()) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Records an unanswered start, and increments the fencing token so that a delayed copy is rejected. */
     private synchronized void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
         LOG.infof(
                 "start: request=%s task=%s run=%s target=%s outcome=unanswered reason=%s",
                 start.task().job(), start.task(), start.run(), id, reason);
-        unansweredStarts.add(new UnansweredStart(start, fence, firstNanos));
+        unansweredStarts.add(start, fence, firstNanos);
         if (fence() == fence) {
             fenceIncrements++;
         }
@@ -440,7 +443,7 @@
 
     /** Sends a stop command, again and again until the target confirms it. */
     void stop(TargetCommand.Stop stop) {
-        sendStop(stop);
+        BackgroundTasks.run("stop-" + id, () -> sendStop(stop), reason -> {});
         synchronized (this) {
             setOccupied(occupied);
         }
@@ -477,13 +480,7 @@
     }
 
     private synchronized List<TargetCommand.Stop> dueStops() {
-        List<TargetCommand.Stop> due = new ArrayList<>();
-        unconfirmedStops.forEach((stop, resendNanos) -> {
-            if (System.nanoTime() - resendNanos >= 0) {
-                due.add(stop);
-            }
-        });
-        return due;
+        return unconfirmedStops.due();
     }
 
     /** Returns whether a stop with this reply need not be sent again. */
--- a/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TopicConsumer.java
@@ -15,7 +15,8 @@
  * <p>Starts from a snapshot, the newest record of each key, and takes another snapshot whenever the log no longer has
  * the next record. A snapshot goes on after a failed page. Reads on at once while an answer leaves records of the topic
  * unread. A read waits for new records only if the one before it left none unread, so that the sink counts as current
- * as soon as possible after a snapshot or a failed read.
+ * as soon as possible after a snapshot or a failed read. A record that the sink cannot apply is left out, and any other
+ * exception counts as a failed read, so that neither ends the consumer.
  *
  * <p>Runs on its own thread. {@link #catchUp} is thread-safe. Reads that do not wait for new records, those of callers
  * included, are made one at a time.
@@ -94,8 +95,8 @@
         this.log = log;
         this.pollSettings = pollSettings;
         currentDelayMillis = pollSettings.delayMillis();
-        this.sink = sink;
-        sharedRead = new SharedRead<>("catch-up-" + topic, this::readOn);
+        this.sink = new SkippingSink(topic, sink);
+        sharedRead = new SharedRead<>("catch-up-" + topic, () -> ReadProgress.of(this::readOn));
         thread = Thread.ofVirtual().name("follow-" + topic).unstarted(this::run);
     }
 
@@ -111,7 +112,8 @@
     private void run() {
         boolean current = false;
         while (!stopped) {
-            ReadProgress outcome = current ? readRecords(pollSettings.waitMillis()) : awaitSharedRead();
+            ReadProgress outcome =
+                    current ? ReadProgress.of(() -> readRecords(pollSettings.waitMillis())) : awaitSharedRead();
             current = outcome instanceof ReadProgress.Current;
             if (stopped) {
                 return;
