A target whose registration came back is asked for a report

Cause: when a registration disappears, the pool forgets a target without tasks, with the incarnation that it reported. When the registration comes back with the same incarnation, the pool waits for a report before it gives the target work, but the session has had one, has no runs, and asks for none. The target stays without work to the end of the term. The shared log may drop registrations of live targets while it is down, so it can concern many. Evidence: failed before, TermTest#anIdleTargetGetsWorkAfterItsRegistrationDisappearedAndCameBack ("expected to be true" after 20 s: the second job never starts). Change: the term forgets the registration as well, and the first one after that requires a report, without another incarnation or fencing token.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -121,6 +121,7 @@
 
     private final TargetLease lease;
     private boolean occupied;
+    private boolean reportRequired;
     private boolean closed;
     private boolean unresponsive;
     private Thread thread;
@@ -155,17 +156,27 @@
     }
 
     /**
-     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs, or commands without an
-     * answer.
+     * Returns whether a report is needed: for runs, the incarnation, a registration that came back, unacknowledged
+     * ended runs, or commands without an answer.
      */
     private boolean needsReport() {
         return occupied
                 || incarnation == 0
+                || reportRequired
                 || lastReportedEnd > lastAcknowledgedEnd
                 || !unansweredStarts.isEmpty()
                 || !unconfirmedStops.isEmpty();
     }
 
+    /**
+     * Requests a report, even if nothing else needs one. The pool may have forgotten the target while its registration
+     * was gone, and gives it no work before a report.
+     */
+    synchronized void requireReport() {
+        reportRequired = true;
+        setOccupied(occupied);
+    }
+
     /** Handles a registration; a new incarnation is confirmed by a report before it gets work. */
     synchronized void announceIncarnation(long announcedIncarnation) {
         if (announcedIncarnation > incarnation && incarnation != 0) {
@@ -277,6 +288,7 @@
                 unconfirmedStops.clear();
                 lease.reset();
             }
+            reportRequired = false;
             lease.recordReport(reported.clockMillis());
             for (TargetReport.Ended end : report.ended()) {
                 lastReportedEnd = Math.max(lastReportedEnd, end.number());
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -322,6 +322,7 @@
     void unregister(String id) {
         post(() -> {
             LOG.infof("target: target=%s outcome=unregistered", id);
+            sessions.unregister(id);
             pool.unregister(id);
         });
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -33,6 +33,9 @@
     /** Time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds. */
     private static final long MAX_START_AFTER_CANCEL_MILLIS = 4_000;
 
+    /** Time after which a target without runs is not asked for reports any more, in milliseconds. */
+    private static final long IDLE_MILLIS = 1_000;
+
     private final MemoryTarget target = new MemoryTarget();
     private final MemoryLog log = new MemoryLog();
     private final UnreadableLog leaderLog = new UnreadableLog(log);
@@ -114,6 +117,30 @@
         assertThat(replica.leader().record().resigned()).isTrue();
     }
 
+    /** Guards against an idle target that gets no work any more (LOST) after its registration was gone for a while. */
+    @Test
+    void anIdleTargetGetsWorkAfterItsRegistrationDisappearedAndCameBack() {
+        lead();
+        TaskId first = new TaskId("a", 0, 0, 0);
+        append(JobRecords.encode(oneTaskJob("a")));
+        await(() -> target.isRunning(first));
+        append(JobRecords.encode(new CancelRecord("a", 1)));
+        await(() -> !target.isRunning(first));
+        Clocks.sleep(IDLE_MILLIS);
+        append(KeyedRecord.tombstone(TARGET_KEY));
+        Clocks.sleep(IDLE_MILLIS);
+        append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
+        append(JobRecords.encode(oneTaskJob("b")));
+        await(() -> target.started.size() == 2);
+    }
+
+    private static Job oneTaskJob(String id) {
+        Step step =
+                new Step(1, new Resources(1_000, 1_000, 8), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
+        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+    }
+
     /** A log whose reads can be made to fail. */
     private static final class UnreadableLog implements KeyedLog {
         private final KeyedLog log;
