A target with a stray run is asked for reports until the run has ended

Cause: the resources of a stray run count as in use until the next report. A target whose only run is stray does not count as occupied, so once the stop is confirmed nobody asks for that report, and the resources stay in use until something else is placed there: never, if the run had all of them. The end of the run is not acknowledged either. The expiry of the lease did not clear them. Each gang can cause it: once one member has reported the end of the gang, a report of another one that was taken just before has a stray run. Failed before: WaitingWorkTest Change: a target counts as occupied while its newest report has a stray run; a report, a restart or the expiry of the lease ends that.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -165,7 +165,7 @@
     /** Compares the reported runs with the expected ones: stops stray runs and requeues tasks whose run is absent. */
     private void reconcileRunning(TargetState target, TargetReport report, ClockReading now) {
         Set<TaskId> reported = new HashSet<>();
-        target.strayDemand = Resources.NONE;
+        target.clearStrayRuns();
         for (TargetReport.Running run : report.running()) {
             TaskExecution task = findTask(run.task());
             if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.mayOccupyTarget()) {
@@ -188,6 +188,7 @@
     }
 
     private void stopStray(TargetState target, TaskExecution task, TargetReport.Running run) {
+        target.hasStrayRuns = true;
         if (task != null) {
             target.strayDemand = target.strayDemand.plus(task.demand());
         }
@@ -282,6 +283,7 @@
         if (target == null) {
             return;
         }
+        target.clearStrayRuns();
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
             taskLifecycle.requeue(task, now);
         }
@@ -296,7 +298,7 @@
             return;
         }
         target.incarnation = incarnation;
-        target.strayDemand = Resources.NONE;
+        target.clearStrayRuns();
         target.failureScore = 0;
         target.excludedUntilNanos = now.monotonicNanos();
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
@@ -332,11 +334,11 @@
         return WaitingStep.longest(jobs.values(), targets.values(), settings, now);
     }
 
-    /** Returns the ids of the targets that may have active runs. */
+    /** Returns the ids of the targets that may have active runs, stray ones included. */
     public Collection<String> occupiedTargets() {
         List<String> ids = new ArrayList<>();
         for (TargetState target : targets.values()) {
-            if (target.tasks.values().stream().anyMatch(task -> task.phase.mayOccupyTarget())) {
+            if (target.hasStrayRuns || target.tasks.values().stream().anyMatch(task -> task.phase.mayOccupyTarget())) {
                 ids.add(target.id);
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -24,6 +24,9 @@
     /** Resources used by stray runs: reported runs that are not the newest run of their task on this target. */
     Resources strayDemand = Resources.NONE;
 
+    /** Whether the newest report had stray runs. */
+    boolean hasStrayRuns;
+
     /** Monotonic clock reading until which the target accepts no new work, in nanoseconds. */
     long excludedUntilNanos;
 
@@ -66,6 +69,12 @@
         return info == null ? Resources.NONE : info.capacity();
     }
 
+    /** Records that the target has no stray runs. */
+    void clearStrayRuns() {
+        strayDemand = Resources.NONE;
+        hasStrayRuns = false;
+    }
+
     /** Places {@code task} on this target in {@code phase}, or moves a task on this target to {@code phase}. */
     void put(TaskExecution task, Phase phase) {
         if (task.target == this) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -85,6 +85,47 @@
         assertThat(startsOf("other")).hasSize(1);
     }
 
+    /** Guards against a target that is never asked again (LOST) after it reported a run that it should not have. */
+    @Test
+    void aTargetWithAStrayRunIsReportedUntilTheRunHasEnded() {
+        reportStrayRunOnT2();
+        assertThat(fixture.pool.occupiedTargets()).containsExactly("t2");
+        fixture.running.clear();
+        fixture.report("t2");
+        assertThat(fixture.pool.occupiedTargets()).isEmpty();
+        fixture.submit(fixture.job("next", "x", 1, PoolFixture.independentTasks(2, 8)));
+        assertThat(startsOf("next")).hasSize(2);
+    }
+
+    /** Guards against resources that stay in use (LOST) after the lease of a stray run has expired. */
+    @Test
+    void aStrayRunHoldsNoResourcesAfterItsLeaseHasExpired() {
+        reportStrayRunOnT2();
+        fixture.pool.handleLeaseExpiry("t2", fixture.now());
+        fixture.submit(fixture.job("next", "x", 1, PoolFixture.independentTasks(2, 8)));
+        assertThat(startsOf("next")).hasSize(2);
+    }
+
+    /** Lets t2 report its member of a gang after t1 has reported that the gang is done. */
+    private void reportStrayRunOnT2() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        Step laterStep = new Step(
+                1,
+                new Resources(1_000, 1_000, 1),
+                5_000,
+                List.of(0),
+                new Step.Constraints("none", "", 0, false),
+                Step.Mode.PLAIN);
+        fixture.submit(fixture.job("gang", "x", 1, PoolFixture.gang(2, 8, false), laterStep));
+        TargetCommand.Start onT1 = fixture.starts.stream()
+                .filter(start -> start.target().equals("t1"))
+                .findFirst()
+                .orElseThrow();
+        fixture.endRun(onT1.task(), TargetReport.EndReason.DONE);
+        fixture.report("t2");
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
