An occurrence that was not started is open after a takeover

Cause: only tasks that have started are persisted, and a later leader opened the occurrences after the last one that is open or done. An occurrence that is late is placed after one that is not, so a later one can start first; after a takeover the earlier one was never opened. Failed before: WaitingWorkTest#anOccurrenceThatWasNotStartedIsOpenAfterATakeover (expected [0, 1], but was [1]). Change: every occurrence that is due and not done is opened, each looked at once.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -18,6 +18,10 @@
     final Objective objective;
     final Set<Integer> doneOccurrences = new TreeSet<>();
     private final TreeMap<Integer, List<StepExecution>> openOccurrences = new TreeMap<>();
+
+    /** The first occurrence that was not due when last checked; all earlier ones are open or done. */
+    private int nextOccurrence;
+
     JobState state = JobState.QUEUED;
     long endedMillis;
 
@@ -54,16 +58,11 @@
 
     /** Opens the occurrences that are due by {@code nowMillis}, in milliseconds since the Unix epoch. */
     void openDueOccurrences(long nowMillis) {
-        int next = 0;
-        if (!openOccurrences.isEmpty()) {
-            next = openOccurrences.lastKey() + 1;
-        }
-        for (int done : doneOccurrences) {
-            next = Math.max(next, done + 1);
-        }
-        while (next < spec.occurrenceCount() && spec.dueMillis(next) <= nowMillis) {
-            occurrence(next);
-            next++;
+        while (nextOccurrence < spec.occurrenceCount() && spec.dueMillis(nextOccurrence) <= nowMillis) {
+            if (!doneOccurrences.contains(nextOccurrence)) {
+                occurrence(nextOccurrence);
+            }
+            nextOccurrence++;
         }
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -126,6 +126,38 @@
         fixture.report("t2");
     }
 
+    /** Guards against an occurrence that is never started (LOST), since a later one started before a takeover. */
+    @Test
+    void anOccurrenceThatWasNotStartedIsOpenAfterATakeover() {
+        occupyTargets(1);
+        Job busy = fixture.job("twice", "x", 1, PoolFixture.independentTasks(1, 8));
+        Job twice = new Job(
+                busy.id(),
+                busy.queue(),
+                busy.service(),
+                busy.account(),
+                busy.terms(),
+                busy.payload(),
+                busy.steps(),
+                new Job.Schedule(2, busy.acceptedMillis(), 15_000),
+                busy.acceptedMillis());
+        fixture.submit(twice);
+        fixture.advance(15_100);
+        fixture.endRun(PoolFixture.taskId("busy", 0), TargetReport.EndReason.DONE);
+        assertThat(startsOf("twice")).hasSize(1);
+        assertThat(startsOf("twice").get(0).task().occurrence()).isEqualTo(1);
+
+        PoolFixture successor = new PoolFixture();
+        successor.pool.restore(twice, fixture.persisted.get("twice"), successor.now());
+        successor.addTarget("t0", "r1");
+        successor.addTarget("t1", "r1");
+        successor.schedulePass();
+        assertThat(successor.starts.stream()
+                        .map(start -> start.task().occurrence())
+                        .toList())
+                .containsExactly(0, 1);
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
