A job without a schedule is due at once, whatever the clocks show

Cause: a job without a schedule was due at the time of its acceptance, by the time of day of the node that accepted it. That may jump by seconds, on this node or on the leader, and the leader waited until its own had reached it. Failed before: WaitingWorkTest#aJobAcceptedByANodeWhoseClockIsAheadStartsAtOnce (0 starts in 3 s, 1 expected). Change: such a job is always due. Its objective still counts from its acceptance.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -59,6 +59,14 @@
         return Math.max(1, schedule.times());
     }
 
+    /**
+     * Returns whether occurrence {@code number} is due at {@code nowMillis}. A job without a schedule always is: the
+     * clock of the node that accepted it may be ahead.
+     */
+    boolean isDue(int number, long nowMillis) {
+        return schedule.times() == 0 || dueMillis(number) <= nowMillis;
+    }
+
     /** Returns the due time of occurrence {@code number}, in milliseconds since the Unix epoch. */
     public long dueMillis(int number) {
         return schedule.times() == 0 ? acceptedMillis : schedule.firstMillis() + number * schedule.intervalMillis();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -58,7 +58,7 @@
 
     /** Opens the occurrences that are due by {@code nowMillis}, in milliseconds since the Unix epoch. */
     void openDueOccurrences(long nowMillis) {
-        while (nextOccurrence < spec.occurrenceCount() && spec.dueMillis(nextOccurrence) <= nowMillis) {
+        while (nextOccurrence < spec.occurrenceCount() && spec.isDue(nextOccurrence, nowMillis)) {
             if (!doneOccurrences.contains(nextOccurrence)) {
                 occurrence(nextOccurrence);
             }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -158,6 +158,25 @@
                 .containsExactly(0, 1);
     }
 
+    /** Guards against a job that waits (LOST) until the leader's clock reaches that of the accepting node. */
+    @Test
+    void aJobAcceptedByANodeWhoseClockIsAheadStartsAtOnce() {
+        fixture.addTarget("t1", "r1");
+        Job job = fixture.job("early", "x", 1, PoolFixture.independentTasks(1, 8));
+        fixture.submit(new Job(
+                job.id(),
+                job.queue(),
+                job.service(),
+                job.account(),
+                job.terms(),
+                job.payload(),
+                job.steps(),
+                Job.Schedule.NOW,
+                job.acceptedMillis() + 10_000));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("early")).hasSize(1);
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
