A job may return to the targets on which it failed if it fits nowhere else

Cause: a job is not placed on the targets on which it failed, unless it failed on as many as there are in all. Those that can run it may be fewer: by its label, its service or the size of a gang. Tasks that last may fail without limit, so they use up every target in time. Failed before: WaitingWorkTest#aTaskThatFailedOnTheOnlyTargetWithItsLabelRunsThereAgain (1 start, 2 expected). Change: such targets are left out only if the unit would fit on the others when these are idle. Targets that are excluded for a while count as usable, so that a short exclusion does not lead back to a target on which the job failed.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Selection of targets for units. A selection takes time about linear in the number of targets.
@@ -28,12 +29,28 @@
      * @param nowNanos current monotonic clock reading, in nanoseconds
      */
     boolean isEligible(PlacementUnit unit, TargetState target, long nowNanos) {
+        return isOpen(unit, target)
+                && target.info.incarnation() == target.incarnation
+                && target.excludedUntilNanos <= nowNanos;
+    }
+
+    /** Returns whether {@code target} accepts tasks of {@code unit}, once it has reported and is not excluded. */
+    private boolean isOpen(PlacementUnit unit, TargetState target) {
         return isCompatible(unit.job(), unit.step().spec, target)
                 && target.registered
-                && target.info.incarnation() == target.incarnation
                 && !target.info.draining()
-                && !settings.evacuatedDataCentres().contains(target.info.dataCentre())
-                && target.excludedUntilNanos <= nowNanos;
+                && !settings.evacuatedDataCentres().contains(target.info.dataCentre());
+    }
+
+    /** Returns whether all tasks of {@code unit} would fit on the {@code usable} targets if these were idle. */
+    boolean fitsOnIdle(PlacementUnit unit, Predicate<TargetState> usable) {
+        int slots = 0;
+        for (TargetState target : targets) {
+            if (isOpen(unit, target) && usable.test(target)) {
+                slots += countSlots(unit, target, target.capacity());
+            }
+        }
+        return slots >= unit.size();
     }
 
     /** Returns whether {@code target}, if idle, could run a task of {@code step}. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -277,9 +277,11 @@
 
     private List<LocalityTier> localityTiers(PlacementUnit unit) {
         Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
-        racks.values()
-                .forEach(rack -> rack.removeIf(target ->
-                        context.targetHealth().isExcludedForJob(unit.job().id(), target, targets)));
+        Predicate<TargetState> failed =
+                target -> context.targetHealth().isExcludedForJob(unit.job().id(), target, targets);
+        if (!context.targetHealth().hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
+            racks.values().forEach(rack -> rack.removeIf(failed));
+        }
         return LocalityTier.of(unit, racks, isOverdue(unit), waitedMillis(unit));
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -177,6 +177,21 @@
         assertThat(startsOf("early")).hasSize(1);
     }
 
+    /** Guards against work that waits for ever (LOST) since it failed on each target that could run it. */
+    @Test
+    void aTaskThatFailedOnTheOnlyTargetWithItsLabelRunsThereAgain() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r2");
+        fixture.addTarget("t3", "r2");
+        Step.Constraints onlyR1 = new Step.Constraints("r1", "", 0, false);
+        Step.Mode lasting = new Step.Mode(false, false, false, true, false, 0);
+        Step step = new Step(1, new Resources(1_000, 1_000, 8), 5_000, List.of(), onlyR1, lasting);
+        fixture.submit(fixture.job("service", "x", 1, step));
+        fixture.endRun(PoolFixture.taskId("service", 0), TargetReport.EndReason.FAILED);
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("service")).hasSize(2);
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
