Tasks that stall together count as one failure of their target

Cause: each stalled task doubled the exclusion of its target. When a target hangs, all its tasks stall at once, so that four of them excluded it for 16 s instead of 2 s. Failed before: WaitingWorkTest#tasksThatStallTogetherExcludeTheirTargetOnlyOnce (4 starts, 8 expected). Change: within 4 s, further stalls renew the first exclusion and do not lengthen it.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
@@ -21,6 +21,12 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
+    /**
+     * Time in which all stalls on a target count as one, in milliseconds: tasks of a target that hangs stall together.
+     * Shorter than an exclusion and the time after which the next task stalls.
+     */
+    private static final long SAME_STALL_MILLIS = 4_000;
+
     private final Map<String, Set<String>> failedTargetsByJob = new HashMap<>();
 
     /** Records that a run of {@code job} failed on {@code target}. */
@@ -37,6 +43,12 @@
 
     /** Records that a run stalled or straggled on {@code target}, and excludes the target at once. */
     void recordStall(TargetState target, ClockReading now) {
+        boolean counted = target.lastStallNanos != 0 && now.millisSince(target.lastStallNanos) < SAME_STALL_MILLIS;
+        if (counted) {
+            exclude(target, now.nanosAfter(INITIAL_EXCLUSION_MILLIS));
+            return;
+        }
+        target.lastStallNanos = now.monotonicNanos();
         addToScore(target, now, EXCLUSION_SCORE);
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -33,6 +33,9 @@
     /** Failures of different jobs since the last success; a stall counts as several failures. */
     int failureScore;
 
+    /** Monotonic clock reading at the last stall that was counted as a failure, in nanoseconds; 0 before the first. */
+    long lastStallNanos;
+
     /** Id of the job whose failure was counted last; empty if there is none. */
     String lastFailedJob = "";
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -192,6 +192,28 @@
         assertThat(startsOf("service")).hasSize(2);
     }
 
+    /** Guards against targets that get no work for many seconds (LOST) since several of their tasks hung at once. */
+    @Test
+    void tasksThatStallTogetherExcludeTheirTargetOnlyOnce() {
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("hung", "x", 1, PoolFixture.independentTasks(4, 2)));
+        fixture.advance(3_100);
+        reportWithoutProgress("t1");
+        assertThat(fixture.stops).hasSize(4);
+        fixture.completeStops();
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(fixture.starts).hasSize(8);
+    }
+
+    private void reportWithoutProgress(String target) {
+        List<TargetReport.Running> runs = fixture.running.values().stream()
+                .map(start -> new TargetReport.Running(start.task(), start.run(), "", 0))
+                .toList();
+        fixture.pool.handleReport(
+                new TargetReport(target, 1, fixture.now().monotonicNanos(), runs, List.of()), fixture.now());
+        fixture.schedulePass();
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
