A target that refuses to report counts as not responding

Cause: a request for a report that was refused for another reason than the fencing token or a wrong target was repeated without end and without effect: each one asked for a longer lease, so the lease never counted as expired, and the target got new work meanwhile. Failed before: TargetSessionTest#theLeaseOfATargetThatRefusesReportsExpires ("expected to be true": no expiry in 20 s). Change: such a refusal has the effect of no answer: no new work, and no longer lease.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -339,8 +339,8 @@
         if (refused.reason() == TargetCalls.RefusalReason.FENCE && fence == fence()) {
             events.deposed(id);
         }
-        if (refused.reason() == TargetCalls.RefusalReason.OTHER_TARGET) {
-            handleNoAnswer("another target at the address");
+        if (refused.reason() != TargetCalls.RefusalReason.FENCE) {
+            handleNoAnswer("refused: " + refused.reason());
         }
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -46,6 +46,18 @@
         session.close();
     }
 
+    /**
+     * Guards against work that stays bound to a target (LOST) which answers every request for a report with an error,
+     * so that neither its reports nor the expiry of its lease end the runs.
+     */
+    @Test
+    void theLeaseOfATargetThatRefusesReportsExpires() throws Exception {
+        TargetSession session = newReportedSession();
+        target.unhealthy.set(true);
+        assertThat(events.leaseExpired.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        session.close();
+    }
+
     @Test
     void leasesOfAnEarlierLeaderExpireFirst() throws Exception {
         target.unresponsive.set(true);
@@ -81,6 +93,7 @@
     /** A target that checks fencing tokens on reports and can be made not to answer. */
     private static final class FakeTarget implements TargetCalls {
         final AtomicBoolean unresponsive = new AtomicBoolean();
+        final AtomicBoolean unhealthy = new AtomicBoolean();
         final AtomicBoolean loseNextStart = new AtomicBoolean();
         final LinkedBlockingQueue<StartRequest> starts = new LinkedBlockingQueue<>();
         volatile long fence;
@@ -110,6 +123,9 @@
             if (unresponsive.get()) {
                 return new NoAnswer("silent");
             }
+            if (unhealthy.get()) {
+                return new Refused(RefusalReason.UNHEALTHY, OptionalLong.empty());
+            }
             if (request.fence() < fence) {
                 return new Refused(RefusalReason.FENCE, OptionalLong.of(clock()));
             }
