A registered target that does not answer is asked until it does

Cause: once the lease of a silent target has expired, its tasks are placed elsewhere, nobody asks it for a report any more, and its exclusion ends 0.7 s later. If it is still registered, the next start goes unanswered too, and its task waits 6 s for the next expiry. Failed before: TargetSessionTest#aSilentTargetIsAskedForReportsUntilItAnswers (no report in 20 s after the target answers again: "expected to be greater than: 6 but was: 6"). Change: such a target is asked for a report, which renews its exclusion, until it answers or its registration is gone. That costs a request every 0.7 s for each such target.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -121,6 +121,7 @@
 
     private final TargetLease lease;
     private boolean occupied;
+    private boolean registered = true;
     private boolean reportRequired;
     private boolean closed;
     private boolean unresponsive;
@@ -157,23 +158,26 @@
 
     /**
      * Returns whether a report is needed: for runs, the incarnation, a registration that came back, unacknowledged
-     * ended runs, or commands without an answer.
+     * ended runs, or commands without an answer. A registered target that does not answer is asked until it does, since
+     * it gets no work meanwhile.
      */
     private boolean needsReport() {
         return occupied
                 || incarnation == 0
                 || reportRequired
+                || registered && unresponsive
                 || lastReportedEnd > lastAcknowledgedEnd
                 || !unansweredStarts.isEmpty()
                 || !unconfirmedStops.isEmpty();
     }
 
     /**
-     * Requests a report, even if nothing else needs one. The pool may have forgotten the target while its registration
-     * was gone, and gives it no work before a report.
+     * Sets whether the target is registered. A registration requires a report: the pool may have forgotten the target
+     * while there was none, and gives it no work before a report.
      */
-    synchronized void requireReport() {
-        reportRequired = true;
+    synchronized void setRegistered(boolean registered) {
+        reportRequired = registered && (reportRequired || !this.registered);
+        this.registered = registered;
         setOccupied(occupied);
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -70,15 +70,16 @@
         TargetSession session = getOrCreate(info.id());
         session.setEndpoint(new TargetCalls.Endpoint(info.id(), info.address()));
         session.announceIncarnation(info.incarnation());
-        if (previous == null) {
-            session.requireReport();
-        }
+        session.setRegistered(true);
         return previous;
     }
 
     /** Removes a registration. The session stays, since it may have runs; a later registration requires a report. */
     void unregister(String id) {
         registered.remove(id);
+        if (sessions.containsKey(id)) {
+            sessions.get(id).setRegistered(false);
+        }
     }
 
     /** Sends a start command, whose record must be durable; returns false if the address of the target is unknown. */
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -18,6 +19,9 @@
 final class TargetSessionTest {
     private static final long TIMEOUT_SECONDS = 20;
 
+    /** Time after which a target that need not be asked for reports is not asked any more, in milliseconds. */
+    private static final long IDLE_MILLIS = 500;
+
     private final TaskId task = new TaskId("a", 0, 0, 0);
     private final TargetCommand.Start start = new TargetCommand.Start("t", 1, task, 1, "payload", "");
     private final FakeTarget target = new FakeTarget();
@@ -58,6 +62,24 @@
         session.close();
     }
 
+    /** Guards against work that is placed on a silent target again and again (LOST), as nobody asks for its reports. */
+    @Test
+    void aSilentTargetIsAskedForReportsUntilItAnswers() throws Exception {
+        TargetSession session = newReportedSession();
+        target.unresponsive.set(true);
+        assertThat(events.unresponsive.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+        session.setOccupied(false);
+        Clocks.sleep(IDLE_MILLIS);
+        long reportsBefore = events.reportCount.get();
+        target.unresponsive.set(false);
+        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+        while (events.reportCount.get() == reportsBefore && Clocks.millisUntil(deadline) > 0) {
+            Clocks.sleep(1);
+        }
+        assertThat(events.reportCount.get()).isGreaterThan(reportsBefore);
+        session.close();
+    }
+
     @Test
     void leasesOfAnEarlierLeaderExpireFirst() throws Exception {
         target.unresponsive.set(true);
@@ -138,12 +160,15 @@
     /** Records the events of a session. */
     private static final class Recorder implements TargetSession.Events {
         final CountDownLatch reported = new CountDownLatch(1);
+        final AtomicLong reportCount = new AtomicLong();
+        final CountDownLatch unresponsive = new CountDownLatch(1);
         final CountDownLatch leaseExpired = new CountDownLatch(1);
         final CountDownLatch deposed = new CountDownLatch(1);
         final LinkedBlockingQueue<TargetCommand.Start> started = new LinkedBlockingQueue<>();
 
         @Override
         public void reported(TargetReport report) {
+            reportCount.incrementAndGet();
             reported.countDown();
         }
 
@@ -160,6 +185,7 @@
         @Override
         public void unresponsive(String target, long exclusionMillis) {
             assertThat(exclusionMillis).isGreaterThan(0);
+            unresponsive.countDown();
         }
 
         @Override
