A gang that cannot start yet does not keep most of its targets from others

Cause: an advance reservation holds all free resources that it has chosen until the last awaited run ends; a gang that needs most of the targets that it can use (a label, a rack) leaves none to others. The reservation has no deadline, and the review of reservations moves the wide gang only if it fits at once itself. Failed before: WaitingWorkTest#aGangUsesTargetsThatAWiderOneHoldsInVain (0 starts in 3 s, 2 expected).

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -112,6 +112,7 @@
      * The properties that decide whether a single task fits; a demand that did not fit is not tried again in the pass.
      *
      * @param leavesRack whether targets outside {@code nearRack} are accepted
+     * @param takesHeld whether resources that a gang holds in vain are accepted
      * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
      * @param claim whether it may also take the room of others of the highest priority
      */
@@ -121,6 +122,7 @@
             String label,
             String nearRack,
             boolean leavesRack,
+            boolean takesHeld,
             boolean urgent,
             boolean claim) {}
 
@@ -212,7 +214,7 @@
             }
         }
         for (LocalityTier tier : tiers) {
-            if (searches && reserveInAdvance(unit, tier)) {
+            if (mayFit && takeHeldCapacity(unit, tier) || searches && reserveInAdvance(unit, tier)) {
                 return;
             }
         }
@@ -237,6 +239,7 @@
                 constraints.label(),
                 constraints.nearRack(),
                 leavesRack,
+                mayTakeHeldCapacity(unit),
                 unit.priority() == 0,
                 isClaim(unit));
     }
@@ -275,6 +278,21 @@
         }
     }
 
+    /** Takes resources that a gang holds in vain, for a unit that has waited while most of the capacity is free. */
+    private boolean takeHeldCapacity(PlacementUnit unit, LocalityTier tier) {
+        HeldCapacity held = new HeldCapacity(unit);
+        if (!mayTakeHeldCapacity(unit) || !placeInFreeCapacity(unit, tier, held::available)) {
+            return false;
+        }
+        held.release(unit.targets(), context.taskLifecycle());
+        return true;
+    }
+
+    private boolean mayTakeHeldCapacity(PlacementUnit unit) {
+        return waitedMillis(unit) > AMPLE_ROOM_LOCALITY_WAIT_MILLIS
+                && mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
+    }
+
     private List<LocalityTier> localityTiers(PlacementUnit unit) {
         Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
         Predicate<TargetState> failed =
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -177,6 +177,27 @@
         assertThat(startsOf("early")).hasSize(1);
     }
 
+    /** Guards against a gang that waits (LOST) for idle targets that a wider gang holds while it waits for one. */
+    @Test
+    void aGangUsesTargetsThatAWiderOneHoldsInVain() {
+        for (int i = 0; i < 10; i++) {
+            fixture.addTarget("t" + i, "r1");
+        }
+        for (int i = 0; i < 20; i++) {
+            fixture.addTarget("u" + i, "r2");
+        }
+        Step.Constraints onlyR1 = new Step.Constraints("r1", "", 0, false);
+        Resources wholeTarget = new Resources(1_000, 1_000, 8);
+        Step.Mode together = new Step.Mode(true, false, false, false, false, 0);
+        fixture.submit(
+                fixture.job("busy", "x", 1, new Step(5, wholeTarget, 600_000, List.of(), onlyR1, Step.Mode.PLAIN)));
+        fixture.submit(fixture.job("wide", "x", 1, new Step(6, wholeTarget, 5_000, List.of(), onlyR1, together)));
+        fixture.advance(3_100);
+        fixture.submit(fixture.job("narrow", "x", 1, new Step(2, wholeTarget, 5_000, List.of(), onlyR1, together)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("narrow")).hasSize(2);
+    }
+
     /** Guards against work that waits for ever (LOST) since it failed on each target that could run it. */
     @Test
     void aTaskThatFailedOnTheOnlyTargetWithItsLabelRunsThereAgain() {
