Targets that have not reported do not make the pool mostly free

Cause: the sum of free capacity had every registered target, also those that never answered. A registration may promise any capacity, since other writers write into the topic too, and one of 1,000 accelerators made a half-used pool look mostly free. Failed before: WaitingWorkTest#aTargetThatHasNotReportedDoesNotMakeThePoolMostlyFree (a tight gang was spread over t01 and t11, no start expected). Change: only targets that have reported under their registered incarnation count.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -147,12 +147,17 @@
         return racks;
     }
 
-    /** Returns whether less than half of the capacity of the registered targets of {@code service} is in use. */
+    /**
+     * Returns whether less than half of the capacity of the registered targets of {@code service} is in use. Targets
+     * that have not reported do not count: what their registrations promise may not exist.
+     */
     boolean isMostlyFree(String service) {
         double free = 0;
         double total = 0;
         for (TargetState target : targets) {
-            if (target.registered && target.info.service().equals(service)) {
+            if (target.registered
+                    && target.info.incarnation() == target.incarnation
+                    && target.info.service().equals(service)) {
                 free += target.freeNow().coreEquivalents();
                 total += target.capacity().coreEquivalents();
             }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests that accepted work starts while most of the pool is free. */
@@ -177,6 +178,26 @@
         assertThat(startsOf("early")).hasSize(1);
     }
 
+    /** Guards against a gang that is spread over racks since targets that have not reported count as free. */
+    @Test
+    void aTargetThatHasNotReportedDoesNotMakeThePoolMostlyFree() {
+        for (int rack = 0; rack < 4; rack++) {
+            fixture.addTarget("t" + rack + "0", "r" + rack);
+            fixture.addTarget("t" + rack + "1", "r" + rack);
+        }
+        for (int rack = 0; rack < 4; rack++) {
+            Step.Constraints inRack = new Step.Constraints("r" + rack, "", 0, false);
+            Step one = new Step(1, PoolFixture.TARGET_CAPACITY, 600_000, List.of(), inRack, Step.Mode.PLAIN);
+            fixture.submit(fixture.job("busy" + rack, "x", 1, one));
+        }
+        Resources huge = new Resources(1_000_000, 1_000_000, 1_000);
+        fixture.pool.register(
+                new TargetInfo("odd", PoolFixture.SERVICE, "address", "dc", "r9", Set.of(), huge, false, 0, 1));
+        fixture.submit(fixture.job("gang", "y", 1, PoolFixture.gang(2, 8, true)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("gang")).isEmpty();
+    }
+
     /** Guards against a gang that waits (LOST) for idle targets that a wider gang holds while it waits for one. */
     @Test
     void aGangUsesTargetsThatAWiderOneHoldsInVain() {
