--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -106,6 +106,8 @@
 
     private final TargetLease lease;
     private boolean occupied;
+    private boolean registered = true;
+    private boolean reportRequired;
     private boolean closed;
     private boolean unresponsive;
     private Thread thread;
@@ -140,17 +142,30 @@
     }
 
     /**
-     * Returns whether a report is needed: for runs, the incarnation, unacknowledged ended runs, or commands without an
-     * answer.
+     * Returns whether a report is needed: for runs, the incarnation, a registration that came back, unacknowledged
+     * ended runs, or commands without an answer. A registered target that does not answer is asked until it does, since
+     * it gets no work meanwhile.
      */
     private boolean needsReport() {
         return occupied
                 || incarnation == 0
+                || reportRequired
+                || registered && unresponsive
                 || lastReportedEnd > lastAcknowledgedEnd
                 || !unansweredStarts.isEmpty()
                 || !unconfirmedStops.isEmpty();
     }
 
+    /**
+     * Sets whether the target is registered. A registration requires a report: the pool may have forgotten the target
+     * while there was none, and gives it no work before a report.
+     */
+    synchronized void setRegistered(boolean registered) {
+        reportRequired = registered && (reportRequired || !this.registered);
+        this.registered = registered;
+        setOccupied(occupied);
+    }
+
     /** Handles a registration; a new incarnation is confirmed by a report before it gets work. */
     synchronized void announceIncarnation(long announcedIncarnation) {
         if (announcedIncarnation > incarnation && incarnation != 0) {
@@ -284,6 +299,7 @@
                 unconfirmedStops.clear();
                 lease.reset();
             }
+            reportRequired = false;
             lease.recordReport(reported.clockMillis());
             for (TargetReport.Ended end : report.ended()) {
                 lastReportedEnd = Math.max(lastReportedEnd, end.number());
@@ -334,8 +350,8 @@
         if (refused.reason() == TargetCalls.RefusalReason.FENCE && fence == fence()) {
             events.deposed(id);
         }
-        if (refused.reason() == TargetCalls.RefusalReason.OTHER_TARGET) {
-            handleNoAnswer("another target at the address");
+        if (refused.reason() != TargetCalls.RefusalReason.FENCE) {
+            handleNoAnswer("refused: " + refused.reason());
         }
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -47,6 +47,9 @@
     /** Time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds. */
     private static final long MAX_START_AFTER_CANCEL_MILLIS = 4_000;
 
+    /** Time after which a target without runs is not asked for reports any more, in milliseconds. */
+    private static final long IDLE_MILLIS = 1_000;
+
     private final MemoryTarget target = new MemoryTarget();
     private final MemoryLog log = new MemoryLog();
     private final UnreadableLog leaderLog = new UnreadableLog(log);
@@ -134,6 +137,23 @@
         assertThat(replica.leader().record().resigned()).isTrue();
     }
 
+    /** Guards against an idle target that gets no work any more (LOST) after its registration was gone for a while. */
+    @Test
+    void anIdleTargetGetsWorkAfterItsRegistrationDisappearedAndCameBack() {
+        lead();
+        TaskId first = new TaskId("a", 0, 0, 0);
+        append(JobRecords.encode(newJob("a", 1)));
+        await(() -> target.isRunning(first));
+        append(JobRecords.encode(new CancelRecord("a", 1)));
+        await(() -> !target.isRunning(first));
+        Clocks.sleep(IDLE_MILLIS);
+        append(KeyedRecord.tombstone(TARGET_KEY));
+        Clocks.sleep(IDLE_MILLIS);
+        append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
+        append(JobRecords.encode(newJob("b", 1)));
+        await(() -> target.started.size() == 2);
+    }
+
     /** Guards against a task that waits for ever, since the call that was to start it threw. */
     @Test
     void aTaskWhoseStartThrowsRunsInTheEnd() {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -26,6 +26,7 @@
     private int nextOccurrence;
 
     private final TreeMap<Integer, List<StepExecution>> openOccurrences = new TreeMap<>();
+
     JobState state = JobState.QUEUED;
     long endedMillis;
 
@@ -67,7 +68,7 @@
      */
     void openDueOccurrences(long nowMillis) {
         while (nextOccurrence < spec.occurrenceCount()
-                && spec.dueMillis(nextOccurrence) <= nowMillis
+                && spec.isDue(nextOccurrence, nowMillis)
                 && hasRoomForOccurrence()) {
             if (!doneOccurrences.contains(nextOccurrence)) {
                 occurrence(nextOccurrence);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 
 /**
@@ -111,7 +112,7 @@
             }
         }
         for (LocalityTier tier : tiers) {
-            if (searches && reserveInAdvance(unit, tier)) {
+            if (mayFit && takeHeldCapacity(unit, tier) || searches && reserveInAdvance(unit, tier)) {
                 return;
             }
         }
@@ -129,7 +130,7 @@
     private DemandKey demandKey(PlacementUnit unit) {
         boolean leavesRack = !unit.step().spec.constraints().nearRack().isEmpty()
                 && LocalityTier.mayLeaveRack(unit, isOverdue(unit), waitedMillis(unit));
-        return DemandKey.of(unit, leavesRack, isClaim(unit));
+        return DemandKey.of(unit, leavesRack, mayTakeHeldCapacity(unit), isClaim(unit));
     }
 
     /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
@@ -166,11 +167,28 @@
         }
     }
 
+    /** Takes resources that a gang holds in vain, for a unit that has waited while most of the capacity is free. */
+    private boolean takeHeldCapacity(PlacementUnit unit, LocalityTier tier) {
+        HeldCapacity held = new HeldCapacity(unit);
+        if (!mayTakeHeldCapacity(unit) || !placeInFreeCapacity(unit, tier, held::available)) {
+            return false;
+        }
+        held.release(unit.targets(), context.taskLifecycle());
+        return true;
+    }
+
+    private boolean mayTakeHeldCapacity(PlacementUnit unit) {
+        return waitedMillis(unit) > AMPLE_ROOM_LOCALITY_WAIT_MILLIS
+                && mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
+    }
+
     private List<LocalityTier> localityTiers(PlacementUnit unit) {
         Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
-        racks.values()
-                .forEach(rack -> rack.removeIf(target ->
-                        context.targetHealth().isExcludedForJob(unit.job().id(), target, targets)));
+        Predicate<TargetState> failed =
+                target -> context.targetHealth().isExcludedForJob(unit.job().id(), target, targets);
+        if (!context.targetHealth().hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
+            racks.values().forEach(rack -> rack.removeIf(failed));
+        }
         return LocalityTier.of(unit, racks, isOverdue(unit), waitedMillis(unit));
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -24,12 +24,18 @@
     /** Resources used by stray runs: reported runs that are not the newest run of their task on this target. */
     Resources strayDemand = Resources.NONE;
 
+    /** Whether the newest report had stray runs. */
+    boolean hasStrayRuns;
+
     /** Monotonic clock reading until which the target accepts no new work, in nanoseconds. */
     long excludedUntilNanos;
 
     /** Failures of different jobs since the last success; a stall counts as several failures. */
     int failureScore;
 
+    /** Monotonic clock reading at the last stall that was counted as a failure, in nanoseconds; 0 before the first. */
+    long lastStallNanos;
+
     /** Id of the job whose failure was counted last; empty if there is none. */
     String lastFailedJob = "";
 
@@ -66,6 +72,12 @@
         return info == null ? Resources.NONE : info.capacity();
     }
 
+    /** Records that the target has no stray runs. */
+    void clearStrayRuns() {
+        strayDemand = Resources.NONE;
+        hasStrayRuns = false;
+    }
+
     /** Places {@code task} on this target in {@code phase}, or moves a task on this target to {@code phase}. */
     void put(TaskExecution task, Phase phase) {
         if (task.target == this) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests that accepted work starts while most of the pool is free. */
@@ -85,6 +86,176 @@
         assertThat(startsOf("other")).hasSize(1);
     }
 
+    /** Guards against a target that is never asked again (LOST) after it reported a run that it should not have. */
+    @Test
+    void aTargetWithAStrayRunIsReportedUntilTheRunHasEnded() {
+        reportStrayRunOnT2();
+        assertThat(fixture.pool.occupiedTargets()).containsExactly("t2");
+        fixture.running.clear();
+        fixture.report("t2");
+        assertThat(fixture.pool.occupiedTargets()).isEmpty();
+        fixture.submit(fixture.job("next", "x", 1, PoolFixture.independentTasks(2, 8)));
+        assertThat(startsOf("next")).hasSize(2);
+    }
+
+    /** Guards against resources that stay in use (LOST) after the lease of a stray run has expired. */
+    @Test
+    void aStrayRunHoldsNoResourcesAfterItsLeaseHasExpired() {
+        reportStrayRunOnT2();
+        fixture.pool.handleLeaseExpiry("t2", fixture.now());
+        fixture.submit(fixture.job("next", "x", 1, PoolFixture.independentTasks(2, 8)));
+        assertThat(startsOf("next")).hasSize(2);
+    }
+
+    /** Lets t2 report its member of a gang after t1 has reported that the gang is done. */
+    private void reportStrayRunOnT2() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        Step laterStep = new Step(
+                1,
+                new Resources(1_000, 1_000, 1),
+                5_000,
+                List.of(0),
+                new Step.Constraints("none", "", 0, false),
+                Step.Mode.PLAIN);
+        fixture.submit(fixture.job("gang", "x", 1, PoolFixture.gang(2, 8, false), laterStep));
+        TargetCommand.Start onT1 = fixture.starts.stream()
+                .filter(start -> start.target().equals("t1"))
+                .findFirst()
+                .orElseThrow();
+        fixture.endRun(onT1.task(), TargetReport.EndReason.DONE);
+        fixture.report("t2");
+    }
+
+    /** Guards against an occurrence that is never started (LOST), since a later one started before a takeover. */
+    @Test
+    void anOccurrenceThatWasNotStartedIsOpenAfterATakeover() {
+        occupyTargets(1);
+        Job busy = fixture.job("twice", "x", 1, PoolFixture.independentTasks(1, 8));
+        Job twice = new Job(
+                busy.id(),
+                busy.queue(),
+                busy.service(),
+                busy.account(),
+                busy.terms(),
+                busy.payload(),
+                busy.steps(),
+                new Job.Schedule(2, busy.acceptedMillis(), 15_000),
+                busy.acceptedMillis());
+        fixture.submit(twice);
+        fixture.advance(15_100);
+        fixture.endRun(PoolFixture.taskId("busy", 0), TargetReport.EndReason.DONE);
+        assertThat(startsOf("twice")).hasSize(1);
+        assertThat(startsOf("twice").get(0).task().occurrence()).isEqualTo(1);
+
+        PoolFixture successor = new PoolFixture();
+        successor.pool.restore(twice, fixture.persisted.get("twice"), successor.now());
+        successor.addTarget("t0", "r1");
+        successor.addTarget("t1", "r1");
+        successor.schedulePass();
+        assertThat(successor.starts.stream()
+                        .map(start -> start.task().occurrence())
+                        .toList())
+                .containsExactly(0, 1);
+    }
+
+    /** Guards against a job that waits (LOST) until the leader's clock reaches that of the accepting node. */
+    @Test
+    void aJobAcceptedByANodeWhoseClockIsAheadStartsAtOnce() {
+        fixture.addTarget("t1", "r1");
+        Job job = fixture.job("early", "x", 1, PoolFixture.independentTasks(1, 8));
+        fixture.submit(new Job(
+                job.id(),
+                job.queue(),
+                job.service(),
+                job.account(),
+                job.terms(),
+                job.payload(),
+                job.steps(),
+                Job.Schedule.NOW,
+                job.acceptedMillis() + 10_000));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("early")).hasSize(1);
+    }
+
+    /** Guards against a gang that is spread over racks since targets that have not reported count as free. */
+    @Test
+    void aTargetThatHasNotReportedDoesNotMakeThePoolMostlyFree() {
+        for (int rack = 0; rack < 4; rack++) {
+            fixture.addTarget("t" + rack + "0", "r" + rack);
+            fixture.addTarget("t" + rack + "1", "r" + rack);
+        }
+        for (int rack = 0; rack < 4; rack++) {
+            Step.Constraints inRack = new Step.Constraints("r" + rack, "", 0, false);
+            Step one = new Step(1, PoolFixture.TARGET_CAPACITY, 600_000, List.of(), inRack, Step.Mode.PLAIN);
+            fixture.submit(fixture.job("busy" + rack, "x", 1, one));
+        }
+        Resources huge = new Resources(1_000_000, 1_000_000, 1_000);
+        fixture.pool.register(
+                new TargetInfo("odd", PoolFixture.SERVICE, "address", "dc", "r9", Set.of(), huge, false, 0, 1));
+        fixture.submit(fixture.job("gang", "y", 1, PoolFixture.gang(2, 8, true)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("gang")).isEmpty();
+    }
+
+    /** Guards against a gang that waits (LOST) for idle targets that a wider gang holds while it waits for one. */
+    @Test
+    void aGangUsesTargetsThatAWiderOneHoldsInVain() {
+        for (int i = 0; i < 10; i++) {
+            fixture.addTarget("t" + i, "r1");
+        }
+        for (int i = 0; i < 20; i++) {
+            fixture.addTarget("u" + i, "r2");
+        }
+        Step.Constraints onlyR1 = new Step.Constraints("r1", "", 0, false);
+        Resources wholeTarget = new Resources(1_000, 1_000, 8);
+        Step.Mode together = new Step.Mode(true, false, false, false, false, 0);
+        fixture.submit(
+                fixture.job("busy", "x", 1, new Step(5, wholeTarget, 600_000, List.of(), onlyR1, Step.Mode.PLAIN)));
+        fixture.submit(fixture.job("wide", "x", 1, new Step(6, wholeTarget, 5_000, List.of(), onlyR1, together)));
+        fixture.advance(3_100);
+        fixture.submit(fixture.job("narrow", "x", 1, new Step(2, wholeTarget, 5_000, List.of(), onlyR1, together)));
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("narrow")).hasSize(2);
+    }
+
+    /** Guards against work that waits for ever (LOST) since it failed on each target that could run it. */
+    @Test
+    void aTaskThatFailedOnTheOnlyTargetWithItsLabelRunsThereAgain() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r2");
+        fixture.addTarget("t3", "r2");
+        Step.Constraints onlyR1 = new Step.Constraints("r1", "", 0, false);
+        Step.Mode lasting = new Step.Mode(false, false, false, true, false, 0);
+        Step step = new Step(1, new Resources(1_000, 1_000, 8), 5_000, List.of(), onlyR1, lasting);
+        fixture.submit(fixture.job("service", "x", 1, step));
+        fixture.endRun(PoolFixture.taskId("service", 0), TargetReport.EndReason.FAILED);
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("service")).hasSize(2);
+    }
+
+    /** Guards against targets that get no work for many seconds (LOST) since several of their tasks hung at once. */
+    @Test
+    void tasksThatStallTogetherExcludeTheirTargetOnlyOnce() {
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("hung", "x", 1, PoolFixture.independentTasks(4, 2)));
+        fixture.advance(3_100);
+        reportWithoutProgress("t1");
+        assertThat(fixture.stops).hasSize(4);
+        fixture.completeStops();
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(fixture.starts).hasSize(8);
+    }
+
+    private void reportWithoutProgress(String target) {
+        List<TargetReport.Running> runs = fixture.running.values().stream()
+                .map(start -> new TargetReport.Running(start.task(), start.run(), "", 0))
+                .toList();
+        fixture.pool.handleReport(
+                new TargetReport(target, 1, fixture.now().monotonicNanos(), runs, List.of()), fixture.now());
+        fixture.schedulePass();
+    }
+
     /** Adds targets and runs a task of eight accelerators on each; returns the tasks. */
     private List<TaskId> occupyTargets(int count) {
         for (int i = 0; i < count; i++) {
