A silent target without runs is asked less often

A target whose port refuses connections was asked every 80 ms until its registration is gone, since it is now asked although it has no runs. It is asked every 0.5 s, so that its exclusion of 0.7 s still covers the time between two requests.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -50,6 +50,9 @@
     /** How long a target that did not answer gets no new work, in milliseconds. */
     private static final long EXCLUSION_MILLIS = 700;
 
+    /** Pause between reports of a silent target without runs, in milliseconds; it stays excluded meanwhile. */
+    private static final long IDLE_PAUSE_MILLIS = 500;
+
     /** Age from which a start command that had no effect is abandoned rather than sent again, in milliseconds. */
     private static final long RESEND_LIMIT_MILLIS = 1_500;
 
@@ -224,7 +227,7 @@
             return;
         }
         if (!pollReport(waitMillis())) {
-            Clocks.sleep(PAUSE_MILLIS);
+            Clocks.sleep(pauseMillis());
         }
         resendStops();
         awaitDurable();
@@ -251,6 +254,12 @@
         return unconfirmedStops.isEmpty() ? REPORT_WAIT_MILLIS : PAUSE_MILLIS;
     }
 
+    /** Returns the pause after a failed report, in milliseconds; longer if no run or command depends on the next. */
+    private synchronized long pauseMillis() {
+        boolean idle = unresponsive && !occupied && unansweredStarts.isEmpty() && unconfirmedStops.isEmpty();
+        return idle ? IDLE_PAUSE_MILLIS : PAUSE_MILLIS;
+    }
+
     /** Waits a limited time until the reported ended runs are acknowledged, so that the next report omits them. */
     private synchronized void awaitDurable() {
         long deadline = Clocks.deadlineAfter(DURABLE_WAIT_MILLIS);
