A frame that states more than it has is rejected before it is decoded

A frame of six bytes that states a text of 2 GB ended the process ("Requested array size exceeds VM limit"), since the decoder allocates what a length states. Failed before: OddFrameTest#aTextLongerThanItsFrameIsRejectedWithoutRoomForIt, the JVM of the tests ended. Change: the lengths are checked against the body first, as for records.

--- a/acacia-wire/src/main/java/org/acaciaport/wire/Frames.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Frames.java
@@ -3,6 +3,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import org.acaciaport.encoding.MessagePackCheck;
 
 /**
  * Reads and writes envelopes as frames: the length of the body as a four-byte big-endian integer, then the body in
@@ -44,12 +45,16 @@
         return envelope;
     }
 
-    /** Decodes a body; the decoder throws unchecked exceptions as well for bytes that are no MessagePack. */
+    /**
+     * Decodes a body. The decoder throws unchecked exceptions as well for bytes that are no MessagePack, and allocates
+     * what a length states, so the lengths are checked first.
+     */
     private static Envelope decode(byte[] body) throws IOException {
         Envelope envelope;
         try {
+            MessagePackCheck.requireComplete(body);
             envelope = Codecs.messagePack().readValue(body, Envelope.class);
-        } catch (RuntimeException e) {
+        } catch (IOException | RuntimeException e) {
             throw new IOException("frame cannot be decoded; check that the peer runs this program", e);
         }
         if (envelope == null || envelope.message() == null) {
--- a/acacia-wire/src/test/java/org/acaciaport/wire/OddFrameTest.java
+++ b/acacia-wire/src/test/java/org/acaciaport/wire/OddFrameTest.java
@@ -40,6 +40,14 @@
         assertThrows(IOException.class, () -> readFrame((byte) 0x85, (byte) 0xA7));
     }
 
+    /** Guards against a process that ends since a frame of a few bytes states a text of 2 GB. */
+    @Test
+    void aTextLongerThanItsFrameIsRejectedWithoutRoomForIt() {
+        byte[] body = {(byte) 0xDB, (byte) 0x7F, (byte) 0xFF, (byte) 0xFF, (byte) 0xFF, 'a'};
+        IOException thrown = assertThrows(IOException.class, () -> readFrame(body));
+        assertThat(thrown).hasMessageThat().contains("cannot be decoded");
+    }
+
     /** Guards against an envelope without a message, which the handler of a server cannot answer. */
     @Test
     void anEnvelopeWithoutAMessageIsRejected() throws Exception {
