A target counts as restarted when its incarnation is lower, too

Cause: an incarnation is the time of day of the target's start, which may be set back. The reports of a lower one were ignored by the session and the pool, yet they counted as answers, so that the lease never expired: its tasks stayed RUNNING and the target got no work until the term ended. Failed before: TargetSessionTest#reportsOfALowerIncarnationCount (no such report in 20 s) and WaitingWorkTest#aTargetWhoseIncarnationIsLowerAfterARestartGetsWork (1 start, 2 expected). Why it is safe: a session requests one report at a time and drops late answers, so reports come in the order in which they were taken, and an older one cannot follow a newer one.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -58,7 +58,7 @@
 
     /** Receives the events of a session, on the session's threads. Implementations must not block. */
     interface Events {
-        /** Called with each report of the current or a newer incarnation of the target. */
+        /** Called with each report, in the order in which they were taken. */
         void reported(TargetReport report);
 
         /** Called when the target has confirmed a start. */
@@ -169,9 +169,9 @@
         setOccupied(occupied);
     }
 
-    /** Handles a registration; a new incarnation is confirmed by a report before it gets work. */
+    /** Handles a registration; another incarnation is confirmed by a report before it gets work. */
     synchronized void announceIncarnation(long announcedIncarnation) {
-        if (announcedIncarnation > incarnation && incarnation != 0) {
+        if (announcedIncarnation != incarnation && incarnation != 0) {
             fenceIncrements++;
             incarnation = 0;
         }
@@ -298,9 +298,6 @@
     private void applyReport(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
         synchronized (this) {
-            if (report.incarnation() < incarnation) {
-                return;
-            }
             if (report.incarnation() != incarnation) {
                 incarnation = report.incarnation();
                 lastAcknowledgedEnd = 0;
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -72,12 +73,29 @@
         Clocks.sleep(IDLE_MILLIS);
         long reportsBefore = events.reportCount.get();
         target.unresponsive.set(false);
+        await(() -> events.reportCount.get() > reportsBefore);
+        session.close();
+    }
+
+    /**
+     * Guards against work that stays bound to a target (LOST) whose reports are ignored, since its incarnation is lower
+     * after a restart with its clock set back.
+     */
+    @Test
+    void reportsOfALowerIncarnationCount() throws Exception {
+        target.incarnation = 3;
+        TargetSession session = newReportedSession();
+        target.incarnation = 2;
+        await(() -> events.lastIncarnation == 2);
+        session.close();
+    }
+
+    private static void await(BooleanSupplier condition) {
         long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
-        while (events.reportCount.get() == reportsBefore && Clocks.millisUntil(deadline) > 0) {
+        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
             Clocks.sleep(1);
         }
-        assertThat(events.reportCount.get()).isGreaterThan(reportsBefore);
-        session.close();
+        assertThat(condition.getAsBoolean()).isTrue();
     }
 
     @Test
@@ -119,6 +137,7 @@
         final AtomicBoolean loseNextStart = new AtomicBoolean();
         final LinkedBlockingQueue<StartRequest> starts = new LinkedBlockingQueue<>();
         volatile long fence;
+        volatile long incarnation = 1;
         volatile long lastReportFence;
 
         private static long clock() {
@@ -153,13 +172,15 @@
             }
             fence = request.fence();
             lastReportFence = fence;
-            return new Reported(clock(), new TargetReport(address.id(), 1, System.nanoTime(), List.of(), List.of()));
+            return new Reported(
+                    clock(), new TargetReport(address.id(), incarnation, System.nanoTime(), List.of(), List.of()));
         }
     }
 
     /** Records the events of a session. */
     private static final class Recorder implements TargetSession.Events {
         final CountDownLatch reported = new CountDownLatch(1);
+        volatile long lastIncarnation;
         final AtomicLong reportCount = new AtomicLong();
         final CountDownLatch unresponsive = new CountDownLatch(1);
         final CountDownLatch leaseExpired = new CountDownLatch(1);
@@ -168,6 +189,7 @@
 
         @Override
         public void reported(TargetReport report) {
+            lastIncarnation = report.incarnation();
             reportCount.incrementAndGet();
             reported.countDown();
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -130,12 +130,12 @@
         LOG.infof("cancel: request=%s outcome=stopping", id);
     }
 
-    /** Handles a report of a target. Ignores reports of an incarnation older than the newest known one. */
+    /**
+     * Handles a report of a target. Reports must come in the order in which they were taken: one of another incarnation
+     * means a restart, and the incarnation may be lower then, if the target's clock was set back.
+     */
     public void handleReport(TargetReport report, ClockReading now) {
         TargetState target = targets.computeIfAbsent(report.target(), TargetState::new);
-        if (report.incarnation() < target.incarnation) {
-            return;
-        }
         adoptRuns(target, report);
         handleRestart(target, report.incarnation(), now);
         long lastNumber = 0;
@@ -150,7 +150,7 @@
     }
 
     /**
-     * Accepts runs whose start reached a newer incarnation of the target than intended, so that they are not treated as
+     * Accepts runs whose start reached another incarnation of the target than intended, so that they are not treated as
      * lost by the restart.
      */
     private void adoptRuns(TargetState target, TargetReport report) {
@@ -292,9 +292,9 @@
         }
     }
 
-    /** Requeues the tasks of earlier incarnations, and clears the exclusion and failures of the target. */
+    /** Requeues the tasks of other incarnations, and clears the exclusion and failures of the target. */
     private void handleRestart(TargetState target, long incarnation, ClockReading now) {
-        if (incarnation <= target.incarnation) {
+        if (incarnation == target.incarnation) {
             return;
         }
         target.incarnation = incarnation;
@@ -302,7 +302,7 @@
         target.failureScore = 0;
         target.excludedUntilNanos = now.monotonicNanos();
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
-            if (task.phase == Phase.RESERVED || task.incarnation < incarnation) {
+            if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
                 taskLifecycle.requeue(task, now);
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -18,7 +18,7 @@
     /** Whether the target is currently registered. */
     boolean registered;
 
-    /** Newest incarnation that the target reported; 0 before the first report. */
+    /** Last incarnation that the target reported; 0 before the first report. */
     long incarnation;
 
     /** Resources used by stray runs: reported runs that are not the newest run of their task on this target. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -198,6 +198,23 @@
         assertThat(startsOf("gang")).isEmpty();
     }
 
+    /**
+     * Guards against tasks that stay bound to a target (LOST) which restarted with a lower incarnation, since its clock
+     * was set back.
+     */
+    @Test
+    void aTargetWhoseIncarnationIsLowerAfterARestartGetsWork() {
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.pool.register(new TargetInfo(
+                "t1", PoolFixture.SERVICE, "address", "dc", "r1", Set.of(), PoolFixture.TARGET_CAPACITY, false, 0, 0));
+        fixture.advance(100);
+        fixture.pool.handleReport(
+                new TargetReport("t1", 0, fixture.now().monotonicNanos(), List.of(), List.of()), fixture.now());
+        pass(MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(startsOf("a")).hasSize(2);
+    }
+
     /** Guards against a gang that waits (LOST) for idle targets that a wider gang holds while it waits for one. */
     @Test
     void aGangUsesTargetsThatAWiderOneHoldsInVain() {
