--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -1,13 +1,10 @@
 package org.acaciaport.pool;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import org.jboss.logging.Logger;
 
 /**
@@ -19,12 +16,6 @@
 final class PlacementPass {
     private static final Logger LOG = Logger.getLogger(PlacementPass.class);
 
-    /** Time after which a claim accepts targets outside its preferred locality, in milliseconds. */
-    private static final long CLAIM_LOCALITY_WAIT_MILLIS = 1_000;
-
-    /** Time after which any unit accepts such targets while there is ample room for it, in milliseconds. */
-    private static final long AMPLE_ROOM_LOCALITY_WAIT_MILLIS = 2_000;
-
     /** Age from which a reservation gives way to resources that are free at once, in milliseconds. */
     private static final long MIN_RESERVATION_MILLIS = 500;
 
@@ -39,6 +30,7 @@
     private final Collection<TargetState> targets;
     private final Placement placement;
     private final AccountDemand accountDemand;
+    private final UnitWaits unitWaits;
     private final OccupiedResourceSearch occupiedResourceSearch;
     private final ClockReading now;
 
@@ -48,9 +40,6 @@
     /** Demands for which no running tasks can make room. */
     private final Set<DemandKey> unsearchable = new HashSet<>();
 
-    /** Whether most of the capacity was free when the pass first asked, by service. */
-    private final Map<String, Boolean> mostlyFreeByService = new HashMap<>();
-
     private int advanceReservations;
 
     PlacementPass(
@@ -65,6 +54,7 @@
         this.now = now;
         placement = new Placement(targets, settings);
         accountDemand = AccountDemand.of(jobs, settings);
+        unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), targets, now);
         occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, now);
     }
 
@@ -104,7 +94,7 @@
         if (!mayFit && !searches) {
             return;
         }
-        List<LocalityTier> tiers = localityTiers(unit);
+        List<LocalityTier> tiers = unitWaits.localityTiers(unit);
         for (LocalityTier tier : tiers) {
             if (mayFit && placeInFreeCapacity(unit, tier, TargetState::projectedFree)
                     || searches && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
@@ -128,9 +118,8 @@
     }
 
     private DemandKey demandKey(PlacementUnit unit) {
-        boolean leavesRack = !unit.step().spec.constraints().nearRack().isEmpty()
-                && LocalityTier.mayLeaveRack(unit, isOverdue(unit), waitedMillis(unit));
-        return DemandKey.of(unit, leavesRack, mayTakeHeldCapacity(unit), isClaim(unit));
+        return DemandKey.of(
+                unit, unitWaits.mayLeaveRack(unit), unitWaits.isLongInMostlyFreePool(unit), unitWaits.isClaim(unit));
     }
 
     /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
@@ -157,7 +146,7 @@
         }
         List<TargetState> held = unit.targets();
         unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
-        for (LocalityTier tier : localityTiers(unit)) {
+        for (LocalityTier tier : unitWaits.localityTiers(unit)) {
             if (placeInFreeCapacity(unit, tier, TargetState::freeAtOnce)) {
                 return;
             }
@@ -170,53 +159,13 @@
     /** Takes resources that a gang holds in vain, for a unit that has waited while most of the capacity is free. */
     private boolean takeHeldCapacity(PlacementUnit unit, LocalityTier tier) {
         HeldCapacity held = new HeldCapacity(unit);
-        if (!mayTakeHeldCapacity(unit) || !placeInFreeCapacity(unit, tier, held::available)) {
+        if (!unitWaits.isLongInMostlyFreePool(unit) || !placeInFreeCapacity(unit, tier, held::available)) {
             return false;
         }
         held.release(unit.targets(), context.taskLifecycle());
         return true;
     }
 
-    private boolean mayTakeHeldCapacity(PlacementUnit unit) {
-        return waitedMillis(unit) > AMPLE_ROOM_LOCALITY_WAIT_MILLIS
-                && mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
-    }
-
-    private List<LocalityTier> localityTiers(PlacementUnit unit) {
-        Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
-        Predicate<TargetState> failed =
-                target -> context.targetHealth().isExcludedForJob(unit.job().id(), target, targets);
-        if (!context.targetHealth().hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
-            racks.values().forEach(rack -> rack.removeIf(failed));
-        }
-        return LocalityTier.of(unit, racks, isOverdue(unit), waitedMillis(unit));
-    }
-
-    private long waitedMillis(PlacementUnit unit) {
-        return now.millisSince(unit.step().readyNanos);
-    }
-
-    /**
-     * Returns whether the unit has waited too long to require the best locality. While there is ample room, the longer
-     * run that results takes nothing from others.
-     */
-    private boolean isOverdue(PlacementUnit unit) {
-        long waitedMillis = waitedMillis(unit);
-        return waitedMillis > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
-                || waitedMillis > AMPLE_ROOM_LOCALITY_WAIT_MILLIS && hasAmpleRoom(unit);
-    }
-
-    /** Returns whether most of the capacity is free, and enough at once for twice the unit. */
-    private boolean hasAmpleRoom(PlacementUnit unit) {
-        return mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree)
-                && placement.fitsTwice(unit, now.monotonicNanos());
-    }
-
-    private boolean isClaim(PlacementUnit unit) {
-        return unit.priority() == 0
-                && accountDemand.isWithinGuarantee(unit.job().account());
-    }
-
     private boolean placeInFreeCapacity(
             PlacementUnit unit, LocalityTier tier, Function<TargetState, Resources> available) {
         List<TargetState> best = null;
@@ -242,16 +191,16 @@
     }
 
     private boolean waitForCompletions(PlacementUnit unit, LocalityTier tier) {
-        return reserve(unit, occupiedResourceSearch.findCompletions(unit, tier, waitedMillis(unit)));
+        return reserve(unit, occupiedResourceSearch.findCompletions(unit, tier, unitWaits.millis(unit)));
     }
 
     private boolean preempt(PlacementUnit unit, LocalityTier tier) {
-        return reserve(unit, occupiedResourceSearch.findPreemption(unit, tier, isClaim(unit)));
+        return reserve(unit, occupiedResourceSearch.findPreemption(unit, tier, unitWaits.isClaim(unit)));
     }
 
     private boolean reserveInAdvance(PlacementUnit unit, LocalityTier tier) {
         if (advanceReservations >= MAX_ADVANCE_RESERVATIONS
-                || !reserve(unit, occupiedResourceSearch.findAdvanceReservation(unit, tier, waitedMillis(unit)))) {
+                || !reserve(unit, occupiedResourceSearch.findAdvanceReservation(unit, tier, unitWaits.millis(unit)))) {
             return false;
         }
         advanceReservations++;
@@ -280,7 +229,7 @@
                 unit.job().account(),
                 chosen.get(0).id,
                 reservation.why(),
-                waitedMillis(unit));
+                unitWaits.millis(unit));
         return true;
     }
 
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -0,0 +1,89 @@
+package org.acaciaport.pool;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/**
+ * How long units have waited, and what they accept because of it: targets outside their preferred locality, or
+ * resources that others hold in vain.
+ *
+ * <p>Created anew for each pass. Not thread-safe; confined to the thread of the pool.
+ */
+final class UnitWaits {
+    /** Time after which a claim accepts targets outside its preferred locality, in milliseconds. */
+    private static final long CLAIM_LOCALITY_WAIT_MILLIS = 1_000;
+
+    /** Time after which any unit accepts more while most of the capacity is free, in milliseconds. */
+    private static final long MOSTLY_FREE_WAIT_MILLIS = 2_000;
+
+    private final Placement placement;
+    private final AccountDemand accountDemand;
+    private final TargetHealth targetHealth;
+    private final Collection<TargetState> targets;
+    private final ClockReading now;
+
+    /** Whether most of the capacity was free when the pass first asked, by service. */
+    private final Map<String, Boolean> mostlyFreeByService = new HashMap<>();
+
+    UnitWaits(
+            Placement placement,
+            AccountDemand accountDemand,
+            TargetHealth targetHealth,
+            Collection<TargetState> targets,
+            ClockReading now) {
+        this.placement = placement;
+        this.accountDemand = accountDemand;
+        this.targetHealth = targetHealth;
+        this.targets = targets;
+        this.now = now;
+    }
+
+    /** Returns how long the unit has been ready, in milliseconds. */
+    long millis(PlacementUnit unit) {
+        return now.millisSince(unit.step().readyNanos);
+    }
+
+    /** Returns whether the unit is of the highest priority and its account within its guarantee. */
+    boolean isClaim(PlacementUnit unit) {
+        return unit.priority() == 0
+                && accountDemand.isWithinGuarantee(unit.job().account());
+    }
+
+    /**
+     * Returns the tiers of targets that the unit accepts now, best locality first. Targets on which its job failed are
+     * left out if the unit would fit on the others.
+     */
+    List<LocalityTier> localityTiers(PlacementUnit unit) {
+        Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
+        Predicate<TargetState> failed =
+                target -> targetHealth.isExcludedForJob(unit.job().id(), target, targets);
+        if (!targetHealth.hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
+            racks.values().forEach(rack -> rack.removeIf(failed));
+        }
+        return LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
+    }
+
+    /** Returns whether a task that prefers a rack accepts targets outside it; false if it prefers none. */
+    boolean mayLeaveRack(PlacementUnit unit) {
+        return !unit.step().spec.constraints().nearRack().isEmpty()
+                && LocalityTier.mayLeaveRack(unit, isOverdue(unit), millis(unit));
+    }
+
+    /**
+     * Returns whether the unit has waited too long to require the best locality. While there is room for it twice over,
+     * the longer run that results takes nothing from others.
+     */
+    private boolean isOverdue(PlacementUnit unit) {
+        return millis(unit) > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
+                || isLongInMostlyFreePool(unit) && placement.fitsTwice(unit, now.monotonicNanos());
+    }
+
+    /** Returns whether the unit has waited long although most of the capacity of its service is free. */
+    boolean isLongInMostlyFreePool(PlacementUnit unit) {
+        return millis(unit) > MOSTLY_FREE_WAIT_MILLIS
+                && mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
+    }
+}
