--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -1,5 +1,7 @@
 package org.acaciaport.pool;
 
+import static com.google.common.truth.Truth.assertThat;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +14,11 @@
  */
 final class PoolFixture {
     static final String SERVICE = "render";
+    /** Longest time for which work may wait while there is room for it twice over, in milliseconds. */
+    static final int MAX_WAIT_WITH_ROOM_MILLIS = 3_000;
+
+    private static final int PASS_INTERVAL_MILLIS = 50;
+
     static final Resources TARGET_CAPACITY = new Resources(32_000, 64_000, 8);
 
     final Pool pool = new Pool();
@@ -35,6 +42,16 @@
         report(id);
     }
 
+    /** Adds targets t0, t1 and so on, and runs a task of eight accelerators on each; returns the tasks. */
+    List<TaskId> occupyTargets(int count) {
+        for (int i = 0; i < count; i++) {
+            addTarget("t" + i, "r1");
+        }
+        submit(job("busy", "x", 1, independentTasks(count, 8)));
+        assertThat(running).hasSize(count);
+        return new ArrayList<>(running.keySet());
+    }
+
     void drainTarget(String id, String rack, long departureNanos) {
         pool.register(new TargetInfo(
                 id, SERVICE, "address", "dc", rack, Set.of("a", rack), TARGET_CAPACITY, true, departureNanos, 1));
@@ -73,6 +90,18 @@
         schedulePass();
     }
 
+    /** Runs a scheduling pass every {@value #PASS_INTERVAL_MILLIS} milliseconds for {@code elapsedMillis}. */
+    void pass(int elapsedMillis) {
+        for (int elapsed = 0; elapsed < elapsedMillis; elapsed += PASS_INTERVAL_MILLIS) {
+            advance(PASS_INTERVAL_MILLIS);
+        }
+    }
+
+    /** Returns the starts of tasks of {@code job} so far. */
+    List<TargetCommand.Start> startsOf(String job) {
+        return starts.stream().filter(start -> start.task().job().equals(job)).toList();
+    }
+
     /** Runs a scheduling pass, persists its batch and confirms its starts. */
     void schedulePass() {
         pool.schedule(now());
