--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BooleanSupplier;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
@@ -73,7 +72,7 @@
         Clocks.sleep(IDLE_MILLIS);
         long reportsBefore = events.reportCount.get();
         target.unresponsive.set(false);
-        await(() -> events.reportCount.get() > reportsBefore);
+        Conditions.await(() -> events.reportCount.get() > reportsBefore);
         session.close();
     }
 
@@ -86,18 +85,10 @@
         target.incarnation = 3;
         TargetSession session = newReportedSession();
         target.incarnation = 2;
-        await(() -> events.lastIncarnation == 2);
+        Conditions.await(() -> events.lastIncarnation == 2);
         session.close();
     }
 
-    private static void await(BooleanSupplier condition) {
-        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
-        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
-            Clocks.sleep(1);
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
-
     @Test
     void leasesOfAnEarlierLeaderExpireFirst() throws Exception {
         target.unresponsive.set(true);
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -11,8 +11,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -42,8 +40,6 @@
     /** Time after which a change of a registration is in force, in milliseconds. */
     private static final long REGISTRATION_MILLIS = 2_000;
 
-    private static final long TIMEOUT_SECONDS = 20;
-
     /** Time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds. */
     private static final long MAX_START_AFTER_CANCEL_MILLIS = 4_000;
 
@@ -100,14 +96,6 @@
         log.append(new Append(TOPICS.jobs(), List.of(records), new Append.Always()), deadline());
     }
 
-    private static void await(BooleanSupplier condition) {
-        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
-        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
-            Clocks.sleep(1);
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
-
     /**
      * Guards against starting tasks seconds after their job was cancelled, by a leader whose reads of the log fail
      * while its appends succeed.
@@ -116,7 +104,7 @@
     void aLeaderThatCannotReadCancellationsStartsNothing() {
         append(JobRecords.encode(newJob("a", 2)));
         lead();
-        await(() -> target.started.size() == 1);
+        Conditions.await(() -> target.started.size() == 1);
         leaderLog.readable = false;
         append(JobRecords.encode(new CancelRecord("a", 1)));
         Clocks.sleep(MAX_START_AFTER_CANCEL_MILLIS);
@@ -131,7 +119,7 @@
     void aLeaderThatCanOnlyWriteResigns() {
         lead();
         leaderLog.readable = false;
-        await(() -> !thread.isAlive());
+        Conditions.await(() -> !thread.isAlive());
         leaderLog.readable = true;
         assertThat(jobConsumer.catchUp(deadline())).isTrue();
         assertThat(replica.leader().record().resigned()).isTrue();
@@ -143,15 +131,15 @@
         lead();
         TaskId first = new TaskId("a", 0, 0, 0);
         append(JobRecords.encode(newJob("a", 1)));
-        await(() -> target.isRunning(first));
+        Conditions.await(() -> target.isRunning(first));
         append(JobRecords.encode(new CancelRecord("a", 1)));
-        await(() -> !target.isRunning(first));
+        Conditions.await(() -> !target.isRunning(first));
         Clocks.sleep(IDLE_MILLIS);
         append(KeyedRecord.tombstone(TARGET_KEY));
         Clocks.sleep(IDLE_MILLIS);
         append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
         append(JobRecords.encode(newJob("b", 1)));
-        await(() -> target.started.size() == 2);
+        Conditions.await(() -> target.started.size() == 2);
     }
 
     /** Guards against a task that waits for ever, since the call that was to start it threw. */
@@ -160,7 +148,7 @@
         target.startsToThrow = 2;
         append(JobRecords.encode(newJob("a", 1)));
         lead();
-        await(() -> target.isRunning(new TaskId("a", 0, 0, 0)));
+        Conditions.await(() -> target.isRunning(new TaskId("a", 0, 0, 0)));
         assertThat(target.started).hasSize(1);
     }
 
@@ -171,10 +159,10 @@
     @Test
     void anAppendThatThrowsEndsTheTerm() {
         lead();
-        await(() -> replica.leader() != null);
+        Conditions.await(() -> replica.leader() != null);
         try (LogCapture capture = LogCapture.of(Term.class)) {
             leaderLogWriterLog.broken = true;
-            await(() -> !thread.isAlive());
+            Conditions.await(() -> !thread.isAlive());
             assertThat(capture.messagesContaining("outcome=ended reason=append failed: "))
                     .hasSize(1);
         }
@@ -188,10 +176,10 @@
         append(encodeOddJob("d"));
         append(JobRecords.encode(new JobProgress("d", JobState.RUNNING, 0, List.of(), List.of())));
         lead();
-        await(() -> target.isRunning(new TaskId("c", 0, 0, 0)));
+        Conditions.await(() -> target.isRunning(new TaskId("c", 0, 0, 0)));
         append(encodeOddJob("e"), JobRecords.encode(new CancelRecord("c", 1)));
         append(JobRecords.encode(newJob("f", 1)));
-        await(() -> target.isRunning(new TaskId("f", 0, 0, 0)));
+        Conditions.await(() -> target.isRunning(new TaskId("f", 0, 0, 0)));
     }
 
     /** Returns the record of a job whose only step comes after one that does not exist. */
@@ -206,10 +194,10 @@
     @Test
     void aTermThatThrowsEndsWithTheReason() {
         lead();
-        await(() -> replica.leader() != null);
+        Conditions.await(() -> replica.leader() != null);
         try (LogCapture capture = LogCapture.of(Term.class)) {
             term.reported(null);
-            await(() -> !thread.isAlive());
+            Conditions.await(() -> !thread.isAlive());
             assertThat(capture.messagesContaining("outcome=ended reason=failed: java.lang.NullPointerException"))
                     .hasSize(1);
         }
@@ -246,7 +234,7 @@
     void aTargetWhoseRegistrationBecameUnreadableGetsNoNewWork() {
         lead();
         append(JobRecords.encode(job("first")));
-        await(() -> target.started.size() == 1);
+        Conditions.await(() -> target.started.size() == 1);
         append(new KeyedRecord(TARGET_KEY, UNREADABLE));
         assertThat(jobConsumer.catchUp(deadline())).isTrue();
         Clocks.sleep(REGISTRATION_MILLIS);
@@ -254,7 +242,7 @@
         Clocks.sleep(REGISTRATION_MILLIS);
         assertThat(target.started).hasSize(1);
         append(new KeyedRecord(TARGET_KEY, new byte[] {1}));
-        await(() -> target.started.size() == 2);
+        Conditions.await(() -> target.started.size() == 2);
     }
 
     private static Job job(String id) {
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Pool;
@@ -22,7 +21,6 @@
 
 /** Tests that runs which are no longer wanted do not start, and end, although commands are lost or delayed. */
 final class UnwantedRunTest {
-    private static final long TIMEOUT_SECONDS = 20;
     private static final String SERVICE = "render";
     private static final TaskId TASK = new TaskId("a", 0, 0, 0);
 
@@ -53,7 +51,7 @@
             pool.register(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
         }
         session.setOccupied(true);
-        await(() -> events.lastIncarnation == 1);
+        Conditions.await(() -> events.lastIncarnation == 1);
         synchronized (pool) {
             pool.submit(job);
             pool.schedule(Clocks.now());
@@ -76,14 +74,6 @@
         }
     }
 
-    private static void await(BooleanSupplier condition) {
-        long deadline = Clocks.deadlineAfter(TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
-        while (!condition.getAsBoolean() && Clocks.millisUntil(deadline) > 0) {
-            Clocks.sleep(1);
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
-
     /**
      * Guards against starting a task seconds after its job was cancelled. The record of the start becomes durable only
      * after the cancellation, and the stop command, which would make the target reject the start, is lost.
@@ -103,7 +93,7 @@
         release(placeTask());
         target.stopsToLose = 3;
         session.stop(cancelJob());
-        await(() -> !target.stops.isEmpty());
+        Conditions.await(() -> !target.stops.isEmpty());
         assertThat(target.isRunning(TASK)).isFalse();
     }
 
@@ -115,7 +105,7 @@
         session.stop(cancelJob());
         assertThat(target.stops).isEmpty();
         events.leading = true;
-        await(() -> !target.stops.isEmpty());
+        Conditions.await(() -> !target.stops.isEmpty());
     }
 
     /**
@@ -127,7 +117,7 @@
         Batch batch = placeTask();
         target.restart();
         session.announceIncarnation(2);
-        await(() -> events.lastIncarnation == 2);
+        Conditions.await(() -> events.lastIncarnation == 2);
         release(batch);
         assertThat(target.started).isEmpty();
     }
