--- a/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
@@ -85,7 +85,7 @@
         Backlog backlog = pool.backlog();
         LOG.infof(
                 "load: epoch=%s events=%s event_wait_ms=%s passes=%s pass_ms=%s iteration_ms=%s append_ms=%s"
-                        + " dispatch_ms=%s jobs=%s waiting=%s reserved=%s running=%s stopping=%s"
+                        + " dispatch_ms=%s jobs=%s blocked=%s waiting=%s reserved=%s running=%s stopping=%s"
                         + " accelerators_used=%s of=%s",
                 epoch,
                 eventCount,
@@ -96,6 +96,7 @@
                 toMillis(longestAppendNanos),
                 toMillis(longestDispatchNanos.getThenReset()),
                 backlog.jobs(),
+                backlog.blocked(),
                 backlog.waiting(),
                 backlog.reserved(),
                 backlog.running(),
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Backlog.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Backlog.java
@@ -9,7 +9,8 @@
  * <p>Immutable.
  *
  * @param jobs unfinished jobs
- * @param waiting tasks without a run and without reserved resources, in steps that are ready or not
+ * @param blocked tasks of steps whose earlier steps have not ended
+ * @param waiting tasks of ready steps without a run and without reserved resources
  * @param reserved tasks with reserved resources
  * @param running tasks whose start was decided and that were not told to stop
  * @param stopping tasks that were told to stop
@@ -17,10 +18,18 @@
  * @param accelerators accelerators of registered targets
  */
 public record Backlog(
-        int jobs, int waiting, int reserved, int running, int stopping, long usedAccelerators, long accelerators) {
+        int jobs,
+        int blocked,
+        int waiting,
+        int reserved,
+        int running,
+        int stopping,
+        long usedAccelerators,
+        long accelerators) {
     /** Returns the backlog of {@code jobs} on {@code targets}; takes time linear in their tasks. */
     static Backlog of(Collection<JobExecution> jobs, Collection<TargetState> targets) {
         int unfinished = 0;
+        int blocked = 0;
         int[] tasks = new int[Phase.values().length];
         for (JobExecution job : jobs) {
             if (job.state.isTerminal()) {
@@ -28,7 +37,16 @@
             }
             unfinished++;
             for (List<StepExecution> steps : job.openOccurrences()) {
-                steps.forEach(step -> step.tasks.forEach(task -> tasks[task.phase.ordinal()]++));
+                for (StepExecution step : steps) {
+                    boolean ready = step.isReady(steps);
+                    for (TaskExecution task : step.tasks) {
+                        if (!ready && task.phase == Phase.WAITING) {
+                            blocked++;
+                        } else {
+                            tasks[task.phase.ordinal()]++;
+                        }
+                    }
+                }
             }
         }
         long used = 0;
@@ -41,6 +59,7 @@
         }
         return new Backlog(
                 unfinished,
+                blocked,
                 tasks[Phase.WAITING.ordinal()],
                 tasks[Phase.RESERVED.ordinal()],
                 tasks[Phase.STARTING.ordinal()] + tasks[Phase.RUNNING.ordinal()],
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -63,6 +63,16 @@
         return job.objective.slackMillis(occurrence, now.wallClockMillis());
     }
 
+    /** Returns whether all steps that must end before this one have; {@code steps} are those of its occurrence. */
+    boolean isReady(List<StepExecution> steps) {
+        for (int earlier : spec.after()) {
+            if (!steps.get(earlier).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     boolean isDone() {
         return doneTaskCount == tasks.size();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
@@ -45,7 +45,7 @@
         job.openDueOccurrences(now.wallClockMillis());
         for (List<StepExecution> steps : job.openOccurrences()) {
             for (StepExecution step : steps) {
-                if (step.isDone() || !arePredecessorsDone(step, steps)) {
+                if (step.isDone() || !step.isReady(steps)) {
                     continue;
                 }
                 if (step.readyNanos == 0) {
@@ -57,15 +57,6 @@
         }
     }
 
-    private static boolean arePredecessorsDone(StepExecution step, List<StepExecution> steps) {
-        for (int earlier : step.spec.after()) {
-            if (!steps.get(earlier).isDone()) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Adds the single tasks without a run, or the gang if none of its tasks has one. */
     private static void collect(StepExecution step, List<PlacementUnit> units) {
         if (!step.spec.mode().gang()) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
@@ -8,11 +8,15 @@
 import java.util.stream.LongStream;
 
 /**
- * Simulates both deployments, with a steady load and with bursts, over several seeds and prints the results. Arguments:
+ * Simulates the deployments, with a steady load and with bursts, over several seeds and prints the results. Arguments:
  * number of seeds, first seed.
  */
 final class PoolLoadMain {
     private static final long LENGTH_MILLIS = 60_000;
+
+    /** Factor by which the largest deployment is simulated less often. */
+    private static final int LARGE_DIVISOR = 5;
+
     private static final List<PoolSimulation.Burst> BURSTS = List.of(
             new PoolSimulation.Burst(0, 5_000, 11_000, 2.5),
             new PoolSimulation.Burst(1, 8_000, 12_000, 2.5),
@@ -31,6 +35,10 @@
             String when = bursts.isEmpty() ? "calm" : "bursts";
             print("rendering " + when, simulate(Deployments.RENDERING, bursts, seeds, first));
             print("booking " + when, simulate(Deployments.BOOKING, bursts, seeds, first));
+            print("climbing " + when, simulate(Deployments.CLIMBING, bursts, seeds, first));
+            print(
+                    "large " + when,
+                    simulate(Deployments.LARGE_RENDERING, bursts, Math.max(1, seeds / LARGE_DIVISOR), first));
         }
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -24,7 +24,6 @@
     private static final int REPORT_INTERVAL_MILLIS = 500;
     private static final int DRAIN_MILLIS = 60_000;
     private static final double CROSS_RACK_SLOWDOWN = 3;
-    private static final int ACCOUNT_COUNT = 4;
 
     private final Deployment deployment;
     private final RandomGenerator random;
@@ -46,9 +45,16 @@
      * @param rackSize number of targets in a rack
      * @param target capacity of a target
      * @param kinds kinds of request
+     * @param accounts number of client accounts
      * @param guaranteedFraction fraction of all accelerators that is guaranteed to the accounts, in equal parts
      */
-    record Deployment(int targets, int rackSize, Resources target, List<WorkKind> kinds, double guaranteedFraction) {}
+    record Deployment(
+            int targets,
+            int rackSize,
+            Resources target,
+            List<WorkKind> kinds,
+            int accounts,
+            double guaranteedFraction) {}
 
     /** A period in which requests of one kind arrive {@code factor} times as often. */
     record Burst(int kind, long fromMillis, long toMillis, double factor) {}
@@ -111,8 +117,9 @@
     private void registerTargets() {
         Map<String, Long> guarantees = new HashMap<>();
         long totalAccelerators = deployment.targets * deployment.target.accelerators();
-        for (int i = 0; i < ACCOUNT_COUNT; i++) {
-            guarantees.put("account" + i, (long) (totalAccelerators * deployment.guaranteedFraction / ACCOUNT_COUNT));
+        for (int i = 0; i < deployment.accounts; i++) {
+            guarantees.put(
+                    "account" + i, (long) (totalAccelerators * deployment.guaranteedFraction / deployment.accounts));
         }
         pool.configure(new PoolSettings(guarantees, Set.of(), Set.of(PoolFixture.SERVICE)));
         for (int i = 0; i < deployment.targets; i++) {
@@ -139,7 +146,8 @@
                 return;
             }
             String id = "%s-%05d".formatted(kind.name(), when);
-            String account = "account" + Math.min(random.nextInt(ACCOUNT_COUNT), random.nextInt(ACCOUNT_COUNT));
+            String account =
+                    "account" + Math.min(random.nextInt(deployment.accounts), random.nextInt(deployment.accounts));
             WorkKind.Sample sample = kind.sample(id, account, when, random);
             schedule(when, () -> {
                 submissions.put(id, new Submission(kind, sample));
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
@@ -37,7 +37,7 @@
         double meanSeconds,
         double relativeDeviation,
         double maxSeconds,
-        int cores,
+        double cores,
         int memoryMb,
         int[] accelerators,
         boolean gang,
@@ -79,7 +79,7 @@
         double estimate = seconds * Math.exp(estimateError * random.nextGaussian());
         return new Step(
                 tasks,
-                new Resources(cores * 1_000L, memoryMb, acceleratorCount),
+                new Resources((long) (cores * 1_000), memoryMb, acceleratorCount),
                 Math.max(1, (long) (estimate * 1_000)),
                 number == 0 ? List.of() : List.of(number - 1),
                 new Step.Constraints("", "", 0, oneRack),
