Runs count as stragglers by how rough the estimates of their queue are

Cause: a run at three times its estimate was a straggler. Change: the bound follows the ratios of completed runs of the queue (mean and 2.5 deviations of their logarithm, from 3 to 16). Test: DegradedTargetTest#runsOfAQueueWithRoughEstimatesAreNoStragglers, failed before.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -13,9 +13,6 @@
     /** Minimum run time before the progress rate of a run is evaluated, in seconds. */
     private static final double MIN_OBSERVATION_SECONDS = 0.8;
 
-    /** Multiple of its estimated duration beyond which a run is a straggler; large because estimates are rough. */
-    private static final double STRAGGLER_FACTOR = 3.0;
-
     /** Typical time between stopping a run and starting the next one, in seconds. */
     private static final double RESTART_DELAY_SECONDS = 0.5;
 
@@ -93,13 +90,22 @@
         }
     }
 
-    /** Returns whether the newest run is known to be much slower than estimated; false until its rate is known. */
-    boolean isStraggler(ClockReading now) {
+    /**
+     * Returns whether the newest run is known to be much slower than estimated; false until its rate is known.
+     *
+     * @param usualFactor multiple of its estimate that a run may take
+     */
+    boolean isStraggler(double usualFactor, ClockReading now) {
         boolean observed = now.secondsSince(confirmedNanos) >= MIN_OBSERVATION_SECONDS;
         if (gainedPercent() < 1 || !observed || step.lacksLocality(this)) {
             return false;
         }
-        return projectedRunSeconds() > STRAGGLER_FACTOR * step.spec.estimateSeconds() + MIN_OBSERVATION_SECONDS;
+        return projectedRunSeconds() > usualFactor * step.spec.estimateSeconds() + MIN_OBSERVATION_SECONDS;
+    }
+
+    /** Returns whether the newest run ran from its beginning on targets near its data or each other. */
+    boolean isMeasurable() {
+        return target != null && confirmedNanos != 0 && firstPercent == 0 && !step.lacksLocality(this);
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -24,6 +24,7 @@
 
     private final Outbox outbox;
     private final TargetHealth targetHealth;
+    private final EstimateErrors estimateErrors = new EstimateErrors();
 
     TaskLifecycle(Outbox outbox, TargetHealth targetHealth) {
         this.outbox = outbox;
@@ -51,6 +52,7 @@
         switch (end.reason()) {
             case DONE -> {
                 targetHealth.recordSuccess(target);
+                recordDuration(task, now);
                 handleDone(task, now);
             }
             case FAILED -> {
@@ -72,6 +74,14 @@
         }
     }
 
+    private void recordDuration(TaskExecution task, ClockReading now) {
+        Step step = task.step.spec;
+        if (!step.mode().lasting() && task.isMeasurable()) {
+            double runSeconds = now.secondsSince(task.confirmedNanos);
+            estimateErrors.record(task.job().queue(), runSeconds, step.estimateSeconds());
+        }
+    }
+
     private void handleDone(TaskExecution task, ClockReading now) {
         StepExecution step = task.step;
         if (step.job.state.isTerminal()) {
@@ -172,7 +182,8 @@
         if (step.mode().lasting() || step.mode().filling() || task.percent >= COMPLETE_PERCENT) {
             return;
         }
-        if (!task.step.stragglerHandled && task.isStraggler(now)) {
+        if (!task.step.stragglerHandled
+                && task.isStraggler(estimateErrors.usualFactor(task.job().queue()), now)) {
             task.step.stragglerHandled = true;
             handleStraggler(task, now);
             return;
--- a/acacia-pool/src/test/java/org/acaciaport/pool/DegradedTargetTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/DegradedTargetTest.java
@@ -77,6 +77,21 @@
         assertThat(fixture.stops).hasSize(1);
     }
 
+    /** Guards against stopping sound runs of a queue whose estimates are rough, such as an eighth of the duration. */
+    @Test
+    void runsOfAQueueWithRoughEstimatesAreNoStragglers() {
+        fixture.addTarget("t1", "r1");
+        for (int i = 0; i < 10; i++) {
+            fixture.submit(fixture.job("earlier" + i, "x", 0, PoolFixture.independentTasks(1, 8)));
+            fixture.advance(i % 2 == 0 ? 500 : 30_000);
+            fixture.endRun(PoolFixture.taskId("earlier" + i, 0), TargetReport.EndReason.DONE);
+        }
+        fixture.submit(fixture.job("a", "x", 0, PoolFixture.independentTasks(1, 8)));
+        fixture.addTarget("t2", "r1");
+        reportSlowProgress(4);
+        assertThat(fixture.stops).isEmpty();
+    }
+
     /**
      * Reports progress of two percent each half second for the newest run, which then takes five times its estimate.
      */
