A claim counts what its victim displaced; late urgent work stops less

And urgent work that was late already still stopped up to 1000 core-seconds for every small task. Change: the cost of a victim includes the work that was stopped for its newest placement; the budget of a unit beyond its guarantee is half of its own work once it is late, and nothing once it is of no use. Tests in PreemptionTest, both failed before.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -37,7 +37,10 @@
     /** Maximum work lost by preemption for a unit beyond its guarantee, as a multiple of the work of the unit. */
     private static final double MAX_LOSS_FACTOR = 2.0;
 
-    /** Work that may be lost for any unit of the highest priority, however small, in core-seconds. */
+    /** The same for a unit that is late, and gains less by starting soon. */
+    private static final double LATE_MAX_LOSS_FACTOR = 0.5;
+
+    /** Work that may be lost for any unit of the highest priority that is in time, however small, in core-seconds. */
     private static final double MIN_LOSS_BUDGET_CORE_SECONDS = 1_000;
 
     private static final double MILLIS_PER_SECOND = 1e3;
@@ -65,7 +68,7 @@
             return null;
         }
         long expiresNanos = now.nanosAfter(COMPLETION_WAIT_TIMEOUT_MILLIS - waitedMillis);
-        return new Reservation(best.targets(), List.of(), "soon", expiresNanos);
+        return Reservation.withoutVictims(best.targets(), "soon", expiresNanos);
     }
 
     /** Returns how long a unit may wait for completions without endangering its objective, in seconds. */
@@ -93,14 +96,19 @@
         if (best == null || !claim && best.cost() > lossBudgetCoreSeconds(unit)) {
             return null;
         }
-        return new Reservation(best.targets(), best.victims(), claim ? "claim" : "priority", now.monotonicNanos());
+        String why = claim ? "claim" : "priority";
+        return new Reservation(best.targets(), best.victims(), why, best.cost(), now.monotonicNanos());
     }
 
     /** Returns the maximum work lost by preemption for a unit beyond its guarantee, in core-seconds. */
-    private static double lossBudgetCoreSeconds(PlacementUnit unit) {
+    private double lossBudgetCoreSeconds(PlacementUnit unit) {
         double work =
                 unit.size() * unit.demand().coreEquivalents() * unit.step().spec.estimateSeconds();
-        return Math.max(MIN_LOSS_BUDGET_CORE_SECONDS, MAX_LOSS_FACTOR * work);
+        return switch (unit.step().deadlineStatus(now)) {
+            case IN_TIME -> Math.max(MIN_LOSS_BUDGET_CORE_SECONDS, MAX_LOSS_FACTOR * work);
+            case LATE -> LATE_MAX_LOSS_FACTOR * work;
+            case MISSED -> 0;
+        };
     }
 
     /**
@@ -119,7 +127,7 @@
             return null;
         }
         long expiresNanos = now.nanosAfter(ADVANCE_RESERVATION_HOLD_MILLIS);
-        return new Reservation(best.targets(), List.of(), "set-aside", expiresNanos);
+        return Reservation.withoutVictims(best.targets(), "set-aside", expiresNanos);
     }
 
     /** Returns the plan whose last running task completes first, or null if there is none. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -187,7 +187,7 @@
         if (best == null) {
             return false;
         }
-        return reserve(unit, new Reservation(best, List.of(), "free", now.monotonicNanos()));
+        return reserve(unit, Reservation.withoutVictims(best, "free", now.monotonicNanos()));
     }
 
     private boolean waitForCompletions(PlacementUnit unit, LocalityTier tier) {
@@ -213,6 +213,7 @@
             return false;
         }
         stopVictims(unit, reservation);
+        unit.step().displacedCoreSeconds = reservation.displacedCoreSeconds();
         List<TargetState> chosen = reservation.targets();
         for (int i = 0; i < unit.size(); i++) {
             TaskExecution task = unit.tasks().get(i);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
@@ -145,8 +145,13 @@
         return step.tasks.stream().filter(task -> task.target != null).toList();
     }
 
+    /**
+     * Returns a victim with its cost. Work that was stopped for the victim counts as lost with it, as the victim will
+     * displace others again.
+     */
     private Victim createVictim(List<TaskExecution> tasks) {
-        double cost = costModel == CostModel.LOST_WORK ? MIN_LOSS_CORE_SECONDS : 0;
+        double displaced = tasks.get(0).step.displacedCoreSeconds;
+        double cost = costModel == CostModel.LOST_WORK ? MIN_LOSS_CORE_SECONDS + displaced : 0;
         for (TaskExecution task : tasks) {
             if (task.phase != Phase.RUNNING) {
                 continue;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -25,6 +25,9 @@
     /** Number of preemptions of this step; each makes the next one more expensive. */
     int preemptionCount;
 
+    /** Work lost by the stops that made room for the newest placement of tasks of this step, in core-seconds. */
+    double displacedCoreSeconds;
+
     /** Monotonic clock reading of the next search among running tasks, in nanoseconds; the search is expensive. */
     long nextSearchNanos;
 
@@ -63,6 +66,11 @@
         return job.objective.slackMillis(occurrence, now.wallClockMillis());
     }
 
+    /** Returns whether the occurrence can still complete in time to be useful. */
+    Objective.DeadlineStatus deadlineStatus(ClockReading now) {
+        return job.objective.deadlineStatus(occurrence, now.wallClockMillis());
+    }
+
     /** Returns whether all steps that must end before this one have; {@code steps} are those of its occurrence. */
     boolean isReady(List<StepExecution> steps) {
         for (int earlier : spec.after()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
@@ -35,8 +35,7 @@
         return Comparator.comparingInt(PlacementUnit::priority)
                 .thenComparing(unit -> unit.priority() == 0
                         && !accountDemand.isWithinGuarantee(unit.job().account()))
-                .thenComparing(
-                        unit -> unit.step().job.objective.deadlineStatus(unit.step().occurrence, now.wallClockMillis()))
+                .thenComparing(unit -> unit.step().deadlineStatus(now))
                 .thenComparingLong(unit -> unit.step().slackMillis(now))
                 .thenComparing(unit -> unit.job().id());
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionTest.java
@@ -100,6 +100,42 @@
         assertThat(fixture.stops.get(0).task().job()).isEqualTo("patient");
     }
 
+    /**
+     * Guards against a chain of stops: a claim that stops an urgent task which has just displaced others makes it
+     * displace more of them.
+     */
+    @Test
+    void aClaimSparesUrgentWorkThatDisplacedOthers() {
+        fixture.setGuarantee("owner", 8);
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        fixture.submit(fixture.job("patient1", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.submit(fixture.job("patient2", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.advance(3_500);
+        fixture.submit(fixture.job("urgent", "x", 0, PoolFixture.independentTasks(1, 8)));
+        fixture.completeStops();
+        assertThat(fixture.startsOf("urgent")).hasSize(1);
+        fixture.advance(100);
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+        assertThat(fixture.stops.get(0).task().job()).startsWith("patient");
+    }
+
+    /** Guards against stops for a task that is late already and gains little by them. */
+    @Test
+    void aLateTaskStopsNoMoreThanHalfOfItsOwnWork() {
+        fixture.addTarget("t1", "r1");
+        Job late = fixture.job("late", "y", 0, PoolFixture.independentTasks(1, 8));
+        fixture.advance(20_000);
+        fixture.submit(fixture.job("patient", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.advance(3_000);
+        fixture.submit(late);
+        fixture.advance(100);
+        assertThat(fixture.stops).isEmpty();
+        fixture.submit(fixture.job("inTime", "y", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+    }
+
     /**
      * Guards against long waits of a short preview that needs a whole target: its own work is never worth that of its
      * victims, so it needs a minimum loss budget.
