--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -34,6 +34,12 @@
         return tasks.stream().allMatch(task -> task.phase == phase);
     }
 
+    /** Returns whether runs of the unit have failed so often that one more failure ends its job. */
+    boolean isLastAttempt() {
+        int failures = tasks.get(0).failures;
+        return failures > 0 && failures + 1 >= job().terms().attempts();
+    }
+
     /** Returns the targets of the tasks, in their order. */
     List<TargetState> targets() {
         return tasks.stream().map(task -> task.target).toList();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -300,6 +300,7 @@
         target.incarnation = incarnation;
         target.clearStrayRuns();
         target.failureScore = 0;
+        target.lastSuccessNanos = 0;
         target.excludedUntilNanos = now.monotonicNanos();
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
             if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
@@ -10,7 +10,8 @@
  * Detects faulty targets by the outcome of their runs, since a faulty target may still report itself healthy.
  *
  * <p>A job that fails on several targets is assumed to be the cause itself, so further failures of it are not counted
- * against targets. Mutable and not thread-safe; confined to the thread of the pool.
+ * against targets on which no other job has failed since their last success. Mutable and not thread-safe; confined to
+ * the thread of the pool.
  */
 final class TargetHealth {
     /** Failures of different jobs, without a success in between, after which a target is excluded. */
@@ -21,6 +22,12 @@
 
     private static final int MAX_DOUBLINGS = 3;
 
+    /** Exclusion after each failure, in milliseconds: a target that fails its work is idle and would get the next. */
+    private static final long FAILURE_EXCLUSION_MILLIS = 1_000;
+
+    /** Time after a success during which a target is known to be sound, in milliseconds. */
+    private static final long PROVEN_MILLIS = 2_000;
+
     /**
      * Time in which all stalls on a target count as one, in milliseconds: tasks of a target that hangs stall together.
      * Shorter than an exclusion and the time after which the next task stalls.
@@ -34,10 +41,13 @@
         Set<String> failedTargets = failedTargetsByJob.computeIfAbsent(job, id -> new HashSet<>());
         boolean failedElsewhere = !failedTargets.isEmpty() && !failedTargets.equals(Set.of(target.id));
         failedTargets.add(target.id);
-        if (failedElsewhere || target.lastFailedJob.equals(job)) {
+        exclude(target, now.nanosAfter(FAILURE_EXCLUSION_MILLIS));
+        boolean repeated = target.lastFailedJob.equals(job);
+        boolean firstFailure = target.lastFailedJob.isEmpty();
+        target.lastFailedJob = job;
+        if (repeated || failedElsewhere && firstFailure) {
             return;
         }
-        target.lastFailedJob = job;
         addToScore(target, now, 1);
     }
 
@@ -66,8 +76,17 @@
         target.excludedUntilNanos = Math.max(target.excludedUntilNanos, untilNanos);
     }
 
+    /** Returns whether a run completed on {@code target} a moment ago and none has failed there since. */
+    static boolean isProven(TargetState target, ClockReading now) {
+        return target.lastSuccessNanos != 0
+                && target.lastFailedJob.isEmpty()
+                && target.failureScore == 0
+                && now.millisSince(target.lastSuccessNanos) <= PROVEN_MILLIS;
+    }
+
     /** Records that a run completed on {@code target}. */
-    void recordSuccess(TargetState target) {
+    void recordSuccess(TargetState target, ClockReading now) {
+        target.lastSuccessNanos = now.monotonicNanos();
         target.failureScore = 0;
         target.lastFailedJob = "";
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -36,7 +36,10 @@
     /** Monotonic clock reading at the last stall that was counted as a failure, in nanoseconds; 0 before the first. */
     long lastStallNanos;
 
-    /** Id of the job whose failure was counted last; empty if there is none. */
+    /** Monotonic clock reading at the last completed run, in nanoseconds; 0 before the first of the incarnation. */
+    long lastSuccessNanos;
+
+    /** Id of the job that failed last; empty if none has failed since the last success. */
     String lastFailedJob = "";
 
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -51,7 +51,7 @@
         outbox.markChanged(task.step.job);
         switch (end.reason()) {
             case DONE -> {
-                targetHealth.recordSuccess(target);
+                targetHealth.recordSuccess(target, now);
                 recordDuration(task, now);
                 handleDone(task, now);
             }
