Pool: what targets report is handled in a class of its own

Moved without change (Pool 370 lines, now 266), but for one: a restart of a target also forgets which job failed there last, as it forgets the other failures.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import org.jboss.logging.Logger;
 
@@ -20,14 +18,12 @@
 public final class Pool {
     private static final Logger LOG = Logger.getLogger(Pool.class);
 
-    /** Time after which a stop command is sent again if the run is still reported, in milliseconds. */
-    private static final long STOP_RETRY_MILLIS = 300;
-
     private final Map<String, JobExecution> jobs = new LinkedHashMap<>();
     private final Map<String, TargetState> targets = new TreeMap<>();
     private final TargetHealth targetHealth = new TargetHealth();
     private final Outbox outbox = new Outbox();
     private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth);
+    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, this::findTask);
     private final PlacementPass.Context passContext = new PlacementPass.Context(outbox, targetHealth, taskLifecycle);
     private PoolSettings settings = PoolSettings.EMPTY;
 
@@ -135,91 +131,7 @@
      * means a restart, and the incarnation may be lower then, if the target's clock was set back.
      */
     public void handleReport(TargetReport report, ClockReading now) {
-        TargetState target = targets.computeIfAbsent(report.target(), TargetState::new);
-        adoptRuns(target, report);
-        handleRestart(target, report.incarnation(), now);
-        long lastNumber = 0;
-        for (TargetReport.Ended end : report.ended()) {
-            taskLifecycle.handleEnd(findTask(end.task()), target, end, now);
-            lastNumber = end.number();
-        }
-        if (lastNumber > 0) {
-            outbox.addAcknowledgement(target.id, target.incarnation, lastNumber);
-        }
-        reconcileRunning(target, report, now);
-    }
-
-    /**
-     * Accepts runs whose start reached another incarnation of the target than intended, so that they are not treated as
-     * lost by the restart.
-     */
-    private void adoptRuns(TargetState target, TargetReport report) {
-        for (TargetReport.Running run : report.running()) {
-            TaskExecution task = target.tasks.get(run.task());
-            if (task != null && task.lastRun == run.run() && task.phase.mayOccupyTarget()) {
-                task.incarnation = report.incarnation();
-            }
-        }
-    }
-
-    /** Compares the reported runs with the expected ones: stops stray runs and requeues tasks whose run is absent. */
-    private void reconcileRunning(TargetState target, TargetReport report, ClockReading now) {
-        Set<TaskId> reported = new HashSet<>();
-        target.clearStrayRuns();
-        for (TargetReport.Running run : report.running()) {
-            TaskExecution task = findTask(run.task());
-            if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.mayOccupyTarget()) {
-                stopStray(target, task, run);
-                continue;
-            }
-            reported.add(task.id);
-            recordProgress(target, task, run, now);
-        }
-        for (TaskExecution task : List.copyOf(target.tasks.values())) {
-            boolean known = task.phase == Phase.RUNNING || task.phase == Phase.STOPPING;
-            boolean confirmed = task.confirmedNanos != 0 && task.confirmedNanos < report.requestNanos();
-            if (known && confirmed && !reported.contains(task.id)) {
-                LOG.infof(
-                        "run: request=%s task=%s run=%s target=%s outcome=absent",
-                        task.id.job(), task.id, task.lastRun, target.id);
-                taskLifecycle.requeue(task, now);
-            }
-        }
-    }
-
-    private void stopStray(TargetState target, TaskExecution task, TargetReport.Running run) {
-        target.hasStrayRuns = true;
-        if (task != null) {
-            target.strayDemand = target.strayDemand.plus(task.demand());
-        }
-        LOG.infof(
-                "run: request=%s task=%s run=%s target=%s outcome=stray",
-                run.task().job(), run.task(), run.run(), target.id);
-        outbox.addStop(target.id, target.incarnation, run.task(), run.run());
-    }
-
-    private void recordProgress(TargetState target, TaskExecution task, TargetReport.Running run, ClockReading now) {
-        if (!run.checkpoint().isEmpty()) {
-            taskLifecycle.saveCheckpoint(task, run.checkpoint());
-        }
-        if (task.phase == Phase.STARTING) {
-            confirmStart(target, task, now);
-        }
-        if (task.phase == Phase.STOPPING) {
-            if (now.millisSince(task.stopSentNanos) > STOP_RETRY_MILLIS) {
-                taskLifecycle.stop(task, now);
-            }
-            return;
-        }
-        task.recordProgress(run.percent(), now.monotonicNanos());
-        taskLifecycle.checkProgress(task, now);
-    }
-
-    private void confirmStart(TargetState target, TaskExecution task, ClockReading now) {
-        task.confirmRun(now.monotonicNanos());
-        if (task.phase == Phase.STARTING) {
-            target.put(task, Phase.RUNNING);
-        }
+        reportHandler.handle(targets.computeIfAbsent(report.target(), TargetState::new), report, now);
     }
 
     /** Returns whether a start that has not been sent yet is still to be sent. */
@@ -232,7 +144,7 @@
     public void handleStarted(TargetCommand.Start start, ClockReading now) {
         TaskExecution task = currentTask(start);
         if (task != null && task.confirmedNanos == 0) {
-            confirmStart(task.target, task, now);
+            ReportHandler.confirmStart(task, now);
         }
     }
 
@@ -292,23 +204,6 @@
         }
     }
 
-    /** Requeues the tasks of other incarnations, and clears the exclusion and failures of the target. */
-    private void handleRestart(TargetState target, long incarnation, ClockReading now) {
-        if (incarnation == target.incarnation) {
-            return;
-        }
-        target.incarnation = incarnation;
-        target.clearStrayRuns();
-        target.failureScore = 0;
-        target.lastSuccessNanos = 0;
-        target.excludedUntilNanos = now.monotonicNanos();
-        for (TaskExecution task : List.copyOf(target.tasks.values())) {
-            if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
-                taskLifecycle.requeue(task, now);
-            }
-        }
-    }
-
     /** Runs a scheduling pass: places waiting tasks and decides which runs to stop. */
     public void schedule(ClockReading now) {
         targets.values().forEach(target -> taskLifecycle.evictBeforeDeparture(target, now));
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -0,0 +1,143 @@
+package org.acaciaport.pool;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.jboss.logging.Logger;
+
+/**
+ * Compares what targets report with what the pool expects of them, and corrects the pool's view or the targets.
+ *
+ * <p>Has no mutable state of its own. Not thread-safe; confined to the thread of the pool.
+ */
+final class ReportHandler {
+    private static final Logger LOG = Logger.getLogger(ReportHandler.class);
+
+    /** Time after which a stop command is sent again if the run is still reported, in milliseconds. */
+    private static final long STOP_RETRY_MILLIS = 300;
+
+    private final Outbox outbox;
+    private final TaskLifecycle taskLifecycle;
+    private final Function<TaskId, TaskExecution> findTask;
+
+    /**
+     * Creates a handler.
+     *
+     * @param outbox collects stop commands and acknowledgements
+     * @param taskLifecycle changes the states of tasks
+     * @param findTask returns a task by its id, or null if it is unknown
+     */
+    ReportHandler(Outbox outbox, TaskLifecycle taskLifecycle, Function<TaskId, TaskExecution> findTask) {
+        this.outbox = outbox;
+        this.taskLifecycle = taskLifecycle;
+        this.findTask = findTask;
+    }
+
+    /** Handles a report of {@code target}; one of another incarnation means a restart. */
+    void handle(TargetState target, TargetReport report, ClockReading now) {
+        adoptRuns(target, report);
+        handleRestart(target, report.incarnation(), now);
+        long lastNumber = 0;
+        for (TargetReport.Ended end : report.ended()) {
+            taskLifecycle.handleEnd(findTask.apply(end.task()), target, end, now);
+            lastNumber = end.number();
+        }
+        if (lastNumber > 0) {
+            outbox.addAcknowledgement(target.id, target.incarnation, lastNumber);
+        }
+        reconcileRunning(target, report, now);
+    }
+
+    /**
+     * Accepts runs whose start reached another incarnation of the target than intended, so that they are not treated as
+     * lost by the restart.
+     */
+    private void adoptRuns(TargetState target, TargetReport report) {
+        for (TargetReport.Running run : report.running()) {
+            TaskExecution task = target.tasks.get(run.task());
+            if (task != null && task.lastRun == run.run() && task.phase.mayOccupyTarget()) {
+                task.incarnation = report.incarnation();
+            }
+        }
+    }
+
+    /** Compares the reported runs with the expected ones: stops stray runs and requeues tasks whose run is absent. */
+    private void reconcileRunning(TargetState target, TargetReport report, ClockReading now) {
+        Set<TaskId> reported = new HashSet<>();
+        target.clearStrayRuns();
+        for (TargetReport.Running run : report.running()) {
+            TaskExecution task = findTask.apply(run.task());
+            if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.mayOccupyTarget()) {
+                stopStray(target, task, run);
+                continue;
+            }
+            reported.add(task.id);
+            recordProgress(task, run, now);
+        }
+        for (TaskExecution task : List.copyOf(target.tasks.values())) {
+            boolean known = task.phase == Phase.RUNNING || task.phase == Phase.STOPPING;
+            boolean confirmed = task.confirmedNanos != 0 && task.confirmedNanos < report.requestNanos();
+            if (known && confirmed && !reported.contains(task.id)) {
+                LOG.infof(
+                        "run: request=%s task=%s run=%s target=%s outcome=absent",
+                        task.id.job(), task.id, task.lastRun, target.id);
+                taskLifecycle.requeue(task, now);
+            }
+        }
+    }
+
+    private void stopStray(TargetState target, TaskExecution task, TargetReport.Running run) {
+        target.hasStrayRuns = true;
+        if (task != null) {
+            target.strayDemand = target.strayDemand.plus(task.demand());
+        }
+        LOG.infof(
+                "run: request=%s task=%s run=%s target=%s outcome=stray",
+                run.task().job(), run.task(), run.run(), target.id);
+        outbox.addStop(target.id, target.incarnation, run.task(), run.run());
+    }
+
+    private void recordProgress(TaskExecution task, TargetReport.Running run, ClockReading now) {
+        if (!run.checkpoint().isEmpty()) {
+            taskLifecycle.saveCheckpoint(task, run.checkpoint());
+        }
+        if (task.phase == Phase.STARTING) {
+            confirmStart(task, now);
+        }
+        if (task.phase == Phase.STOPPING) {
+            if (now.millisSince(task.stopSentNanos) > STOP_RETRY_MILLIS) {
+                taskLifecycle.stop(task, now);
+            }
+            return;
+        }
+        task.recordProgress(run.percent(), now.monotonicNanos());
+        taskLifecycle.checkProgress(task, now);
+    }
+
+    /** Records that the newest run of the task has started. */
+    static void confirmStart(TaskExecution task, ClockReading now) {
+        task.confirmRun(now.monotonicNanos());
+        if (task.phase == Phase.STARTING) {
+            task.target.put(task, Phase.RUNNING);
+        }
+    }
+
+    /** Requeues the tasks of other incarnations, and clears the exclusion and failures of the target. */
+    private void handleRestart(TargetState target, long incarnation, ClockReading now) {
+        if (incarnation == target.incarnation) {
+            return;
+        }
+        target.incarnation = incarnation;
+        target.clearStrayRuns();
+        target.failureScore = 0;
+        target.lastSuccessNanos = 0;
+        target.lastFailedJob = "";
+        target.excludedUntilNanos = now.monotonicNanos();
+        for (TaskExecution task : List.copyOf(target.tasks.values())) {
+            if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
+                taskLifecycle.requeue(task, now);
+            }
+        }
+    }
+}
