A search for victims looks anew only where something changed; gangs without room are passed over sooner

Each victim that is chosen had all others weighed again on all targets, and each waiting gang had all targets sorted by rack in each pass. Change: slots are counted by target and kept, gains of victims that share no target with the chosen one are kept, and a gang is only looked at closer if its tasks would fit on all targets together.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -89,7 +89,7 @@
     private void place(PlacementUnit unit) {
         DemandKey key = demandKey(unit);
         boolean cacheable = isCacheable(unit);
-        boolean mayFit = !cacheable || !unplaceable.contains(key);
+        boolean mayFit = cacheable ? !unplaceable.contains(key) : mayFit(unit);
         boolean searches = isSearchDue(unit) && !(cacheable && unsearchable.contains(key));
         if (!mayFit && !searches) {
             return;
@@ -117,6 +117,24 @@
         }
     }
 
+    /**
+     * Returns false if the unit certainly does not fit into free resources, regardless of its locality. Cheaper than a
+     * choice of targets, and false for most gangs that wait.
+     */
+    private boolean mayFit(PlacementUnit unit) {
+        if (unitWaits.isLongInMostlyFreePool(unit)) {
+            return true;
+        }
+        int slots = 0;
+        for (TargetState target : targets) {
+            slots += Placement.countSlots(unit, target, target.projectedFree());
+            if (slots >= unit.size()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private DemandKey demandKey(PlacementUnit unit) {
         return DemandKey.of(
                 unit, unitWaits.mayLeaveRack(unit), unitWaits.isLongInMostlyFreePool(unit), unitWaits.isClaim(unit));
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
@@ -1,6 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -13,7 +14,8 @@
  * A search for the victims whose end makes room for a unit at the lowest cost.
  *
  * <p>Greedy and not optimal: repeatedly adds the victim with the lowest cost per gained slot, then drops the victims
- * that turn out to be redundant. A gang is a victim only as a whole. Not thread-safe; confined to the thread of the
+ * that turn out to be redundant. A gang is a victim only as a whole. A choice looks anew only at victims on the targets
+ * of the one chosen before. Not thread-safe; confined to the thread of the
  * pool.
  */
 final class PreemptionPlanner {
@@ -41,6 +43,12 @@
     private final Map<TargetState, Resources> freed = new HashMap<>();
     private final Set<Victim> chosen = new LinkedHashSet<>();
 
+    /** Number of tasks of the unit that fit on each target after the chosen victims have ended. */
+    private final Map<TargetState, Integer> slots = new HashMap<>();
+
+    /** The sum of {@code slots}. */
+    private int totalSlots;
+
     private PreemptionPlanner(PlacementUnit unit, List<TargetState> targets, CostModel costModel, ClockReading now) {
         this.unit = unit;
         this.targets = targets;
@@ -65,8 +73,22 @@
      */
     record Plan(List<TargetState> targets, List<TaskExecution> victims, double cost) {}
 
-    /** A gang or a single task that may make room, with its cost. */
-    private record Victim(List<TaskExecution> tasks, double cost) {}
+    /** A gang or a single task that may make room, with its targets and its cost. Equal only to itself. */
+    private static final class Victim {
+        final List<TaskExecution> tasks;
+        final Set<TargetState> targets = new HashSet<>();
+        final double cost;
+
+        Victim(List<TaskExecution> tasks, double cost) {
+            this.tasks = tasks;
+            this.cost = cost;
+            tasks.forEach(task -> targets.add(task.target));
+        }
+
+        boolean sharesTargetWith(Victim other) {
+            return !Collections.disjoint(targets, other.targets);
+        }
+    }
 
     /**
      * Returns a plan that places {@code unit} on {@code targets}, or null if there is none.
@@ -86,16 +108,19 @@
 
     private Plan search(Predicate<TaskExecution> allowed) {
         List<Victim> candidates = candidates(allowed);
+        targets.forEach(this::updateSlots);
         if (!sufficesIfAllStopped(candidates)) {
             return null;
         }
-        while (selectTargets() == null) {
-            Victim best = bestCandidate(candidates);
+        Map<Victim, Double> gains = new HashMap<>();
+        while (totalSlots < unit.size()) {
+            Victim best = bestCandidate(candidates, gains);
             if (best == null) {
                 return null;
             }
             candidates.remove(best);
             apply(best, 1);
+            gains.keySet().removeIf(victim -> victim.sharesTargetWith(best));
         }
         removeRedundantVictims();
         List<TaskExecution> victims = new ArrayList<>();
@@ -104,19 +129,22 @@
             victims.addAll(victim.tasks);
             cost = costModel == CostModel.LOST_WORK ? cost + victim.cost : Math.max(cost, victim.cost);
         }
-        return new Plan(selectTargets(), victims, cost);
+        return new Plan(Placement.selectTargets(unit, targets, this::freeAfterStops), victims, cost);
     }
 
     /** Returns whether the unit would fit if all candidates ended. */
     private boolean sufficesIfAllStopped(List<Victim> candidates) {
         candidates.forEach(victim -> apply(victim, 1));
-        boolean enough = selectTargets() != null;
+        boolean enough = totalSlots >= unit.size();
         candidates.forEach(victim -> apply(victim, -1));
         return enough;
     }
 
-    private List<TargetState> selectTargets() {
-        return Placement.selectTargets(unit, targets, this::freeAfterStops);
+    /** Counts the slots of {@code target} anew, if it is one of the targets to choose from. */
+    private void updateSlots(TargetState target) {
+        int count = Placement.countSlots(unit, target, freeAfterStops(target));
+        Integer before = slots.put(target, count);
+        totalSlots += count - (before == null ? 0 : before);
     }
 
     private Resources freeAfterStops(TargetState target) {
@@ -195,11 +223,16 @@
                 : PREEMPTION_DELAY_SECONDS * PREEMPTION_DELAY_SECONDS / slackSeconds;
     }
 
-    private Victim bestCandidate(List<Victim> candidates) {
+    /**
+     * Returns the candidate with the lowest cost per gained slot, or null if none gains anything.
+     *
+     * @param gains gains that are known already; those of other candidates are added
+     */
+    private Victim bestCandidate(List<Victim> candidates, Map<Victim, Double> gains) {
         Victim best = null;
         double bestScore = Double.MAX_VALUE;
         for (Victim victim : candidates) {
-            double gain = slotGain(victim);
+            double gain = gains.computeIfAbsent(victim, this::slotGain);
             if (gain > 0 && victim.cost / gain < bestScore) {
                 best = victim;
                 bestScore = victim.cost / gain;
@@ -210,22 +243,13 @@
 
     /** Returns the number of slots that the end of {@code victim} adds, plus a small share for partial slots. */
     private double slotGain(Victim victim) {
-        Set<TargetState> affected = new HashSet<>();
-        victim.tasks.forEach(task -> affected.add(task.target));
-        affected.retainAll(targets);
-        int before = 0;
-        for (TargetState target : affected) {
-            before += Placement.countSlots(unit, target, freeAfterStops(target));
-        }
+        int before = totalSlots;
         apply(victim, 1);
-        int after = 0;
-        for (TargetState target : affected) {
-            after += Placement.countSlots(unit, target, freeAfterStops(target));
-        }
+        int after = totalSlots;
         apply(victim, -1);
         double partial = 0;
         for (TaskExecution task : victim.tasks) {
-            if (affected.contains(task.target)) {
+            if (slots.containsKey(task.target)) {
                 partial += task.demand().coreEquivalents()
                         / Math.max(1, unit.demand().coreEquivalents());
             }
@@ -240,6 +264,11 @@
             freed.merge(
                     task.target, sign > 0 ? demand : Resources.NONE.minus(demand), (sum, change) -> sum.plus(change));
         }
+        for (TargetState target : victim.targets) {
+            if (slots.containsKey(target)) {
+                updateSlots(target);
+            }
+        }
         if (sign > 0) {
             chosen.add(victim);
         } else {
@@ -252,7 +281,7 @@
         byCost.sort((one, other) -> Double.compare(other.cost, one.cost));
         for (Victim victim : byCost) {
             apply(victim, -1);
-            if (selectTargets() == null) {
+            if (totalSlots < unit.size()) {
                 apply(victim, 1);
             }
         }
