A last attempt takes proven targets only where it fits without stops

Change: proven targets are tried first, in free room alone; then all as before, so no wait is added. Test: FaultyTargetTest#theLastAttemptStopsNoWorkWhileOtherTargetsAreFree, failed before.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * Groups of targets with the same locality, each of which may host a whole unit. Outside the first tier, tasks take
@@ -40,6 +41,13 @@
         return mayLeaveRack(unit, overdue, waitedMillis) ? List.of(nearData, anywhere) : List.of(nearData);
     }
 
+    /** Returns the same groups with only those targets for which {@code usable} holds. */
+    LocalityTier filter(Predicate<TargetState> usable) {
+        return new LocalityTier(groups.stream()
+                .map(group -> group.stream().filter(usable).toList())
+                .toList());
+    }
+
     /** Returns whether a task that prefers the rack of its data accepts targets outside it. */
     static boolean mayLeaveRack(PlacementUnit unit, boolean overdue, long waitedMillis) {
         return overdue || waitedMillis > LOCALITY_WAIT_FACTOR * unit.step().spec.estimateMillis();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -95,6 +95,9 @@
             return;
         }
         List<LocalityTier> tiers = unitWaits.localityTiers(unit);
+        if (mayFit && unit.isLastAttempt() && placeOnProvenTargets(unit, tiers.get(0))) {
+            return;
+        }
         for (LocalityTier tier : tiers) {
             if (mayFit && placeInFreeCapacity(unit, tier, TargetState::projectedFree)
                     || searches && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
@@ -174,6 +177,12 @@
         }
     }
 
+    /** Places the last attempt of a unit where runs have just completed, if it fits there without stopping others. */
+    private boolean placeOnProvenTargets(PlacementUnit unit, LocalityTier tier) {
+        LocalityTier proven = tier.filter(target -> TargetHealth.isProven(target, now));
+        return placeInFreeCapacity(unit, proven, TargetState::projectedFree);
+    }
+
     /** Takes resources that a gang holds in vain, for a unit that has waited while most of the capacity is free. */
     private boolean takeHeldCapacity(PlacementUnit unit, LocalityTier tier) {
         HeldCapacity held = new HeldCapacity(unit);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -54,7 +54,7 @@
 
     /**
      * Returns the tiers of targets that the unit accepts now, best locality first. Targets on which its job failed are
-     * left out if the unit would fit on the others, and for its last attempt also those that are not known to be sound.
+     * left out if the unit would fit on the others.
      */
     List<LocalityTier> localityTiers(PlacementUnit unit) {
         Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
@@ -63,12 +63,6 @@
         if (!targetHealth.hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
             racks.values().forEach(rack -> rack.removeIf(failed));
         }
-        if (unit.isLastAttempt() && !isLongInMostlyFreePool(unit)) {
-            Predicate<TargetState> proven = target -> TargetHealth.isProven(target, now);
-            if (placement.fitsOnIdle(unit, proven.and(failed.negate()))) {
-                racks.values().forEach(rack -> rack.removeIf(proven.negate()));
-            }
-        }
         return LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/FaultyTargetTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/FaultyTargetTest.java
@@ -57,6 +57,22 @@
         assertThat(fixture.startsOf("a").get(1).target()).isEqualTo("t3");
     }
 
+    /** Guards against a claim that, on its last attempt, stops the work of proven targets while others are free. */
+    @Test
+    void theLastAttemptStopsNoWorkWhileOtherTargetsAreFree() {
+        fixture.setGuarantee("owner", 8);
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.independentTasks(1, 8)));
+        fixture.addTarget("t2", "r1");
+        fixture.submit(fixture.job("earlier", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.endRun(PoolFixture.taskId("earlier", 0), TargetReport.EndReason.DONE);
+        fixture.submit(fixture.job("patient", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.addTarget("t3", "r1");
+        fixture.endRun(PoolFixture.taskId("claim", 0), TargetReport.EndReason.FAILED);
+        assertThat(fixture.stops).isEmpty();
+        assertThat(fixture.startsOf("claim").get(1).target()).isEqualTo("t3");
+    }
+
     /** Guards against a last attempt that waits for a proven target while most of the pool is free (LOST). */
     @Test
     void theLastAttemptDoesNotWaitLongForAProvenTarget() {
