--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -164,6 +164,7 @@
         if (delayed) {
             Thread.sleep(ThreadLocalRandom.current().nextInt(700));
         }
+
         return silent ? null : down ? Http.RESET : reply;
     }
 
@@ -185,6 +186,10 @@
         return Http.Reply.json(200, "{\"clock_ms\":" + clockMillis() + "}");
     }
 
+    private static String key(String task, int run) {
+        return task + "/" + run;
+    }
+
     private boolean isFenced(JsonNode body) {
         long fence = body.path("fence").asLong(0);
         if (fence < highestFence) {
@@ -210,11 +215,11 @@
         int run = body.get("run").asInt();
         boolean late = body.get("until_ms").asLong() <= clockMillis();
         extendLease(body);
-        Run present = running.get(task);
-        if (present != null && present.run == run) {
+        if (running.containsKey(key(task, run))) {
             return done();
         }
-        if (highestEnded.getOrDefault(task, 0) >= run || present != null && present.run > run) {
+        boolean higher = running.values().stream().anyMatch(other -> other.task.equals(task) && other.run > run);
+        if (highestEnded.getOrDefault(task, 0) >= run || higher) {
             return refuse("old");
         }
         if (late) {
@@ -244,7 +249,7 @@
         if (!started.saved.isEmpty()) {
             started.workNanos = Long.parseLong(started.saved, 16);
         }
-        running.put(task, started);
+        running.put(key(task, run), started);
         ledger.started(id, task, run, body.path("spec").asText());
         if (step.gang()) {
             cluster.gangPresent(this, started);
@@ -259,9 +264,10 @@
         tick();
         String task = body.get("task").asText();
         int run = body.get("run").asInt();
-        Run present = running.get(task);
-        if (present != null && present.run <= run) {
-            end(present, "stopped");
+        for (Run present : new ArrayList<>(running.values())) {
+            if (present.task.equals(task) && present.run <= run) {
+                end(present, "stopped");
+            }
         }
         highestEnded.merge(task, run, Math::max);
         return done();
@@ -302,10 +308,9 @@
 
     /** Ends a run; the caller holds the lock. */
     private void end(Run run, String how) {
-        if (running.get(run.task) != run) {
+        if (!running.remove(key(run.task, run.run), run)) {
             return;
         }
-        running.remove(run.task);
         highestEnded.merge(run.task, run.run, Math::max);
         String saved = run.step.checkpoint() ? Long.toString(run.workNanos, 16) : "";
         ends.add(new End(nextNumber++, run.task, run.run, how, saved, System.nanoTime()));
