Review, case 4: tasks of workers that left wait 14 s after a change of leader

Workers leave at short notice and the leader is killed 2 s later; the next one starts their tasks only 14.3 s after its own start.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 java="$(bin/find-jdk)/bin/java" || exit 2
-timeout 118 "$java" -Xmx1g -cp "target/review:target/node/lib/*" Case . review/4/record.txt EarlyHangup "${TROUBLE:-1}"
+timeout 118 "$java" -Xmx1g -cp "target/review:target/node/lib/*" Case . review/4/record.txt OrphanedTask "${TROUBLE:-1}"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -38,6 +38,7 @@
                     case "ManyEnds" -> new ManyEnds();
                     case "LargeJob" -> new LargeJob();
                     case "OneFailure" -> new OneFailure();
+                    case "OrphanedTask" -> new OrphanedTask();
                     case "EarlyHangup" -> new EarlyHangup();
                     default -> throw new IllegalArgumentException(arguments[2]);
                 };
--- a/review/harness/Worker.java
+++ b/review/harness/Worker.java
@@ -68,6 +68,10 @@
 
     volatile boolean silent;
     volatile boolean down;
+
+    /** Least time that is left when the worker drains; 0 if it does not. */
+    private volatile long remainingMillis;
+
     volatile double failShare = 0.01;
     volatile double slow = 1;
 
@@ -91,13 +95,29 @@
         return (System.nanoTime() - bootNanos) / 1_000_000;
     }
 
+    /** Says that this worker leaves in {@code millis}. */
+    void drain(long millis) {
+        remainingMillis = millis;
+        register();
+    }
+
+    /** Leaves for good: the process is gone and so is its entry. */
+    void leave() {
+        crash();
+        cluster.store.put("keyed.servers", id, new byte[0]);
+    }
+
     void register() {
         if (down) {
             return;
         }
         ObjectNode entry = Store.MAPPER.createObjectNode();
         entry.put("service", "render").put("addr", ip + ":" + port).put("zone", zone).put("version", "v1");
-        entry.put("slots", 8).put("state", "ready").put("cold_left_ms", 0);
+        entry.put("slots", 8).put("cold_left_ms", 0);
+        entry.put("state", remainingMillis == 0 ? "ready" : "draining");
+        if (remainingMillis > 0) {
+            entry.put("remaining_ms", remainingMillis);
+        }
         entry.putObject("capacity").put("cpu", cpu).put("mem_mb", memory).put("gpu", 8);
         entry.putArray("labels").add("a").add(rack);
         entry.put("clock_ms", clockMillis()).put("seq", ++sequence).put("born", born);
