--- a/review/harness/Soak.java
+++ b/review/harness/Soak.java
@@ -4,7 +4,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Random faults against the node programs; arguments: repository, record, seed, seconds, faults, nodes. */
+/** Random faults against the node programs; arguments: repository, record, seed, seconds, faults, nodes, jobs a second. */
 final class Soak {
     public static void main(String[] arguments) throws Exception {
         long seed = Long.parseLong(arguments[2]);
