Ended runs that a report does not list are not taken as absent

Cause: a target lists at most 500 ends at a time. ReportHandler took a run that was neither running nor listed as absent and queued its task again; TargetSession concluded the same of an unanswered start, and took 'old run' as proof that a start had no effect.

Change: a report says whether it lists all ends, presenceOf tells absent from unknown, and nothing follows from unknown. A start refused as old is resolved by a report. The ends listed are acknowledged, so the next report has the others.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -325,22 +325,38 @@
         return unansweredStarts.takeResolvable(fence);
     }
 
-    /** Determines the outcome of an unanswered start from a report taken under a higher fencing token. */
+    private synchronized void keepUnanswered(UnansweredStarts.UnansweredStart unanswered) {
+        unansweredStarts.add(unanswered);
+    }
+
+    /**
+     * Determines the outcome of an unanswered start from a report taken under a higher fencing token. It stays open
+     * while the report does not show it.
+     */
     private void resolve(UnansweredStarts.UnansweredStart unanswered, TargetReport report) {
         TargetCommand.Start start = unanswered.start();
-        boolean running =
-                report.running().stream().anyMatch(run -> run.task().equals(start.task()) && run.run() == start.run());
-        boolean ended =
-                report.ended().stream().anyMatch(end -> end.task().equals(start.task()) && end.run() == start.run());
+        TargetReport.Presence presence = report.presenceOf(start.task(), start.run());
         LOG.infof(
                 "start: request=%s task=%s run=%s target=%s outcome=%s",
-                start.task().job(), start.task(), start.run(), id, running ? "found" : ended ? "ended" : "absent");
-        if (running) {
-            events.started(start);
-        } else if (!ended && isWithinResendLimit(unanswered.sentNanos())) {
-            send(start, unanswered.sentNanos());
-        } else if (!ended) {
-            events.notStarted(start, "no answer", EXCLUSION_MILLIS);
+                start.task().job(), start.task(), start.run(), id, presence);
+        switch (presence) {
+            case RUNNING -> events.started(start);
+            case ENDED -> {
+                // The pool hears of the end from the report.
+            }
+            case ABSENT -> handleAbsent(unanswered);
+            case UNKNOWN -> keepUnanswered(unanswered);
+        }
+    }
+
+    /** Sends a start again that has certainly not started a run, unless the target would refuse it or it is too old. */
+    private void handleAbsent(UnansweredStarts.UnansweredStart unanswered) {
+        if (unanswered.refused()) {
+            events.notStarted(unanswered.start(), "old run", 0);
+        } else if (isWithinResendLimit(unanswered.sentNanos())) {
+            send(unanswered.start(), unanswered.sentNanos());
+        } else {
+            events.notStarted(unanswered.start(), "no answer", EXCLUSION_MILLIS);
         }
     }
 
@@ -391,6 +407,10 @@
         BackgroundTasks.run("start-" + id, work, reason -> recordUnanswered(start, fence(), firstNanos, reason));
     }
 
+    private void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
+        recordUnanswered(new UnansweredStarts.UnansweredStart(start, fence, firstNanos, false), reason);
+    }
+
     private void send(TargetCommand.Start start, long firstNanos) {
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
@@ -423,12 +443,13 @@
     }
 
     /** Records an unanswered start, and increments the fencing token so that a delayed copy is rejected. */
-    private synchronized void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
+    private synchronized void recordUnanswered(UnansweredStarts.UnansweredStart unanswered, String reason) {
+        TargetCommand.Start start = unanswered.start();
         LOG.infof(
                 "start: request=%s task=%s run=%s target=%s outcome=unanswered reason=%s",
                 start.task().job(), start.task(), start.run(), id, reason);
-        unansweredStarts.add(start, fence, firstNanos);
-        if (fence() == fence) {
+        unansweredStarts.add(unanswered);
+        if (fence() == unanswered.fence()) {
             fenceIncrements++;
         }
         setOccupied(occupied);
@@ -455,7 +476,10 @@
                     events.notStarted(start, "late", EXCLUSION_MILLIS);
                 }
             }
-            case OLD_RUN -> events.notStarted(start, "old run", 0);
+            case OLD_RUN ->
+                // The run was stopped before it started, or an unanswered copy of the command has started it.
+                recordUnanswered(
+                        new UnansweredStarts.UnansweredStart(start, request.fence(), firstNanos, true), "old run");
             case ROOM -> events.notStarted(start, "no room", PAUSE_MILLIS);
             case UNKNOWN_TASK -> events.notStarted(start, "unknown task", 0);
             case UNHEALTHY, OTHER_TARGET ->
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -159,7 +159,7 @@
                         target.endCount, run.task(), run.run(), TargetReport.EndReason.DONE, ""));
             }
             TargetReport report = new TargetReport(
-                    endpoint.id(), 1, System.nanoTime(), List.copyOf(target.running), List.copyOf(target.ended));
+                    endpoint.id(), 1, System.nanoTime(), List.copyOf(target.running), List.copyOf(target.ended), true);
             return new Reported(clock(), report);
         }
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
@@ -25,6 +25,15 @@
     /** How many of the next start commands throw before they arrive. */
     volatile int startsToThrow;
 
+    /** How many of the next start commands are carried out without an answer. */
+    volatile int startAnswersToLose;
+
+    /** Whether runs end as done as soon as they have started. */
+    volatile boolean endsAtOnce;
+
+    /** How many ended runs are reported at a time. */
+    volatile int endsPerReport = Integer.MAX_VALUE;
+
     /** Stop commands that arrived, by task, in order. */
     final List<TaskId> stops = new CopyOnWriteArrayList<>();
 
@@ -47,6 +56,15 @@
         return running.containsKey(task);
     }
 
+    /** Ends a run as done; has no effect if the task is not running. */
+    synchronized void complete(TaskId task) {
+        Integer run = running.remove(task);
+        if (run != null) {
+            stopped.merge(task, run, Math::max);
+            ended.add(new TargetReport.Ended(ended.size() + 1, task, run, TargetReport.EndReason.DONE, ""));
+        }
+    }
+
     @Override
     public synchronized CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
         if (startsToThrow > 0) {
@@ -56,8 +74,16 @@
         if (stopped.getOrDefault(request.task(), 0) >= request.run()) {
             return new Refused(RefusalReason.OLD_RUN, OptionalLong.of(clock()));
         }
-        running.put(request.task(), request.run());
-        started.add(request.task());
+        if (!Integer.valueOf(request.run()).equals(running.put(request.task(), request.run()))) {
+            started.add(request.task());
+        }
+        if (endsAtOnce) {
+            complete(request.task());
+        }
+        if (startAnswersToLose > 0) {
+            startAnswersToLose--;
+            return new NoAnswer("lost");
+        }
         return new Done(clock());
     }
 
@@ -85,7 +111,9 @@
             List<TargetReport.Ended> unacknowledged = ended.stream()
                     .filter(end -> end.number() > request.acknowledged())
                     .toList();
-            TargetReport report = new TargetReport(address.id(), incarnation, requestNanos, runs, unacknowledged);
+            boolean complete = unacknowledged.size() < endsPerReport;
+            List<TargetReport.Ended> listed = complete ? unacknowledged : unacknowledged.subList(0, endsPerReport);
+            TargetReport report = new TargetReport(address.id(), incarnation, requestNanos, runs, listed, complete);
             return new Reported(clock(), report);
         }
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
@@ -46,7 +46,7 @@
         pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of(SERVICE)));
         pool.register(new TargetInfo("t", SERVICE, "address", "dc", "rack", Set.of(), capacity, false, 0, 1));
         ClockReading now = Clocks.now();
-        pool.handleReport(new TargetReport("t", 1, now.monotonicNanos(), List.of(), List.of()), now);
+        pool.handleReport(new TargetReport("t", 1, now.monotonicNanos(), List.of(), List.of(), true), now);
         return pool;
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -113,6 +113,36 @@
         session.close();
     }
 
+    /**
+     * Guards against a task that runs twice (TWICE): the answer to its start was lost, it has ended, and the report
+     * lists only ends before its own.
+     */
+    @Test
+    void anUnansweredStartIsNotAbsentWhileEndsAreUnlisted() {
+        MemoryTarget memory = new MemoryTarget();
+        memory.endsAtOnce = true;
+        memory.endsPerReport = 1;
+        TargetSession session = new TargetSession(
+                new TargetCalls.Endpoint("t", "host:1"),
+                memory,
+                events,
+                1_000,
+                System.nanoTime() + TimeUnit.HOURS.toNanos(1));
+        session.setOccupied(true);
+        Conditions.await(() -> events.reportCount.get() > 0);
+        TargetCommand.Start earlier = new TargetCommand.Start("t", 1, new TaskId("a", 0, 0, 1), 1, "payload", "");
+        session.start(earlier);
+        memory.startAnswersToLose = 1;
+        session.start(start);
+        long reportsBefore = events.reportCount.get();
+        Conditions.await(() -> events.reportCount.get() > reportsBefore + 2);
+        session.acknowledge(1, 1);
+        Conditions.await(() -> events.lastEnded == 2);
+        assertThat(memory.started).containsExactly(earlier.task(), task).inOrder();
+        assertThat(events.notStarted).isEmpty();
+        session.close();
+    }
+
     @Test
     void aHigherFenceAtTheTargetDeposesTheLeader() throws Exception {
         TargetSession session = newReportedSession();
@@ -164,7 +194,8 @@
             fence = request.fence();
             lastReportFence = fence;
             return new Reported(
-                    clock(), new TargetReport(address.id(), incarnation, System.nanoTime(), List.of(), List.of()));
+                    clock(),
+                    new TargetReport(address.id(), incarnation, System.nanoTime(), List.of(), List.of(), true));
         }
     }
 
@@ -172,15 +203,18 @@
     private static final class Recorder implements TargetSession.Events {
         final CountDownLatch reported = new CountDownLatch(1);
         volatile long lastIncarnation;
+        volatile long lastEnded;
         final AtomicLong reportCount = new AtomicLong();
         final CountDownLatch unresponsive = new CountDownLatch(1);
         final CountDownLatch leaseExpired = new CountDownLatch(1);
         final CountDownLatch deposed = new CountDownLatch(1);
         final LinkedBlockingQueue<TargetCommand.Start> started = new LinkedBlockingQueue<>();
+        final LinkedBlockingQueue<TargetCommand.Start> notStarted = new LinkedBlockingQueue<>();
 
         @Override
         public void reported(TargetReport report) {
             lastIncarnation = report.incarnation();
+            report.ended().forEach(end -> lastEnded = end.number());
             reportCount.incrementAndGet();
             reported.countDown();
         }
@@ -192,6 +226,7 @@
 
         @Override
         public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {
+            notStarted.add(start);
             throw new AssertionError(reason);
         }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -83,7 +83,10 @@
     /** Returns a job whose tasks need a whole target each. */
     private static Job newJob(String id, int count) {
         Resources demand = new Resources(1_000, 1_000, 8);
-        Step step = new Step(count, demand, 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        return newJob(id, new Step(count, demand, 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN));
+    }
+
+    private static Job newJob(String id, Step step) {
         Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
         return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
     }
@@ -142,6 +145,25 @@
         Conditions.await(() -> target.started.size() == 2);
     }
 
+    /** Guards against tasks that run twice (TWICE), as a report lists only a part of the runs that have ended. */
+    @Test
+    void tasksWhoseEndsDoNotFitInOneReportRunOnce() {
+        target.endsPerReport = 2;
+        Step step =
+                new Step(5, new Resources(1_000, 1_000, 1), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        append(JobRecords.encode(newJob("a", step)));
+        lead();
+        Conditions.await(() -> target.started.size() == step.count());
+        List<TaskId> tasks = List.copyOf(target.started);
+        tasks.forEach(target::complete);
+        Conditions.await(() -> stateOf("a") == JobState.DONE);
+        assertThat(target.started).isEqualTo(tasks);
+    }
+
+    private JobState stateOf(String id) {
+        return replica.find(id).state();
+    }
+
     /** Guards against a task that waits for ever, since the call that was to start it threw. */
     @Test
     void aTaskWhoseStartThrowsRunsInTheEnd() {
@@ -246,10 +268,9 @@
     }
 
     private static Job job(String id) {
-        Step step =
-                new Step(1, new Resources(1_000, 1_000, 1), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
-        Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
-        return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
+        return newJob(
+                id,
+                new Step(1, new Resources(1_000, 1_000, 1), 60_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN));
     }
 
     /** Decodes the registration of a single target; the in-memory log has the records of all topics in one. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -62,7 +62,10 @@
         }
     }
 
-    /** Compares the reported runs with the expected ones: stops stray runs and requeues tasks whose run is absent. */
+    /**
+     * Compares the reported runs with the expected ones: stops stray runs and requeues tasks whose run is absent. A
+     * report that lists only some of the ended runs shows no run as absent; later ones list the rest.
+     */
     private void reconcileRunning(TargetState target, TargetReport report, ClockReading now) {
         Set<TaskId> reported = new HashSet<>();
         target.clearStrayRuns();
@@ -75,6 +78,9 @@
             reported.add(task.id);
             recordProgress(task, run, now);
         }
+        if (!report.complete()) {
+            return;
+        }
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
             boolean known = task.phase == Phase.RUNNING || task.phase == Phase.STOPPING;
             boolean confirmed = task.confirmedNanos != 0 && task.confirmedNanos < report.requestNanos();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetReport.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetReport.java
@@ -12,15 +12,44 @@
  * @param requestNanos monotonic clock reading taken before the report was requested
  * @param running runs in progress
  * @param ended ended runs that were not yet acknowledged, in ascending order of their numbers
+ * @param complete whether {@code ended} has all of them; if not, a run that is in neither list may have ended
  */
 public record TargetReport(
-        String target, long incarnation, long requestNanos, List<Running> running, List<Ended> ended) {
+        String target,
+        long incarnation,
+        long requestNanos,
+        List<Running> running,
+        List<Ended> ended,
+        boolean complete) {
     /** Creates a report with immutable copies of the lists. */
     public TargetReport {
         running = List.copyOf(running);
         ended = List.copyOf(ended);
     }
 
+    /** Returns what the report shows of {@code run} of {@code task}. */
+    public Presence presenceOf(TaskId task, int run) {
+        if (running.stream().anyMatch(each -> each.task().equals(task) && each.run() == run)) {
+            return Presence.RUNNING;
+        }
+        if (ended.stream().anyMatch(each -> each.task().equals(task) && each.run() == run)) {
+            return Presence.ENDED;
+        }
+        return complete ? Presence.ABSENT : Presence.UNKNOWN;
+    }
+
+    /** What a report shows of a run. */
+    public enum Presence {
+        /** The run is in progress. */
+        RUNNING,
+        /** The run has ended, and its end is listed. */
+        ENDED,
+        /** The run is not in progress, and no end of it is unacknowledged. */
+        ABSENT,
+        /** The run is not in progress, but its end may be one of those that are not listed. */
+        UNKNOWN
+    }
+
     /**
      * A run in progress.
      *
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -141,14 +141,26 @@
         long requestNanos = now().monotonicNanos();
         millis++;
         pool.handleReport(
-                new TargetReport(target, incarnations.get(target), requestNanos, runningOn(target), List.of(ended)),
+                new TargetReport(
+                        target, incarnations.get(target), requestNanos, runningOn(target), List.of(ended), true),
+                now());
+    }
+
+    /** Handles a report that lists no runs and, unless it is complete, may lack ends. */
+    void reportNothing(String target, boolean complete) {
+        millis++;
+        long requestNanos = now().monotonicNanos();
+        millis++;
+        pool.handleReport(
+                new TargetReport(target, incarnations.get(target), requestNanos, List.of(), List.of(), complete),
                 now());
     }
 
     /** Reports a single run as {@code percent} done. */
     void reportProgress(TargetCommand.Start start, int percent) {
         TargetReport.Running run = new TargetReport.Running(start.task(), start.run(), "", percent);
-        pool.handleReport(new TargetReport(start.target(), 1, now().monotonicNanos(), List.of(run), List.of()), now());
+        pool.handleReport(
+                new TargetReport(start.target(), 1, now().monotonicNanos(), List.of(run), List.of(), true), now());
     }
 
     /** Restarts a target under its id, which ends its runs without a report. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -270,6 +270,6 @@
                 runs.add(new TargetReport.Running(run.start.task(), run.start.run(), "", percent));
             }
         }
-        pool.handleReport(new TargetReport(target, 1, now().monotonicNanos() - 1, runs, ended), now());
+        pool.handleReport(new TargetReport(target, 1, now().monotonicNanos() - 1, runs, ended, true), now());
     }
 }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -211,7 +211,8 @@
         successor.advance(301);
         TargetReport.Running run = new TargetReport.Running(start.task(), start.run(), "", 0);
         successor.pool.handleReport(
-                new TargetReport("t1", 2, successor.now().monotonicNanos(), List.of(run), List.of()), successor.now());
+                new TargetReport("t1", 2, successor.now().monotonicNanos(), List.of(run), List.of(), true),
+                successor.now());
         successor.schedulePass();
         assertThat(successor.stops).containsExactly(new TargetCommand.Stop("t1", 2, start.task(), start.run()));
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/StartContentTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/StartContentTest.java
@@ -211,7 +211,8 @@
         long requestNanos = now().monotonicNanos();
         millis++;
         List<TargetReport.Running> runs = List.copyOf(target.running.values());
-        pool.handleReport(new TargetReport(target.id, target.incarnation, requestNanos, runs, target.ended), now());
+        pool.handleReport(
+                new TargetReport(target.id, target.incarnation, requestNanos, runs, target.ended, true), now());
     }
 
     /** Delivers one pending start, in any order, as the session does: only to the incarnation that it is meant for. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
@@ -22,6 +22,19 @@
         assertThat(fixture.startsOf("next")).hasSize(2);
     }
 
+    /** Guards against tasks that run twice (TWICE), as a report lists only a part of the runs that have ended. */
+    @Test
+    void aRunIsAbsentOnlyFromACompleteReport() {
+        TaskId task = fixture.occupyTargets(1).get(0);
+        fixture.reportNothing("t0", false);
+        fixture.schedulePass();
+        assertThat(fixture.startsOf("busy")).hasSize(1);
+        fixture.reportNothing("t0", true);
+        fixture.schedulePass();
+        assertThat(fixture.startsOf("busy")).hasSize(2);
+        assertThat(fixture.startsOf("busy").get(1).task()).isEqualTo(task);
+    }
+
     /** Guards against resources that stay in use (LOST) after the lease of a stray run has expired. */
     @Test
     void aStrayRunHoldsNoResourcesAfterItsLeaseHasExpired() {
@@ -114,7 +127,7 @@
                 "t1", PoolFixture.SERVICE, "address", "dc", "r1", Set.of(), PoolFixture.TARGET_CAPACITY, false, 0, 0));
         fixture.advance(100);
         fixture.pool.handleReport(
-                new TargetReport("t1", 0, fixture.now().monotonicNanos(), List.of(), List.of()), fixture.now());
+                new TargetReport("t1", 0, fixture.now().monotonicNanos(), List.of(), List.of(), true), fixture.now());
         fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS);
         assertThat(fixture.startsOf("a")).hasSize(2);
     }
@@ -152,7 +165,7 @@
                 .map(start -> new TargetReport.Running(start.task(), start.run(), "", 0))
                 .toList();
         fixture.pool.handleReport(
-                new TargetReport(target, 1, fixture.now().monotonicNanos(), runs, List.of()), fixture.now());
+                new TargetReport(target, 1, fixture.now().monotonicNanos(), runs, List.of(), true), fixture.now());
         fixture.schedulePass();
     }
 }
