--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -1,20 +1,14 @@
 package org.acaciaport.node;
 
 import com.codahale.metrics.MetricRegistry;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.acaciaport.failure.Failures;
-import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
-import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetInfo;
@@ -65,34 +59,23 @@
 
     private static final long PURGE_INTERVAL_MILLIS = 5_000;
 
-    private final LeaderRecord self;
     private final long epoch;
     private final LeaderLogWriter logWriter;
     private final Replica replica;
     private final ConfigurationView configuration;
     private final TopicConsumer registrationConsumer;
     private final Pool pool = new Pool();
-    private final LinkedBlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final EventQueue events = new EventQueue();
     private final TermLoad load;
     private final TargetSessions sessions;
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-    private final ProgressEncoder progressEncoder = new ProgressEncoder();
-
-    /** Deletions of ended jobs for the next append. */
-    private final List<KeyedRecord> tombstones = new ArrayList<>();
+    private final TermWriter writer;
+    private final JobIntake jobIntake;
 
     private volatile boolean ended;
-    private volatile boolean resigning;
-
-    /** Batches whose records are durable, to be released once all earlier events have been handled. */
-    private final List<Batch> durableBatches = new ArrayList<>();
-
-    private boolean appendInFlight;
-    private long lastHeartbeatNanos;
     private long lastPurgeNanos;
 
     Term(LeaderRecord self, long epoch, LeaderLogWriter logWriter, Dependencies dependencies) {
-        this.self = self;
         this.epoch = epoch;
         this.logWriter = logWriter;
         this.replica = dependencies.replica();
@@ -106,18 +89,12 @@
         ClockReading now = Clocks.now();
         lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
+        writer = new TermWriter(self, logWriter, new TermWriter.Threads(executor, events::post), this::end, load);
+        jobIntake = new JobIntake(pool, writer);
         long earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
         sessions = new TargetSessions(epoch, earlierLeasesEndNanos, dependencies.calls(), this, executor, load);
     }
 
-    /**
-     * Work for the thread of the term.
-     *
-     * @param action the work
-     * @param postedNanos when it was posted, on the monotonic clock, in nanoseconds
-     */
-    private record Event(Runnable action, long postedNanos) {}
-
     /**
      * The collaborators of a term.
      *
@@ -138,15 +115,11 @@
             TargetRecordDecoder targetDecoder,
             MetricRegistry metrics) {}
 
-    private void post(Runnable action) {
-        events.add(new Event(action, System.nanoTime()));
-    }
-
     /** Schedules until the term ends or the thread is interrupted. */
     void run() {
         try {
             restore();
-            configuration.setListener(() -> post(() -> pool.configure(configuration.poolSettings())));
+            configuration.setListener(() -> events.post(() -> pool.configure(configuration.poolSettings())));
             pool.configure(configuration.poolSettings());
             registrationConsumer.start();
             while (!ended) {
@@ -164,77 +137,38 @@
 
     /** Rebuilds the pool from the replica and subscribes to later records. */
     private void restore() {
-        ClockReading now = Clocks.now();
-        List<CancelRecord> cancels = new ArrayList<>();
-        for (JobEntry entry : replica.attach(this)) {
-            if (entry.job() == null) {
-                continue;
-            }
-            skipIfRejected(entry.job(), () -> restore(entry, now));
-            if (entry.cancel() != null) {
-                cancels.add(entry.cancel());
-            }
-        }
-        cancels.forEach(cancel -> pool.cancel(cancel.id(), now));
+        jobIntake.restore(replica.attach(this), Clocks.now());
         LOG.infof(
                 "lead: epoch=%s outcome=leading occupied=%s",
                 epoch, pool.occupiedTargets().size());
     }
 
-    private void restore(JobEntry entry, ClockReading now) {
-        JobProgress progress = entry.progress();
-        if (progress == null) {
-            pool.submit(entry.job());
-            return;
-        }
-        try {
-            pool.restore(entry.job(), progress, now);
-            progressEncoder.restore(progress);
-        } catch (RuntimeException e) {
-            // With a part of its progress, the job could run finished tasks again.
-            pool.removeJob(entry.job().id());
-            throw e;
-        }
-    }
-
-    /** Adds a job to the pool by {@code add}; leaves out a job that the pool rejects, as each later term would too. */
-    private void skipIfRejected(Job job, Runnable add) {
-        try {
-            add.run();
-        } catch (RuntimeException e) {
-            LOG.errorf(
-                    "accept: request=%s queue=%s outcome=skipped reason=%s",
-                    job.id(), job.queue(), Failures.reasonOf(e));
-        }
-    }
-
     private void runIteration() throws InterruptedException {
         // Cancellations read until then are among the events handled now.
         ClockReading replicaAsOf = replica.asOf();
-        Event event = events.poll(LOOP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        EventQueue.Event event = events.poll(LOOP_INTERVAL_MILLIS);
         long startNanos = System.nanoTime();
         if (event != null) {
-            handleEvents(event);
+            events.handle(event, load);
         }
         if (ended) {
             return;
         }
         ClockReading now = Clocks.now();
         boolean current = replicaAsOf != null && Clocks.ageMillis(replicaAsOf) < MAX_REPLICA_AGE_MILLIS;
-        durableBatches.forEach(batch -> releaseBatch(batch, current));
-        durableBatches.clear();
-        if (!resigning && current) {
+        writer.takeDurable().forEach(batch -> releaseBatch(batch, current));
+        if (!writer.isResigning() && current) {
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
-        if (!resigning && canOnlyWrite(replicaAsOf)) {
+        if (!writer.isResigning() && canOnlyWrite(replicaAsOf)) {
             LOG.infof("lead: epoch=%s outcome=resigning reason=the log cannot be read", epoch);
-            startResignation();
+            writer.resign();
         }
         pool.takeStops().forEach(sessions::stop);
         purge(now);
-        if (!appendInFlight) {
-            startAppend(now);
+        if (writer.isIdle()) {
+            writer.append(pool.takeBatch(), now);
         }
         Set<String> occupied = new HashSet<>(pool.occupiedTargets());
         sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, now));
@@ -242,19 +176,6 @@
         load.reportIfDue(pool, Clocks.now());
     }
 
-    /**
-     * Handles {@code first} and the events that are waiting behind it. Events posted meanwhile are left to the next
-     * iteration, so that they cannot hold up the scheduling pass.
-     */
-    private void handleEvents(Event first) {
-        List<Event> waiting = new ArrayList<>(List.of(first));
-        events.drainTo(waiting);
-        for (Event event : waiting) {
-            load.recordEvent(event.postedNanos());
-            event.action().run();
-        }
-    }
-
     /** Returns whether the log has taken records of this term all the while but could not be read. */
     private boolean canOnlyWrite(ClockReading replicaAsOf) {
         return replicaAsOf != null
@@ -262,46 +183,6 @@
                 && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_REPLICA_AGE_MILLIS;
     }
 
-    /** Appends the pending records in the background if there are any or a heartbeat is due. */
-    private void startAppend(ClockReading now) {
-        Batch batch = pool.takeBatch();
-        boolean heartbeatDue = now.millisSince(lastHeartbeatNanos) >= HEARTBEAT_INTERVAL_MILLIS;
-        if (batch.records().isEmpty() && tombstones.isEmpty() && !heartbeatDue) {
-            durableBatches.add(batch);
-            return;
-        }
-        List<KeyedRecord> records = new ArrayList<>(tombstones);
-        tombstones.clear();
-        batch.records().forEach(progress -> records.addAll(progressEncoder.encode(progress)));
-        if (heartbeatDue || resigning) {
-            lastHeartbeatNanos = now.monotonicNanos();
-            records.add(JobRecords.encode(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
-        }
-        appendInFlight = true;
-        boolean resignation = resigning;
-        Runnable append = () -> {
-            boolean appended = logWriter.append(records);
-            post(() -> handleAppendResult(appended, resignation, batch, now.monotonicNanos()));
-        };
-        // Whether the records were appended is not known; the next term reads the log.
-        executor.execute(() -> BackgroundTasks.run("append", append, reason -> end("append failed: " + reason)));
-    }
-
-    /** Releases the commands of a durable batch; ends the term if the log rejected the append. */
-    private void handleAppendResult(boolean appended, boolean resignation, Batch batch, long takenNanos) {
-        appendInFlight = false;
-        load.recordAppend(takenNanos);
-        if (!appended) {
-            end("deposed by a later term in the log");
-            return;
-        }
-        if (resignation) {
-            end("resigned");
-            return;
-        }
-        durableBatches.add(batch);
-    }
-
     /**
      * Sends the start commands and acknowledgements that depended on the records of {@code batch}. Starts whose run is
      * not wanted any more are not sent, and none if the replica is not current.
@@ -325,15 +206,13 @@
         lastPurgeNanos = now.monotonicNanos();
         for (String id : pool.jobsEndedBefore(now.wallClockMillis() - ENDED_JOB_RETENTION_MILLIS)) {
             pool.removeJob(id);
-            tombstones.addAll(progressEncoder.remove(id));
-            tombstones.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
-            tombstones.add(KeyedRecord.tombstone(JobRecords.JOB_PREFIX + id));
+            writer.remove(id);
         }
     }
 
     /** Adds or updates a registered target. */
     void register(TargetInfo info) {
-        post(() -> {
+        events.post(() -> {
             TargetInfo previous = sessions.register(info);
             if (previous == null
                     || previous.draining() != info.draining()
@@ -348,7 +227,7 @@
 
     /** Handles the removal of a target's registration. */
     void unregister(String id) {
-        post(() -> {
+        events.post(() -> {
             LOG.infof("target: target=%s outcome=unregistered", id);
             sessions.unregister(id);
             pool.unregister(id);
@@ -357,37 +236,37 @@
 
     @Override
     public void submitted(Job job) {
-        post(() -> skipIfRejected(job, () -> pool.submit(job)));
+        events.post(() -> jobIntake.submit(job));
     }
 
     @Override
     public void cancelled(CancelRecord cancel) {
-        post(() -> pool.cancel(cancel.id(), Clocks.now()));
+        events.post(() -> pool.cancel(cancel.id(), Clocks.now()));
     }
 
     @Override
     public void reported(TargetReport report) {
-        post(() -> pool.handleReport(report, Clocks.now()));
+        events.post(() -> pool.handleReport(report, Clocks.now()));
     }
 
     @Override
     public void started(TargetCommand.Start start) {
-        post(() -> pool.handleStarted(start, Clocks.now()));
+        events.post(() -> pool.handleStarted(start, Clocks.now()));
     }
 
     @Override
     public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {
-        post(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
+        events.post(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
     }
 
     @Override
     public void unresponsive(String target, long exclusionMillis) {
-        post(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
+        events.post(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
     }
 
     @Override
     public void leaseExpired(String target) {
-        post(() -> pool.handleLeaseExpiry(target, Clocks.now()));
+        events.post(() -> pool.handleLeaseExpiry(target, Clocks.now()));
     }
 
     @Override
@@ -415,18 +294,12 @@
      */
     void resign(long millis) {
         long deadline = Clocks.deadlineAfter(millis);
-        post(this::startResignation);
+        events.post(writer::resign);
         while (!ended && Clocks.millisUntil(deadline) > 0 && Clocks.sleep(LOOP_INTERVAL_MILLIS)) {
             // The term ends once the resignation is durable.
         }
     }
 
-    private void startResignation() {
-        resigning = true;
-        // Makes a heartbeat due, so that the resignation is appended without delay.
-        lastHeartbeatNanos -= HEARTBEAT_INTERVAL_MILLIS * Clocks.NANOS_PER_MILLI;
-    }
-
     private void close() {
         registrationConsumer.stop();
         replica.detach();
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
@@ -0,0 +1,130 @@
+package org.acaciaport.node;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.Batch;
+import org.acaciaport.pool.ClockReading;
+import org.acaciaport.pool.JobProgress;
+
+/**
+ * Appends what a term decides to the log in the background, one batch at a time, with the heartbeats of the term.
+ *
+ * <p>Confined to the thread of the term. Invariant: {@link #takeDurable} returns a batch only once all its records are
+ * durable, in the order in which the batches were passed on.
+ */
+final class TermWriter {
+    private final LeaderRecord self;
+    private final LeaderLogWriter logWriter;
+    private final ProgressEncoder progressEncoder = new ProgressEncoder();
+    private final Threads threads;
+    private final Consumer<String> end;
+    private final TermLoad load;
+
+    /** Records for the next append that belong to no batch. */
+    private final List<KeyedRecord> pending = new ArrayList<>();
+
+    /** Batches whose records are durable. */
+    private final List<Batch> durable = new ArrayList<>();
+
+    private boolean appendInFlight;
+    private boolean resigning;
+    private long lastHeartbeatNanos;
+
+    /**
+     * Where work is done.
+     *
+     * @param background runs appends, which block
+     * @param term runs their results on the thread of the term
+     */
+    record Threads(Executor background, Executor term) {}
+
+    /**
+     * Creates a writer.
+     *
+     * @param end ends the term, with the reason
+     */
+    TermWriter(LeaderRecord self, LeaderLogWriter logWriter, Threads threads, Consumer<String> end, TermLoad load) {
+        this.self = self;
+        this.logWriter = logWriter;
+        this.threads = threads;
+        this.end = end;
+        this.load = load;
+    }
+
+    /** Sets the progress of a job that the log already has. */
+    void restore(JobProgress progress) {
+        progressEncoder.restore(progress);
+    }
+
+    /** Removes the records of an ended job with the next append. */
+    void remove(String id) {
+        pending.addAll(progressEncoder.remove(id));
+        pending.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
+        pending.add(KeyedRecord.tombstone(JobRecords.JOB_PREFIX + id));
+    }
+
+    /** Makes the next append a resignation, which is due at once. */
+    void resign() {
+        resigning = true;
+        lastHeartbeatNanos -= Term.HEARTBEAT_INTERVAL_MILLIS * Clocks.NANOS_PER_MILLI;
+    }
+
+    boolean isResigning() {
+        return resigning;
+    }
+
+    /** Returns whether the last append is done, so that {@link #append} may be called. */
+    boolean isIdle() {
+        return !appendInFlight;
+    }
+
+    /** Appends the records of {@code batch} if there are any or a heartbeat is due; the writer must be idle. */
+    void append(Batch batch, ClockReading now) {
+        boolean heartbeatDue = now.millisSince(lastHeartbeatNanos) >= Term.HEARTBEAT_INTERVAL_MILLIS;
+        if (batch.records().isEmpty() && pending.isEmpty() && !heartbeatDue) {
+            durable.add(batch);
+            return;
+        }
+        List<KeyedRecord> records = new ArrayList<>(pending);
+        pending.clear();
+        batch.records().forEach(progress -> records.addAll(progressEncoder.encode(progress)));
+        if (heartbeatDue || resigning) {
+            lastHeartbeatNanos = now.monotonicNanos();
+            records.add(JobRecords.encode(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
+        }
+        appendInFlight = true;
+        boolean resignation = resigning;
+        Runnable append = () -> {
+            boolean appended = logWriter.append(records);
+            threads.term().execute(() -> handleResult(appended, resignation, batch, now.monotonicNanos()));
+        };
+        // Whether the records were appended is not known; the next term reads the log.
+        threads.background()
+                .execute(() -> BackgroundTasks.run("append", append, reason -> end.accept("append failed: " + reason)));
+    }
+
+    /** Ends the term if the log rejected the append or it was a resignation. */
+    private void handleResult(boolean appended, boolean resignation, Batch batch, long takenNanos) {
+        appendInFlight = false;
+        load.recordAppend(takenNanos);
+        if (!appended) {
+            end.accept("deposed by a later term in the log");
+            return;
+        }
+        if (resignation) {
+            end.accept("resigned");
+            return;
+        }
+        durable.add(batch);
+    }
+
+    /** Returns and clears the batches whose records have become durable. */
+    List<Batch> takeDurable() {
+        List<Batch> taken = List.copyOf(durable);
+        durable.clear();
+        return taken;
+    }
+}
