No append exceeds what the log takes, and one that it never takes is not repeated

Cause: a new term wrote the whole progress of a restored job with its first change, a batch was one append whatever its size, and a status that means 'too large' counted as unknown and was repeated for ever, without heartbeats. Evidence: the case's record shows each leader send 2.3 MB and get 400, until the next one does the same.

Change: the encoder is told in which records the log has a restored job. AppendLimits, from the settings, splits a batch; AppendOutcome.Rejected ends a term with the key of the record, and the node's later terms leave its job out.

Now every first part of a batch holds by itself (order of the records, completeRestored); CutBatchTest cuts batches at random places. LeaderLogWriterTest still asks for one append within the limit; its expectations name the result instead of true and false.

--- a/acacia-core/src/main/java/org/acaciaport/log/AppendOutcome.java
+++ b/acacia-core/src/main/java/org/acaciaport/log/AppendOutcome.java
@@ -33,6 +33,13 @@
      */
     record Refused(String reason) implements AppendOutcome {}
 
+    /**
+     * Nothing was appended, and the same append will never be: the log takes no such records.
+     *
+     * @param reason the error that the log reported
+     */
+    record Rejected(String reason) implements AppendOutcome {}
+
     /**
      * It is unknown whether the records were appended. They may still be appended several seconds later.
      *
--- a/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
@@ -14,16 +14,21 @@
  * @param job the job as submitted; null if its record has not been read
  * @param progress latest progress, without its tasks unless {@link #withTasks} added them; null before the first
  * @param cancel the cancellation; null if there is none
+ * @param tasksEmbedded whether the record of the progress embeds that of the tasks, as earlier builds wrote it
  */
-record JobEntry(Job job, JobProgress progress, CancelRecord cancel) {
-    static final JobEntry NONE = new JobEntry(null, null, null);
+record JobEntry(Job job, JobProgress progress, CancelRecord cancel, boolean tasksEmbedded) {
+    static final JobEntry NONE = new JobEntry(null, null, null, false);
 
     JobEntry with(Job value) {
-        return new JobEntry(value, progress, cancel);
+        return new JobEntry(value, progress, cancel, tasksEmbedded);
     }
 
     JobEntry with(JobProgress value) {
-        return new JobEntry(job, value, cancel);
+        return new JobEntry(job, value, cancel, tasksEmbedded);
+    }
+
+    JobEntry withTasksEmbedded(boolean value) {
+        return new JobEntry(job, progress, cancel, value);
     }
 
     /** Returns this entry with {@code tasks} in its progress; without progress, there are no tasks. */
@@ -32,7 +37,7 @@
     }
 
     JobEntry with(CancelRecord value) {
-        return new JobEntry(job, progress, value);
+        return new JobEntry(job, progress, value, tasksEmbedded);
     }
 
     boolean isEmpty() {
--- a/acacia-node/src/main/java/org/acaciaport/node/JobIntake.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobIntake.java
@@ -49,7 +49,7 @@
         }
         try {
             pool.restore(entry.job(), progress, now);
-            writer.restore(progress);
+            writer.restore(entry);
         } catch (RuntimeException e) {
             // With a part of its progress, the job could run finished tasks again.
             pool.removeJob(entry.job().id());
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.acaciaport.encoding.MessagePackCheck;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
@@ -36,7 +38,18 @@
     }
 
     static KeyedRecord encode(JobProgress progress) {
-        return record(PROGRESS_PREFIX + progress.id(), progress);
+        List<Integer> ranges = OccurrenceRanges.compact(progress.doneOccurrences());
+        return record(PROGRESS_PREFIX + progress.id(), progress.withDoneOccurrences(ranges));
+    }
+
+    /**
+     * Decodes the progress of a job.
+     *
+     * @throws IOException if the value is no progress
+     */
+    static JobProgress decodeProgress(KeyedRecord record) throws IOException {
+        JobProgress progress = decode(record, JobProgress.class);
+        return progress.withDoneOccurrences(OccurrenceRanges.expand(progress.doneOccurrences()));
     }
 
     /** Encodes the progress of a task under its {@link #taskKey}. */
@@ -55,11 +68,20 @@
      * @throws IOException if another program made the key, and it names no job
      */
     static String jobOfTaskKey(String key) throws IOException {
-        int end = key.lastIndexOf(TASK_SEPARATOR);
-        if (end <= TASK_PREFIX.length()) {
-            throw new IOException("the key names no job");
+        return jobOfKey(key).orElseThrow(() -> new IOException("the key names no job"));
+    }
+
+    /** Returns the id of the job that a record with this key is about; empty if it is about none. */
+    static Optional<String> jobOfKey(String key) {
+        if (key.startsWith(TASK_PREFIX)) {
+            int end = key.lastIndexOf(TASK_SEPARATOR);
+            boolean named = end > TASK_PREFIX.length();
+            return named ? Optional.of(key.substring(TASK_PREFIX.length(), end)) : Optional.empty();
         }
-        return key.substring(TASK_PREFIX.length(), end);
+        return Stream.of(JOB_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX)
+                .filter(key::startsWith)
+                .map(prefix -> key.substring(prefix.length()))
+                .findFirst();
     }
 
     static KeyedRecord encode(CancelRecord cancel) {
@@ -107,7 +129,7 @@
         decode(encode(job), Job.class);
         JobProgress.Task task = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
         decode(encode(taskKey("j", task), task), JobProgress.Task.class);
-        decode(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of())), JobProgress.class);
+        decodeProgress(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of())));
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
@@ -36,6 +37,7 @@
     private static final long ANSWER_RESERVE_MILLIS = 40;
 
     private final Topics topics;
+    private final AppendLimits limits;
     private final FailoverLog log;
     private final Replica replica;
     private final TopicConsumer jobConsumer;
@@ -45,6 +47,7 @@
 
     JobService(Term.Dependencies dependencies, TopicConsumer jobConsumer, long maxConfigurationAgeMillis) {
         this.topics = dependencies.topics();
+        this.limits = dependencies.limits();
         this.log = dependencies.log();
         this.replica = dependencies.replica();
         this.configurationView = dependencies.configuration();
@@ -92,6 +95,13 @@
          */
         record Refused(String reason) implements Answer {}
 
+        /**
+         * Nothing was written, and the same request will never be: the log has no room for its record.
+         *
+         * @param reason why
+         */
+        record TooLarge(String reason) implements Answer {}
+
         /**
          * The outcome is unknown. The service allows a retry of the same request, since requests are idempotent, but
          * callers do not retry once their deadline has passed.
@@ -181,6 +191,10 @@
      * that the caller has time left to try another node.
      */
     private Answer makeDurable(KeyedRecord record, long deadline) {
+        if (!limits.fits(record)) {
+            return new Answer.TooLarge("the job takes " + record.sizeBytes() + " bytes in the log, which has room for "
+                    + limits.recordBytes() + "; use fewer steps");
+        }
         long appendDeadline = deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI;
         if (!log.isReachable()) {
             return new Answer.Refused("the log cannot be reached now");
@@ -198,6 +212,7 @@
         return switch (outcome) {
             case AppendOutcome.Appended appended -> new Answer.Accepted();
             case AppendOutcome.Refused refused -> new Answer.Refused(refused.reason());
+            case AppendOutcome.Rejected rejected -> new Answer.TooLarge(rejected.reason());
             case AppendOutcome.Unknown unknown -> new Answer.Undetermined(unknown.reason());
             case AppendOutcome.NotAtEnd other -> new Answer.Undetermined("unexpected condition");
             case AppendOutcome.OutOfSequence other -> new Answer.Undetermined("unexpected sequence");
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -151,7 +151,7 @@
         }
         long epoch = appended.offset();
         LeaderLogWriter logWriter =
-                new LeaderLogWriter(dependencies.log(), dependencies.topics().jobs(), epoch);
+                new LeaderLogWriter(dependencies.log(), dependencies.topics().jobs(), dependencies.limits(), epoch);
         if (!logWriter.fenceEarlierTerms() || !jobConsumer.catchUp(Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS))) {
             return;
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/LogCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogCalls.java
@@ -51,7 +51,7 @@
     }
 
     /** Returns the time that a slow link needs to transfer {@code append}, in milliseconds; 0 if that is negligible. */
-    private static long transferMillis(Append append) {
+    static long transferMillis(Append append) {
         long bytes = 0;
         for (KeyedRecord record : append.records()) {
             bytes += record.key().length() + record.value().length;
@@ -67,6 +67,7 @@
             case AppendOutcome.NotAtEnd other -> true;
             case AppendOutcome.Deposed deposed -> true;
             case AppendOutcome.OutOfSequence other -> true;
+            case AppendOutcome.Rejected rejected -> true;
         };
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.wire.WireServer;
@@ -53,6 +54,7 @@
      * @param seeds addresses of other nodes, which may be stale
      * @param capacity what its VM offers
      * @param topics topics in the shared log
+     * @param limits what the shared log takes in one append
      * @param maxConfigurationAgeMillis age up to which the operators' configuration counts as current, in milliseconds
      */
     public record Settings(
@@ -61,6 +63,7 @@
             Supplier<List<String>> seeds,
             VmCapacity capacity,
             Topics topics,
+            AppendLimits limits,
             long maxConfigurationAgeMillis) {}
 
     /**
@@ -87,6 +90,7 @@
                 configuration,
                 dependencies.calls(),
                 settings.topics(),
+                settings.limits(),
                 log,
                 dependencies.targetDecoder(),
                 metrics);
@@ -131,7 +135,7 @@
     private void announce() {
         NodeRecord record = new NodeRecord(settings.name(), address(settings.wireAddress()), settings.capacity());
         Append append = new Append(settings.topics().jobs(), List.of(JobRecords.encode(record)), new Append.Always());
-        while (!appendAnnouncement(append)) {
+        while (!isSettled(append)) {
             if (!Clocks.sleep(ANNOUNCE_RETRY_DELAY_MILLIS)) {
                 return;
             }
@@ -139,14 +143,18 @@
         LOG.infof("announce: node=%s address=%s", record.name(), record.address());
     }
 
-    private boolean appendAnnouncement(Append append) {
-        AtomicBoolean appended = new AtomicBoolean();
+    /** Appends the announcement; returns whether that need not be repeated, as it is durable or never will be. */
+    private boolean isSettled(Append append) {
+        AtomicBoolean settled = new AtomicBoolean();
         Runnable attempt = () -> {
             AppendOutcome outcome = log.append(append, Clocks.deadlineAfter(DURABLE_TIMEOUT_MILLIS));
-            appended.set(outcome instanceof AppendOutcome.Appended);
+            if (outcome instanceof AppendOutcome.Rejected) {
+                LOG.errorf("announce: node=%s outcome=%s", settings.name(), outcome);
+            }
+            settled.set(outcome instanceof AppendOutcome.Appended || outcome instanceof AppendOutcome.Rejected);
         };
         BackgroundTasks.run("announce", attempt, reason -> Clocks.sleep(BackgroundTasks.RETRY_DELAY_MILLIS));
-        return appended.get();
+        return settled.get();
     }
 
     /**
--- a/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
@@ -19,34 +19,46 @@
 final class ProgressEncoder {
     private final Map<String, JobProgress> encoded = new HashMap<>();
 
-    /** Jobs of which it is not known in which records the log has their progress. */
-    private final Set<String> restored = new HashSet<>();
+    /** Jobs whose record in the log embeds the progress of their tasks, as earlier builds wrote it. */
+    private final Set<String> embedded = new HashSet<>();
 
     /**
-     * Sets the progress of a job that the log already has, in records of tasks or, from an earlier build, in that of
-     * the job. All of it is encoded once more with the next change.
+     * Sets the progress of a job that the log already has.
+     *
+     * @param tasksEmbedded whether the record of the job embeds the progress of its tasks; with the next change, all of
+     *     it is encoded in records of tasks
      */
-    void restore(JobProgress progress) {
-        restored.add(progress.id());
+    void restore(JobProgress progress, boolean tasksEmbedded) {
         encoded.put(progress.id(), progress);
+        if (tasksEmbedded) {
+            embedded.add(progress.id());
+        }
     }
 
-    /** Returns the records that change the progress in the log to {@code progress}. */
+    /**
+     * Returns the records that change the progress in the log to {@code progress}. Applied up to any of them, they
+     * amount to a progress that is true, if not the latest: the record of the job comes before the deletions of tasks
+     * whose end it states, and after the records of tasks that it embedded.
+     */
     List<KeyedRecord> encode(JobProgress progress) {
         JobProgress previous = encoded.put(progress.id(), progress);
+        boolean wasEmbedded = embedded.remove(progress.id());
+        JobProgress header = progress.withoutTasks();
+        boolean headerChanged = wasEmbedded || previous == null || !header.equals(previous.withoutTasks());
         List<KeyedRecord> records = new ArrayList<>();
-        boolean complete = previous == null || restored.remove(progress.id());
+        if (headerChanged && !wasEmbedded) {
+            records.add(JobRecords.encode(header));
+        }
         Map<String, JobProgress.Task> removed = previous == null ? new HashMap<>() : tasksByKey(previous);
         tasksByKey(progress).forEach((key, task) -> {
-            if (!task.equals(removed.remove(key)) || complete) {
+            if (!task.equals(removed.remove(key)) || wasEmbedded) {
                 records.add(JobRecords.encode(key, task));
             }
         });
-        removed.keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
-        JobProgress header = progress.withoutTasks();
-        if (complete || !header.equals(previous.withoutTasks())) {
+        if (wasEmbedded) {
             records.add(JobRecords.encode(header));
         }
+        removed.keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
         return records;
     }
 
@@ -54,11 +66,11 @@
     List<KeyedRecord> remove(String id) {
         List<KeyedRecord> records = new ArrayList<>();
         JobProgress progress = encoded.remove(id);
-        restored.remove(id);
+        embedded.remove(id);
+        records.add(KeyedRecord.tombstone(JobRecords.PROGRESS_PREFIX + id));
         if (progress != null) {
             tasksByKey(progress).keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
         }
-        records.add(KeyedRecord.tombstone(JobRecords.PROGRESS_PREFIX + id));
         return records;
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
@@ -33,7 +35,8 @@
      * The latest leader record.
      *
      * @param record the record
-     * @param receivedNanos when it was received, on the monotonic clock, in nanoseconds
+     * @param receivedNanos when it or a later record that only leaders write was received, on the monotonic clock, in
+     *     nanoseconds
      */
     record Leader(LeaderRecord record, long receivedNanos) {}
 
@@ -46,6 +49,9 @@
     private Listener listener;
     private ClockReading asOf;
 
+    /** Jobs that no term of this node gets, since the log rejected one of their records. */
+    private final Set<String> setAside = new HashSet<>();
+
     @Override
     public synchronized void reset() {
         if (earlier == null && asOf != null) {
@@ -84,9 +90,11 @@
             applyJob(key.substring(JobRecords.JOB_PREFIX.length()), decode(record, Job.class));
         } else if (key.startsWith(JobRecords.PROGRESS_PREFIX)) {
             String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
-            contents.putProgress(id, decode(record, JobProgress.class));
+            contents.putProgress(id, isTombstone(record) ? null : JobRecords.decodeProgress(record));
+            contents.recordLeaderWrite();
         } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
             contents.putTask(JobRecords.jobOfTaskKey(key), key, decode(record, JobProgress.Task.class));
+            contents.recordLeaderWrite();
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
@@ -186,9 +194,22 @@
         if (earlier != null) {
             earlier.entriesWithTasks().forEach((id, entry) -> all.merge(id, entry, Replica::addCancellation));
         }
+        all.keySet().removeAll(setAside);
         return List.copyOf(all.values());
     }
 
+    /**
+     * Keeps a job from later terms of this node, each of which would end when the log rejects the record again.
+     *
+     * @param key key of the rejected record
+     */
+    synchronized void setAside(String key) {
+        JobRecords.jobOfKey(key).ifPresent(id -> {
+            setAside.add(id);
+            LOG.errorf("lead: request=%s outcome=set-aside reason=the log rejects its record %s", id, key);
+        });
+    }
+
     /** Returns {@code entry} with the cancellation of {@code read}, which a part of a snapshot contains, if any. */
     private static JobEntry addCancellation(JobEntry read, JobEntry entry) {
         return read.cancel() == null ? entry : entry.with(read.cancel());
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -26,6 +26,13 @@
     /** Offset of the next record of the log. */
     long nextOffset;
 
+    /** Records that the leader has written a record just now, so it is alive. */
+    void recordLeaderWrite() {
+        if (leader != null) {
+            leader = new Replica.Leader(leader.record(), System.nanoTime());
+        }
+    }
+
     /** Returns what is known of a job, without the progress of its tasks; {@link JobEntry#NONE} if nothing is. */
     JobEntry entry(String id) {
         return jobs.getOrDefault(id, JobEntry.NONE);
@@ -58,7 +65,9 @@
      * that of the job.
      */
     void putProgress(String id, JobProgress progress) {
-        put(id, entry(id).with(progress == null ? null : progress.withoutTasks()));
+        boolean embedsTasks = progress != null && !progress.tasks().isEmpty();
+        JobEntry entry = entry(id).with(progress == null ? null : progress.withoutTasks());
+        put(id, entry.withTasksEmbedded(embedsTasks));
         if (progress != null) {
             progress.tasks().forEach(task -> putTask(id, JobRecords.taskKey(id, task), task));
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.acaciaport.failure.Failures;
+import org.acaciaport.log.AppendLimits;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
@@ -89,7 +90,8 @@
         ClockReading now = Clocks.now();
         lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
-        writer = new TermWriter(self, logWriter, new TermWriter.Threads(executor, events::post), this::end, load);
+        writer = new TermWriter(
+                self, logWriter, new TermWriter.Threads(executor, events::post), this::end, replica::setAside, load);
         jobIntake = new JobIntake(pool, writer);
         long earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
         sessions = new TargetSessions(epoch, earlierLeasesEndNanos, dependencies.calls(), this, executor, load);
@@ -102,6 +104,7 @@
      * @param configuration the operators' configuration
      * @param calls sends commands to targets
      * @param topics topics in the shared log
+     * @param limits what the shared log takes in one append
      * @param log the shared log
      * @param targetDecoder decodes target registrations
      * @param metrics receives the durations that {@link TermLoad} measures
@@ -111,6 +114,7 @@
             ConfigurationView configuration,
             TargetCalls calls,
             Topics topics,
+            AppendLimits limits,
             FailoverLog log,
             TargetRecordDecoder targetDecoder,
             MetricRegistry metrics) {}
--- a/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
@@ -7,7 +7,6 @@
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
-import org.acaciaport.pool.JobProgress;
 
 /**
  * Appends what a term decides to the log in the background, one batch at a time, with the heartbeats of the term.
@@ -21,6 +20,7 @@
     private final ProgressEncoder progressEncoder = new ProgressEncoder();
     private final Threads threads;
     private final Consumer<String> end;
+    private final Consumer<String> rejectedKey;
     private final TermLoad load;
 
     /** Records for the next append that belong to no batch. */
@@ -45,25 +45,34 @@
      * Creates a writer.
      *
      * @param end ends the term, with the reason
+     * @param rejectedKey called with the key of a record that the log never takes
      */
-    TermWriter(LeaderRecord self, LeaderLogWriter logWriter, Threads threads, Consumer<String> end, TermLoad load) {
+    TermWriter(
+            LeaderRecord self,
+            LeaderLogWriter logWriter,
+            Threads threads,
+            Consumer<String> end,
+            Consumer<String> rejectedKey,
+            TermLoad load) {
         this.self = self;
         this.logWriter = logWriter;
         this.threads = threads;
         this.end = end;
+        this.rejectedKey = rejectedKey;
         this.load = load;
     }
 
     /** Sets the progress of a job that the log already has. */
-    void restore(JobProgress progress) {
-        progressEncoder.restore(progress);
+    void restore(JobEntry entry) {
+        progressEncoder.restore(entry.progress(), entry.tasksEmbedded());
     }
 
     /** Removes the records of an ended job with the next append. */
     void remove(String id) {
-        pending.addAll(progressEncoder.remove(id));
-        pending.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
+        // The job first: without its progress, a successor would run it again.
         pending.add(KeyedRecord.tombstone(JobRecords.JOB_PREFIX + id));
+        pending.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
+        pending.addAll(progressEncoder.remove(id));
     }
 
     /** Makes the next append a resignation, which is due at once. */
@@ -98,8 +107,8 @@
         appendInFlight = true;
         boolean resignation = resigning;
         Runnable append = () -> {
-            boolean appended = logWriter.append(records);
-            threads.term().execute(() -> handleResult(appended, resignation, batch, now.monotonicNanos()));
+            LeaderLogWriter.Result result = logWriter.append(records);
+            threads.term().execute(() -> handleResult(result, resignation, batch, now.monotonicNanos()));
         };
         // Whether the records were appended is not known; the next term reads the log.
         threads.background()
@@ -107,18 +116,18 @@
     }
 
     /** Ends the term if the log rejected the append or it was a resignation. */
-    private void handleResult(boolean appended, boolean resignation, Batch batch, long takenNanos) {
+    private void handleResult(LeaderLogWriter.Result result, boolean resignation, Batch batch, long takenNanos) {
         appendInFlight = false;
         load.recordAppend(takenNanos);
-        if (!appended) {
-            end.accept("deposed by a later term in the log");
-            return;
-        }
-        if (resignation) {
-            end.accept("resigned");
-            return;
+        switch (result) {
+            case LeaderLogWriter.Result.Durable written when resignation -> end.accept("resigned");
+            case LeaderLogWriter.Result.Durable written -> durable.add(batch);
+            case LeaderLogWriter.Result.Ended other -> end.accept("deposed by a later term in the log");
+            case LeaderLogWriter.Result.Rejected rejected -> {
+                rejectedKey.accept(rejected.key());
+                end.accept("the log rejects the record " + rejected.key() + ": " + rejected.reason());
+            }
         }
-        durable.add(batch);
     }
 
     /** Returns and clears the batches whose records have become durable. */
--- a/acacia-node/src/test/java/org/acaciaport/node/JobServiceTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/JobServiceTest.java
@@ -10,6 +10,7 @@
 import static org.acaciaport.node.LogAccessFixture.submit;
 
 import java.io.IOException;
+import java.util.Collections;
 import java.util.List;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -18,6 +19,7 @@
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Step;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
@@ -68,6 +70,26 @@
         assertThat(jobService.retryAfterSeconds()).isEqualTo(1);
     }
 
+    /** Guards against a caller who sends again and again a job that the log never takes. */
+    @Test
+    void aJobBeyondTheLimitOfTheLogIsNotSent() {
+        JobService jobService = fixture.newJobService(KeyedRecord.tombstone("config"));
+        List<Step> steps = Collections.nCopies(20_000, STEPS.get(0));
+        JobService.Answer answer =
+                jobService.submit(ACCESS, "a", "payload", steps, Job.Schedule.NOW, Clocks.deadlineAfter(2_000));
+        assertThat(answer).isInstanceOf(JobService.Answer.TooLarge.class);
+        assertThat(log.calls).isEqualTo(0);
+    }
+
+    @Test
+    void aJobThatTheLogRejectsIsSentOnce() {
+        log.rejectedKey = "job/a";
+        JobService jobService = fixture.newJobService(KeyedRecord.tombstone("config"));
+        assertThat(submit(jobService, "a")).isInstanceOf(JobService.Answer.TooLarge.class);
+        assertThat(log.calls).isEqualTo(1);
+        assertThat(submit(jobService, "b")).isInstanceOf(JobService.Answer.Accepted.class);
+    }
+
     @Test
     void aLostAnswerIsNeverARefusal() {
         log.failure = MemoryLog.Failure.LOSE_ANSWER;
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -53,7 +53,14 @@
 
     private LeaderElection newElectionWithoutConfiguration(VmCapacity capacity) {
         Term.Dependencies dependencies = new Term.Dependencies(
-                replica, configuration, null, TOPICS, failoverLog, new NoTargets(), new MetricRegistry());
+                replica,
+                configuration,
+                null,
+                TOPICS,
+                MemoryLog.LIMITS,
+                failoverLog,
+                new NoTargets(),
+                new MetricRegistry());
         return new LeaderElection(SELF, capacity, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
@@ -2,10 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.log.ReadOutcome;
 import org.junit.jupiter.api.Test;
 
 /** Tests how a leader appends a batch, against a log in memory. */
@@ -15,7 +17,7 @@
     private static final int RECORD_BYTES = 1_000;
 
     private final MemoryLog log = new MemoryLog();
-    private final LeaderLogWriter writer = new LeaderLogWriter(log, TOPIC, 5);
+    private final LeaderLogWriter writer = new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 5);
 
     private static List<KeyedRecord> largeBatch() {
         return IntStream.range(0, RECORD_COUNT)
@@ -28,15 +30,45 @@
     void aLargeBatchIsAppendedAsAWhole() {
         assertThat(writer.fenceEarlierTerms()).isTrue();
         int callsBefore = log.calls;
-        assertThat(writer.append(largeBatch())).isTrue();
+        assertThat(writer.append(largeBatch())).isEqualTo(new LeaderLogWriter.Result.Durable());
         assertThat(log.calls - callsBefore).isEqualTo(1);
     }
 
+    /** Guards against a leader that writes nothing any more (LOST), since its batch exceeds the limit of the log. */
+    @Test
+    void aBatchBeyondTheLimitIsAppendedInOrderInSeveralAppends() {
+        assertThat(writer.fenceEarlierTerms()).isTrue();
+        int callsBefore = log.calls;
+        List<KeyedRecord> batch = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            batch.addAll(largeBatch());
+        }
+        assertThat(writer.append(batch)).isEqualTo(new LeaderLogWriter.Result.Durable());
+        assertThat(log.calls - callsBefore).isEqualTo(3);
+        assertThat(log.rejections).isEqualTo(0);
+        assertThat(records()).isEqualTo(batch);
+    }
+
+    private List<KeyedRecord> records() {
+        ReadOutcome read = log.read(TOPIC, 0, 0, Clocks.deadlineAfter(1_000));
+        return ((ReadOutcome.Records) read).records();
+    }
+
+    /** Guards against repeating for ever an append that the log rejects each time (LOST). */
+    @Test
+    void theRecordThatTheLogRejectsIsNamed() {
+        assertThat(writer.fenceEarlierTerms()).isTrue();
+        log.rejectedKey = "key-700";
+        List<KeyedRecord> batch = largeBatch();
+        assertThat(writer.append(batch)).isEqualTo(new LeaderLogWriter.Result.Rejected("key-700", "too large"));
+        assertThat(records()).isEqualTo(batch.subList(0, 700));
+    }
+
     @Test
     void nothingOfABatchIsAppendedAfterALaterTermHasBegun() {
         assertThat(writer.fenceEarlierTerms()).isTrue();
         Append later = new Append(TOPIC, List.of(), new Append.Writer("leader", 6, 0));
         log.append(later, Clocks.deadlineAfter(1_000));
-        assertThat(writer.append(largeBatch())).isFalse();
+        assertThat(writer.append(largeBatch())).isEqualTo(new LeaderLogWriter.Result.Ended());
     }
 }
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
@@ -69,8 +69,8 @@
 
     /** Returns a service that uses {@code configuration} until it is {@code maxAgeMillis} old, in milliseconds. */
     JobService newJobService(ConfigurationView configuration, long maxAgeMillis) {
-        Term.Dependencies dependencies =
-                new Term.Dependencies(replica, configuration, null, TOPICS, failoverLog, null, new MetricRegistry());
+        Term.Dependencies dependencies = new Term.Dependencies(
+                replica, configuration, null, TOPICS, MemoryLog.LIMITS, failoverLog, null, new MetricRegistry());
         return new JobService(dependencies, jobConsumer, maxAgeMillis);
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
@@ -172,16 +172,17 @@
 
     @Test
     void aDeposedLeaderCannotAppend() {
-        LeaderLogWriter first = new LeaderLogWriter(log, TOPIC, 5);
+        LeaderLogWriter first = new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 5);
         assertThat(first.fenceEarlierTerms()).isTrue();
-        assertThat(first.append(List.of(KeyedRecord.tombstone("a")))).isTrue();
-        assertThat(new LeaderLogWriter(log, TOPIC, 9).fenceEarlierTerms()).isTrue();
-        assertThat(first.append(List.of(KeyedRecord.tombstone("b")))).isFalse();
+        assertThat(first.append(List.of(KeyedRecord.tombstone("a")))).isEqualTo(new LeaderLogWriter.Result.Durable());
+        assertThat(new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 9).fenceEarlierTerms())
+                .isTrue();
+        assertThat(first.append(List.of(KeyedRecord.tombstone("b")))).isEqualTo(new LeaderLogWriter.Result.Ended());
     }
 
     @Test
     void aLeaderAppendWithALostAnswerIsAppliedOnce() throws Exception {
-        LeaderLogWriter writer = new LeaderLogWriter(log, TOPIC, 5);
+        LeaderLogWriter writer = new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 5);
         assertThat(writer.fenceEarlierTerms()).isTrue();
         log.failure = MemoryLog.Failure.LOSE_ANSWER;
         Thread append = Thread.ofVirtual().start(() -> writer.append(List.of(KeyedRecord.tombstone("a"))));
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -12,9 +12,11 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.ReadOutcome;
 import org.acaciaport.pool.Job;
+import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
@@ -53,6 +55,7 @@
                 configuration,
                 new SequentialTargets(),
                 TOPICS,
+                log.limits,
                 failoverLog,
                 new TargetRecords(),
                 new MetricRegistry());
@@ -64,11 +67,15 @@
     }
 
     private static Job wideJob() {
+        return wideJob("a");
+    }
+
+    private static Job wideJob(String id) {
         Step step =
                 new Step(TASK_COUNT, new Resources(1, 1, 0), 1_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
         Job.Terms terms = new Job.Terms(0, 1, 3, 1_000);
         long now = System.currentTimeMillis();
-        return new Job("a", "queue", "service", "account", terms, "payload", List.of(step), Job.Schedule.NOW, now);
+        return new Job(id, "queue", "service", "account", terms, "payload", List.of(step), Job.Schedule.NOW, now);
     }
 
     private boolean isDone() {
@@ -76,6 +83,19 @@
         return entry != null && entry.state() == JobState.DONE;
     }
 
+    private void awaitDone() {
+        long deadline = Clocks.deadlineAfter(TIMEOUT_MILLIS);
+        while (!isDone() && Clocks.millisUntil(deadline) > 0) {
+            Clocks.sleep(POLL_INTERVAL_MILLIS);
+        }
+    }
+
+    private void registerTargets() {
+        for (int i = 0; i < TARGET_COUNT; i++) {
+            append(new KeyedRecord(TARGET_PREFIX + i, new byte[] {1}));
+        }
+    }
+
     private long bytesAbout(String job) {
         ReadOutcome.Records read = (ReadOutcome.Records) log.read(TOPICS.jobs(), 0, 0, Clocks.deadlineAfter(1_000));
         return read.records().stream()
@@ -90,23 +110,66 @@
      */
     @Test
     void theBytesWrittenForAJobGrowInProportionToItsTasks() throws Exception {
-        for (int i = 0; i < TARGET_COUNT; i++) {
-            append(new KeyedRecord(TARGET_PREFIX + i, new byte[] {1}));
-        }
+        registerTargets();
         append(JobRecords.encode(wideJob()));
         jobConsumer.start();
         LeaderElection election = newElection();
         election.start();
-        long deadline = Clocks.deadlineAfter(TIMEOUT_MILLIS);
-        while (!isDone() && Clocks.millisUntil(deadline) > 0) {
-            Clocks.sleep(POLL_INTERVAL_MILLIS);
-        }
+        awaitDone();
         election.stop(1_000);
         jobConsumer.stop();
         assertThat(isDone()).isTrue();
         assertThat(bytesAbout("a")).isLessThan((long) TASK_COUNT * MAX_BYTES_PER_TASK);
     }
 
+    /**
+     * Guards against a pool in which nothing starts any more (LOST), since what a leader has to write exceeds the log's
+     * limit for one append, and so does what each of its successors has to write.
+     */
+    @Test
+    void aJobWhoseRecordsExceedOneAppendIsDoneAfterATakeover() throws Exception {
+        log.limits = new AppendLimits(1_000, 2_000);
+        registerTargets();
+        append(JobRecords.encode(wideJob()));
+        jobConsumer.start();
+        LeaderElection first = newElection();
+        first.start();
+        Conditions.await(() -> doneTasks() > TASK_COUNT / 4);
+        first.stop(1_000);
+        assertThat(isDone()).isFalse();
+        LeaderElection second = newElection();
+        second.start();
+        awaitDone();
+        second.stop(1_000);
+        jobConsumer.stop();
+        assertThat(isDone()).isTrue();
+        assertThat(log.rejections).isEqualTo(0);
+    }
+
+    private int doneTasks() {
+        return (int) replica.attach(null).stream()
+                .filter(entry -> entry.progress() != null)
+                .flatMap(entry -> entry.progress().tasks().stream())
+                .filter(JobProgress.Task::done)
+                .count();
+    }
+
+    /** Guards against a job that ends the term of each leader in turn (LOST), as the log rejects one of its records. */
+    @Test
+    void aJobWhoseRecordTheLogRejectsKeepsNoOtherJobFromEnding() throws Exception {
+        log.rejectedKey = "task/b/0.0.3";
+        registerTargets();
+        append(JobRecords.encode(wideJob("b")));
+        append(JobRecords.encode(wideJob()));
+        jobConsumer.start();
+        LeaderElection election = newElection();
+        election.start();
+        awaitDone();
+        election.stop(1_000);
+        jobConsumer.stop();
+        assertThat(isDone()).isTrue();
+    }
+
     /** Registers a large target for each record with the prefix of targets. */
     private static final class TargetRecords implements TargetRecordDecoder {
         @Override
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.acaciaport.log.Append;
+import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
 import org.acaciaport.log.KeyedRecord;
@@ -25,6 +26,9 @@
         LOSE_ANSWER
     }
 
+    /** What the platform's store takes. */
+    static final AppendLimits LIMITS = new AppendLimits(262_144, 2_097_152);
+
     private final List<KeyedRecord> records = new ArrayList<>();
     private long epoch;
     private long nextSequence;
@@ -32,6 +36,15 @@
     volatile Failure failure = Failure.NONE;
     volatile int calls;
 
+    /** What the log takes; larger appends are rejected. */
+    volatile AppendLimits limits = LIMITS;
+
+    /** Key of records that are rejected; empty for none. */
+    volatile String rejectedKey = "";
+
+    /** Number of rejected appends. */
+    volatile int rejections;
+
     /** Largest number of records that one read returns. */
     volatile int maxReadRecords = Integer.MAX_VALUE;
 
@@ -47,10 +60,25 @@
         if (failure == Failure.REFUSE) {
             return new AppendOutcome.Refused("refusing");
         }
+        if (!takes(append)) {
+            rejections++;
+            return new AppendOutcome.Rejected("too large");
+        }
         AppendOutcome outcome = apply(append);
         return failure == Failure.LOSE_ANSWER ? new AppendOutcome.Unknown("lost") : outcome;
     }
 
+    private boolean takes(Append append) {
+        long bytes = 0;
+        for (KeyedRecord record : append.records()) {
+            bytes += AppendLimits.LENGTH_BYTES + record.sizeBytes();
+            if (!limits.fits(record) || record.key().equals(rejectedKey)) {
+                return false;
+            }
+        }
+        return bytes <= limits.callBytes();
+    }
+
     private AppendOutcome apply(Append append) {
         switch (append.condition()) {
             case Append.Always always -> {}
--- a/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
@@ -86,18 +86,50 @@
     void tasksWrittenByAnEarlierLeaderAreRemoved() {
         JobProgress earlier = progress(JobState.RUNNING, running(0, 1), running(1, 1));
         apply(new ProgressEncoder().encode(earlier));
-        encoder.restore(restored());
+        encoder.restore(restored(), false);
         apply(encoder.encode(progress(JobState.CANCELLED)));
         assertThat(restored()).isEqualTo(progress(JobState.CANCELLED));
         apply(encoder.remove("a"));
         assertThat(replica.find("a").progress()).isNull();
     }
 
+    /** Guards against a takeover that writes the progress of all jobs anew, beyond the log's limit (LOST). */
+    @Test
+    void aRestoredJobIsNotEncodedAnew() {
+        apply(new ProgressEncoder().encode(progress(JobState.RUNNING, running(0, 1), running(1, 1))));
+        JobEntry entry = replica.attach(null).get(0);
+        encoder.restore(restored(), entry.tasksEmbedded());
+        assertThat(encoder.encode(progress(JobState.RUNNING, done(0), running(1, 1))))
+                .hasSize(1);
+    }
+
+    /** Guards against finished tasks that a successor runs again (TWICE), since it read a part of a batch. */
+    @Test
+    void theEndOfAJobIsReadBeforeTheDeletionOfItsTasks() {
+        apply(encoder.encode(progress(JobState.RUNNING, done(0), done(1), running(2, 1))));
+        List<KeyedRecord> records = encoder.encode(progress(JobState.DONE));
+        assertThat(records).hasSize(4);
+        apply(records.subList(0, 1));
+        assertThat(restored().state()).isEqualTo(JobState.DONE);
+    }
+
+    /** Guards against a job that a successor runs anew (TWICE), since it read only the deletion of its progress. */
+    @Test
+    void embeddedTasksAreReadUntilTheyHaveRecordsOfTheirOwn() {
+        JobProgress embedded = progress(JobState.RUNNING, running(0, 3), done(1), done(2));
+        apply(List.of(JobRecords.encode(embedded)));
+        encoder.restore(restored(), replica.attach(null).get(0).tasksEmbedded());
+        for (KeyedRecord record : encoder.encode(progress(JobState.RUNNING, done(0), done(1), done(2)))) {
+            apply(List.of(record));
+            assertThat(restored().tasks()).hasSize(3);
+        }
+    }
+
     /** Guards against tasks that are lost when the log keeps only the newest record of each key after an upgrade. */
     @Test
     void tasksInTheRecordOfTheirJobGetRecordsOfTheirOwnWithTheNextChange() {
         JobProgress embedded = progress(JobState.RUNNING, running(0, 3), done(1), done(2));
-        encoder.restore(embedded);
+        encoder.restore(embedded, true);
         JobProgress changed = progress(JobState.RUNNING, done(0), done(1), done(2));
         apply(encoder.encode(changed));
         assertThat(restored()).isEqualTo(changed);
@@ -109,7 +141,7 @@
         JobProgress embedded = progress(JobState.RUNNING, running(0, 3), done(1));
         apply(List.of(JobRecords.encode(embedded)));
         assertThat(restored()).isEqualTo(embedded);
-        encoder.restore(restored());
+        encoder.restore(restored(), replica.attach(null).get(0).tasksEmbedded());
         apply(encoder.encode(progress(JobState.RUNNING, done(0), done(1))));
         assertThat(restored()).isEqualTo(progress(JobState.RUNNING, done(0), done(1)));
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
@@ -135,7 +135,7 @@
         assertThat(jobConsumer.catchUp(deadline())).isTrue();
         List<JobEntry> found = new ArrayList<>();
         loadSnapshot("job/a", () -> found.add(replica.find("b")));
-        assertThat(found).containsExactly(new JobEntry(job("b"), null, null));
+        assertThat(found).containsExactly(JobEntry.NONE.with(job("b")));
     }
 
     /**
@@ -153,7 +153,7 @@
         List<JobEntry> attached = new ArrayList<>();
         loadSnapshot("job/b", () -> attached.addAll(replica.attach(NO_LISTENER)));
         assertThat(attached)
-                .containsExactly(new JobEntry(job("a"), progress, cancel), new JobEntry(job("b"), null, null));
+                .containsExactly(new JobEntry(job("a"), progress, cancel, true), JobEntry.NONE.with(job("b")));
     }
 
     /** Guards against a copy that counts as outdated although a later read has shown that it is complete. */
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -72,10 +72,17 @@
                 new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of(SERVICE))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
-        LeaderLogWriter logWriter = new LeaderLogWriter(leaderLogWriterLog, TOPICS.jobs(), 5);
+        LeaderLogWriter logWriter = new LeaderLogWriter(leaderLogWriterLog, TOPICS.jobs(), MemoryLog.LIMITS, 5);
         assertThat(logWriter.fenceEarlierTerms()).isTrue();
         Term.Dependencies dependencies = new Term.Dependencies(
-                replica, configuration, target, TOPICS, failoverLog, new OneTarget(), new MetricRegistry());
+                replica,
+                configuration,
+                target,
+                TOPICS,
+                MemoryLog.LIMITS,
+                failoverLog,
+                new OneTarget(),
+                new MetricRegistry());
         term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, dependencies);
         thread = Thread.ofVirtual().start(term::run);
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -52,6 +52,11 @@
         return openOccurrences.values();
     }
 
+    /** Returns the numbers of the open occurrences. */
+    List<Integer> openOccurrenceNumbers() {
+        return List.copyOf(openOccurrences.keySet());
+    }
+
     /** Returns the task, or null if its occurrence is not open or has no such task. */
     TaskExecution task(TaskId id) {
         List<StepExecution> steps = openOccurrences.get(id.occurrence());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
@@ -30,6 +30,11 @@
         return withTasks(List.of());
     }
 
+    /** Returns this progress with {@code occurrences} in place of its own. */
+    public JobProgress withDoneOccurrences(List<Integer> occurrences) {
+        return new JobProgress(id, state, endedMillis, occurrences, tasks);
+    }
+
     /** Returns this progress with {@code tasks} in place of its own. */
     public JobProgress withTasks(List<Task> tasks) {
         return new JobProgress(id, state, endedMillis, doneOccurrences, tasks);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -69,7 +69,8 @@
 
     /**
      * Adds a job with its persisted progress. Runs recorded in it count as active until a report or the expiry of the
-     * lease shows otherwise. Progress of a task that the job does not have is ignored.
+     * lease shows otherwise. Progress of a task that the job does not have, or of an occurrence that is done, is
+     * ignored. The progress may be that of a part of a batch.
      */
     public void restore(Job job, JobProgress progress, ClockReading now) {
         JobExecution execution = new JobExecution(job);
@@ -78,8 +79,11 @@
         execution.doneOccurrences.addAll(progress.doneOccurrences());
         jobs.put(job.id(), execution);
         for (JobProgress.Task persisted : progress.tasks()) {
-            restore(execution, persisted, now);
+            if (!execution.doneOccurrences.contains(persisted.occurrence())) {
+                restore(execution, persisted, now);
+            }
         }
+        taskLifecycle.completeRestored(execution, now);
     }
 
     private void restore(JobExecution execution, JobProgress.Task persisted, ClockReading now) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -97,14 +97,36 @@
         } else {
             step.tasks.forEach(this::markDone);
         }
-        JobExecution job = step.job;
-        if (job.occurrence(step.occurrence).stream().allMatch(StepExecution::isDone)) {
-            job.closeOccurrence(step.occurrence, now.wallClockMillis());
-            if (job.state == JobState.DONE) {
-                targetHealth.removeJob(job.spec.id());
-                LOG.infof(
-                        "done: request=%s age_ms=%s", job.spec.id(), now.wallClockMillis() - job.spec.acceptedMillis());
+        closeIfDone(step.job, step.occurrence, now);
+    }
+
+    private void closeIfDone(JobExecution job, int occurrence, ClockReading now) {
+        if (!job.occurrence(occurrence).stream().allMatch(StepExecution::isDone)) {
+            return;
+        }
+        job.closeOccurrence(occurrence, now.wallClockMillis());
+        if (job.state == JobState.DONE) {
+            targetHealth.removeJob(job.spec.id());
+            LOG.infof("done: request=%s age_ms=%s", job.spec.id(), now.wallClockMillis() - job.spec.acceptedMillis());
+        }
+    }
+
+    /**
+     * Completes the progress of a restored job whose last batch was read in part: the end of one member of a gang is
+     * that of the others, and an occurrence is done with its last task.
+     */
+    void completeRestored(JobExecution job, ClockReading now) {
+        if (job.state.isTerminal()) {
+            return;
+        }
+        for (int occurrence : job.openOccurrenceNumbers()) {
+            for (StepExecution step : job.occurrence(occurrence)) {
+                if (step.spec.mode().gang() && step.doneTaskCount > 0 && !step.isDone()) {
+                    step.tasks.forEach(this::markDone);
+                    outbox.markChanged(job);
+                }
             }
+            closeIfDone(job, occurrence, now);
         }
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
@@ -64,6 +64,19 @@
         fixture.report("t2");
     }
 
+    /** Guards against a gang that waits for ever (LOST), as a successor read the end of only one of its members. */
+    @Test
+    void aGangIsDoneIfTheEndOfOneMemberWasRead() {
+        Job gang = fixture.job("gang", "x", 1, PoolFixture.gang(2, 8, false));
+        JobProgress.Task done = new JobProgress.Task(0, 0, 0, 1, 0, true, "", 0, "");
+        JobProgress.Task running = new JobProgress.Task(0, 0, 1, 1, 0, false, "gone", 1, "");
+        JobProgress progress = new JobProgress("gang", JobState.RUNNING, 0, List.of(), List.of(done, running));
+        fixture.pool.restore(gang, progress, fixture.now());
+        fixture.pool.handleLeaseExpiry("gone", fixture.now());
+        fixture.schedulePass();
+        assertThat(fixture.persisted.get("gang").state()).isEqualTo(JobState.DONE);
+    }
+
     /** Guards against an occurrence that is never started (LOST), since a later one started before a takeover. */
     @Test
     void anOccurrenceThatWasNotStartedIsOpenAfterATakeover() {
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Codecs.java
@@ -144,6 +144,7 @@
         @JsonSubTypes.Type(value = AppendOutcome.Deposed.class, name = "deposed"),
         @JsonSubTypes.Type(value = AppendOutcome.OutOfSequence.class, name = "out-of-sequence"),
         @JsonSubTypes.Type(value = AppendOutcome.Refused.class, name = "refused"),
+        @JsonSubTypes.Type(value = AppendOutcome.Rejected.class, name = "rejected"),
         @JsonSubTypes.Type(value = AppendOutcome.Unknown.class, name = "unknown")
     })
     private interface AppendOutcomeNames {}
