A job returns to a target on which it failed rather than wait for ever

Cause: UnitWaits left out for good each target on which the job had failed, if the unit would fit on the others were they idle. Evidence: the others are full of lasting tasks, and the load lines show the unit waiting with room on that target.

Change: such targets come last instead of not at all, after 2 s while most of the pool is free and after 10 s otherwise, so that a target that fails everything for some seconds does not use up the attempts of a job. The same class: a tightly coupled gang waits at most 60 s for a whole rack.

The tests failed before: FaultyTargetTest#aJobReturnsToTheOnlyFreeTargetOnWhichItFailed, #aJobWaitsForOthersInABusyPoolAndNotForEver, WaitingWorkTest#aTightGangDoesNotWaitForARackForEver.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -34,13 +33,15 @@
      */
     private static final long SAME_STALL_MILLIS = 4_000;
 
-    private final Map<String, Set<String>> failedTargetsByJob = new HashMap<>();
+    /** When a job last failed on a target, on the monotonic clock, in nanoseconds, by job and by target. */
+    private final Map<String, Map<String, Long>> failedTargetsByJob = new HashMap<>();
 
     /** Records that a run of {@code job} failed on {@code target}. */
     void recordFailure(String job, TargetState target, ClockReading now) {
-        Set<String> failedTargets = failedTargetsByJob.computeIfAbsent(job, id -> new HashSet<>());
-        boolean failedElsewhere = !failedTargets.isEmpty() && !failedTargets.equals(Set.of(target.id));
-        failedTargets.add(target.id);
+        Map<String, Long> failedTargets = failedTargetsByJob.computeIfAbsent(job, id -> new HashMap<>());
+        boolean failedElsewhere =
+                !failedTargets.isEmpty() && !failedTargets.keySet().equals(Set.of(target.id));
+        failedTargets.put(target.id, now.monotonicNanos());
         exclude(target, now.nanosAfter(FAILURE_EXCLUSION_MILLIS));
         boolean repeated = target.lastFailedJob.equals(job);
         boolean firstFailure = target.lastFailedJob.isEmpty();
@@ -92,15 +93,20 @@
     }
 
     /**
-     * Returns whether {@code job} must not run on {@code target} because it failed there. A job that failed on as many
-     * targets as there are is not excluded from any.
+     * Returns whether {@code job} should rather run on other targets than {@code target} because it failed there. A job
+     * that failed on as many targets as there are avoids none.
      */
-    boolean isExcludedForJob(String job, TargetState target, Collection<TargetState> all) {
-        Set<String> failedTargets = failedTargetsByJob.get(job);
-        return failedTargets != null && failedTargets.contains(target.id) && failedTargets.size() < all.size();
+    boolean isAvoidedByJob(String job, TargetState target, Collection<TargetState> all) {
+        Map<String, Long> failedTargets = failedTargetsByJob.get(job);
+        return failedTargets != null && failedTargets.containsKey(target.id) && failedTargets.size() < all.size();
     }
 
-    /** Returns whether runs of {@code job} have failed, so that it may be excluded from targets. */
+    /** Returns the time since {@code job} failed on {@code target}, which it {@link #isAvoidedByJob avoids}, in ms. */
+    long millisSinceFailure(String job, TargetState target, ClockReading now) {
+        return now.millisSince(failedTargetsByJob.get(job).get(target.id));
+    }
+
+    /** Returns whether runs of {@code job} have failed, so that it may avoid targets. */
     boolean hasFailed(String job) {
         return failedTargetsByJob.containsKey(job);
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -1,5 +1,6 @@
 package org.acaciaport.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -19,6 +20,15 @@
     /** Time after which any unit accepts more while most of the capacity is free, in milliseconds. */
     private static final long MOSTLY_FREE_WAIT_MILLIS = 2_000;
 
+    /**
+     * Longest time for which a job waits for others rather than run on a target on which it failed, in milliseconds. A
+     * target that fails all its runs mostly recovers sooner.
+     */
+    private static final long MAX_AVOIDANCE_MILLIS = 10_000;
+
+    /** Time after which any unit accepts targets outside its preferred locality, in milliseconds. */
+    private static final long MAX_LOCALITY_WAIT_MILLIS = 60_000;
+
     private final Placement placement;
     private final AccountDemand accountDemand;
     private final TargetHealth targetHealth;
@@ -54,18 +64,35 @@
 
     /**
      * Returns the tiers of targets that the unit accepts now, best locality first. Targets on which its job failed are
-     * left out if the unit would fit on the others.
+     * in the last tiers, once it has waited for others; if the unit would not fit on these, they are like the others.
      */
     List<LocalityTier> localityTiers(PlacementUnit unit) {
         Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
-        Predicate<TargetState> failed =
-                target -> targetHealth.isExcludedForJob(unit.job().id(), target, targets);
-        if (!targetHealth.hasFailed(unit.job().id()) || placement.fitsOnIdle(unit, failed.negate())) {
-            racks.values().forEach(rack -> rack.removeIf(failed));
+        Predicate<TargetState> avoided =
+                target -> targetHealth.isAvoidedByJob(unit.job().id(), target, targets);
+        if (!targetHealth.hasFailed(unit.job().id()) || !placement.fitsOnIdle(unit, avoided.negate())) {
+            return tiersOf(unit, racks);
+        }
+        Map<String, List<TargetState>> others = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
+        others.values().forEach(rack -> rack.removeIf(avoided));
+        List<LocalityTier> tiers = new ArrayList<>(tiersOf(unit, others));
+        racks.values().forEach(rack -> rack.removeIf(target -> avoided.test(target) && !hasWaited(unit, target)));
+        if (!racks.equals(others)) {
+            tiers.addAll(tiersOf(unit, racks));
         }
+        return tiers;
+    }
+
+    private List<LocalityTier> tiersOf(PlacementUnit unit, Map<String, List<TargetState>> racks) {
         return LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
     }
 
+    /** Returns whether the unit has waited for others long enough to accept a target on which its job failed. */
+    private boolean hasWaited(PlacementUnit unit, TargetState target) {
+        long millis = targetHealth.millisSinceFailure(unit.job().id(), target, now);
+        return millis > MAX_AVOIDANCE_MILLIS || millis > MOSTLY_FREE_WAIT_MILLIS && isMostlyFree(unit);
+    }
+
     /** Returns whether a task that prefers a rack accepts targets outside it; false if it prefers none. */
     boolean mayLeaveRack(PlacementUnit unit) {
         return !unit.step().spec.constraints().nearRack().isEmpty()
@@ -74,16 +101,20 @@
 
     /**
      * Returns whether the unit has waited too long to require the best locality. While there is room for it twice over,
-     * the longer run that results takes nothing from others.
+     * the longer run that results takes nothing from others. A rack may never become free as a whole.
      */
     private boolean isOverdue(PlacementUnit unit) {
-        return millis(unit) > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
+        return millis(unit) > MAX_LOCALITY_WAIT_MILLIS
+                || millis(unit) > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
                 || isLongInMostlyFreePool(unit) && placement.fitsTwice(unit, now.monotonicNanos());
     }
 
     /** Returns whether the unit has waited long although most of the capacity of its service is free. */
     boolean isLongInMostlyFreePool(PlacementUnit unit) {
-        return millis(unit) > MOSTLY_FREE_WAIT_MILLIS
-                && mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
+        return millis(unit) > MOSTLY_FREE_WAIT_MILLIS && isMostlyFree(unit);
+    }
+
+    private boolean isMostlyFree(PlacementUnit unit) {
+        return mostlyFreeByService.computeIfAbsent(unit.job().service(), placement::isMostlyFree);
     }
 }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/FaultyTargetTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/FaultyTargetTest.java
@@ -43,6 +43,43 @@
         assertThat(fixture.startsOf("next").get(0).target()).isEqualTo("t3");
     }
 
+    /** Guards against a job that waits for ever (LOST) for full targets, as it failed once on the only idle one. */
+    @Test
+    void aJobReturnsToTheOnlyFreeTargetOnWhichItFailed() {
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("busy", "x", 1, PoolFixture.independentTasks(1, 8)));
+        for (String target : List.of("t2", "t3", "t4")) {
+            fixture.addTarget(target, target.equals("t2") ? "r1" : "r2");
+        }
+        Step labelled = new Step(
+                1,
+                new Resources(1_000, 1_000, 8),
+                5_000,
+                List.of(),
+                new Step.Constraints("r1", "", 0, false),
+                Step.Mode.PLAIN);
+        fixture.submit(fixture.job("a", "x", 1, labelled));
+        fixture.endRun(PoolFixture.taskId("a", 0), TargetReport.EndReason.FAILED);
+        fixture.pass(1_500);
+        assertThat(fixture.startsOf("a")).hasSize(1);
+        fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS - 1_500);
+        assertThat(fixture.startsOf("a")).hasSize(2);
+        assertThat(fixture.startsOf("a").get(1).target()).isEqualTo("t2");
+    }
+
+    /** Guards against a job that uses up its attempts on a faulty target while the others are busy for a while. */
+    @Test
+    void aJobWaitsForOthersInABusyPoolAndNotForEver() {
+        fixture.occupyTargets(4);
+        fixture.addTarget("t4", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8)));
+        fixture.endRun(PoolFixture.taskId("a", 0), TargetReport.EndReason.FAILED);
+        fixture.pass(8_000);
+        assertThat(fixture.startsOf("a")).hasSize(1);
+        fixture.pass(4_000);
+        assertThat(fixture.startsOf("a")).hasSize(2);
+    }
+
     /** Guards against a job that fails for good on two faulty targets, one after the other. */
     @Test
     void theLastAttemptGoesToATargetThatHasJustCompletedARun() {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WaitingWorkTest.java
@@ -8,6 +8,9 @@
 
 /** Tests that accepted work starts while most of the pool is free. */
 final class WaitingWorkTest {
+    /** Longest time for which work waits for a better locality, in milliseconds. */
+    private static final int MAX_LOCALITY_WAIT_MILLIS = 60_000;
+
     private final PoolFixture fixture = new PoolFixture();
 
     /** Guards against a gang that waits for the end of certain runs (LOST) while other targets become free. */
@@ -80,9 +83,18 @@
         assertThat(fixture.startsOf("other")).hasSize(1);
     }
 
-    /** Guards against a gang that is spread over racks since targets that have not reported count as free. */
+    /** Guards against a gang that waits for ever for a whole rack (LOST), as lasting work takes a part of each. */
     @Test
-    void aTargetThatHasNotReportedDoesNotMakeThePoolMostlyFree() {
+    void aTightGangDoesNotWaitForARackForEver() {
+        occupyHalfOfFourRacks();
+        fixture.submit(fixture.job("gang", "y", 1, PoolFixture.gang(2, 8, true)));
+        fixture.pass(MAX_LOCALITY_WAIT_MILLIS);
+        assertThat(fixture.startsOf("gang")).isEmpty();
+        fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(fixture.startsOf("gang")).hasSize(2);
+    }
+
+    private void occupyHalfOfFourRacks() {
         for (int rack = 0; rack < 4; rack++) {
             fixture.addTarget("t" + rack + "0", "r" + rack);
             fixture.addTarget("t" + rack + "1", "r" + rack);
@@ -92,6 +104,12 @@
             Step one = new Step(1, PoolFixture.TARGET_CAPACITY, 600_000, List.of(), inRack, Step.Mode.PLAIN);
             fixture.submit(fixture.job("busy" + rack, "x", 1, one));
         }
+    }
+
+    /** Guards against a gang that is spread over racks since targets that have not reported count as free. */
+    @Test
+    void aTargetThatHasNotReportedDoesNotMakeThePoolMostlyFree() {
+        occupyHalfOfFourRacks();
         Resources huge = new Resources(1_000_000, 1_000_000, 1_000);
         fixture.pool.register(
                 new TargetInfo("odd", PoolFixture.SERVICE, "address", "dc", "r9", Set.of(), huge, false, 0, 1));
