--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -52,6 +52,9 @@
     /** Monotonic clock reading at the newest stop command, in nanoseconds. */
     long stopSentNanos;
 
+    /** Number of runs that were stopped because they stalled. */
+    int stallCount;
+
     /** Reported progress of the newest run, from 0 to 100. */
     int percent;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -17,6 +17,9 @@
     /** Fraction of the estimated duration of a task that is added to {@link #STALL_TIMEOUT_MILLIS}. */
     private static final double STALL_TIMEOUT_ESTIMATE_FRACTION = 0.1;
 
+    /** Largest number of times that the stall timeout of a task is doubled. */
+    private static final int MAX_STALL_DOUBLINGS = 20;
+
     private static final int COMPLETE_PERCENT = 100;
 
     /** Time before the departure of a target at which its tasks are evicted, in seconds; long enough to stop a run. */
@@ -210,10 +213,10 @@
             handleStraggler(task, now);
             return;
         }
-        long timeoutMillis = STALL_TIMEOUT_MILLIS + (long) (STALL_TIMEOUT_ESTIMATE_FRACTION * step.estimateMillis());
-        if (now.millisSince(task.lastProgressNanos) < timeoutMillis) {
+        if (now.millisSince(task.lastProgressNanos) < stallTimeoutMillis(task)) {
             return;
         }
+        task.stallCount++;
         LOG.infof(
                 "stop: request=%s task=%s run=%s target=%s why=stuck percent=%s",
                 task.id.job(), task.id, task.lastRun, task.target.id, task.percent);
@@ -221,6 +224,12 @@
         stop(task, now);
     }
 
+    /** Returns the stall timeout; doubled with each stall of the task from the second, as it may just be long. */
+    private static long stallTimeoutMillis(TaskExecution task) {
+        double millis = STALL_TIMEOUT_MILLIS + STALL_TIMEOUT_ESTIMATE_FRACTION * task.step.spec.estimateMillis();
+        return (long) (millis * (1L << Math.clamp(task.stallCount - 1, 0, MAX_STALL_DOUBLINGS)));
+    }
+
     /**
      * Excludes the target of a straggler from new work for some time. The task moves to another target if it would end
      * sooner there and has the highest priority or checkpoints.
--- a/acacia-pool/src/test/java/org/acaciaport/pool/DegradedTargetTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/DegradedTargetTest.java
@@ -104,6 +104,28 @@
         fixture.schedulePass();
     }
 
+    /** Guards against a task that never ends (LOST), as its progress shows less often than a run counts as stalled. */
+    @Test
+    void aTaskThatStallsAgainAndAgainIsGivenMoreTime() {
+        fixture.addTarget("t1", "r1");
+        fixture.addTarget("t2", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8)));
+        for (int stall = 0; stall < 8; stall++) {
+            TargetCommand.Start start = fixture.starts.getLast();
+            for (int i = 0; i < 80 && fixture.stops.isEmpty(); i++) {
+                fixture.advance(500);
+                fixture.reportProgress(start, 10);
+            }
+            if (fixture.stops.isEmpty()) {
+                return;
+            }
+            fixture.completeStops();
+            fixture.pass(20_000);
+            fixture.stops.clear();
+        }
+        throw new AssertionError("no run is given 40 s");
+    }
+
     @Test
     void aStalledRunMovesToAnotherTarget() {
         fixture.addTarget("t1", "r1");
