A new term takes over when the leases of lost targets end, and counts the others from the last record before it

Cause: each term took the leases of targets that it could not reach as granted until 8 s after its own start.

Change: the authority of a leader counts from the first sending of the last append that the log has, for 5 s; a successor counts from when it received the last record before its own. A leader writes lease/ID about an occupied target that is silent or not registered, grants it no lease meanwhile, and deletes the record first when the target answers; successors take over the end that it states.

Ruled out: taking the removal of a registration as the end of runs. A target that is cut off loses its registration after three missed heartbeats and runs on under its lease.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -27,6 +27,7 @@
     static final String CANCEL_PREFIX = "cancel/";
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
+    static final String LEASE_PREFIX = "lease/";
 
     /** Ends the id of the job in the key of a task; no id contains it. */
     private static final char TASK_SEPARATOR = '/';
@@ -71,6 +72,12 @@
         return jobOfKey(key).orElseThrow(() -> new IOException("the key names no job"));
     }
 
+    /** Returns whether only leaders write records with this key. */
+    static boolean isOfLeader(String key) {
+        return key.equals(LEADER_KEY)
+                || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
+    }
+
     /** Returns the id of the job that a record with this key is about; empty if it is about none. */
     static Optional<String> jobOfKey(String key) {
         if (key.startsWith(TASK_PREFIX)) {
@@ -92,6 +99,10 @@
         return record(NODE_PREFIX + node.name(), node);
     }
 
+    static KeyedRecord encode(LeaseRecord lease) {
+        return record(LEASE_PREFIX + lease.target(), lease);
+    }
+
     static KeyedRecord encode(LeaderRecord leader) {
         return record(LEADER_KEY, leader);
     }
@@ -133,5 +144,6 @@
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
+        decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -144,6 +144,7 @@
         long end = dependencies.replica().nextOffset();
         Append claim =
                 new Append(dependencies.topics().jobs(), List.of(JobRecords.encode(self)), new Append.AtEnd(end));
+        ClockReading claimed = Clocks.now();
         AppendOutcome outcome = dependencies.log().append(claim, Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS));
         LOG.infof("lead: step=claim at=%s outcome=%s", end, outcome);
         if (!(outcome instanceof AppendOutcome.Appended appended)) {
@@ -152,10 +153,11 @@
         long epoch = appended.offset();
         LeaderLogWriter logWriter =
                 new LeaderLogWriter(dependencies.log(), dependencies.topics().jobs(), dependencies.limits(), epoch);
-        if (!logWriter.fenceEarlierTerms() || !jobConsumer.catchUp(Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS))) {
+        if (!logWriter.fenceEarlierTerms(claimed) || !jobConsumer.catchUp(Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS))) {
             return;
         }
-        Term next = new Term(self, epoch, logWriter, dependencies);
+        EarlierLeases earlierLeases = EarlierLeases.of(dependencies.replica(), epoch);
+        Term next = new Term(self, epoch, logWriter, earlierLeases, dependencies);
         term = next;
         jobConsumer.setPollContinuously(true);
         if (!stopped) {
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
@@ -57,12 +57,13 @@
     /**
      * Fences earlier terms; returns false if a later term has already written or the log did not confirm. The term must
      * not begin in that case.
+     *
+     * @param claimed when the claim of the term was sent
      */
-    boolean fenceEarlierTerms() {
-        ClockReading sent = Clocks.now();
+    boolean fenceEarlierTerms(ClockReading claimed) {
         Append append = new Append(topic, List.of(), new Append.Writer(WRITER, epoch, 0));
         AppendOutcome outcome = log.append(append, Clocks.deadlineAfter(ATTEMPT_TIMEOUT_MILLIS));
-        lastConfirmed = sent;
+        lastConfirmed = claimed;
         LOG.infof("lead: epoch=%s step=fence outcome=%s", epoch, outcome);
         return outcome instanceof AppendOutcome.Appended;
     }
@@ -84,8 +85,9 @@
     private Result appendPart(List<KeyedRecord> records) {
         Append append = new Append(topic, records, new Append.Writer(WRITER, epoch, sequence));
         long timeoutMillis = ATTEMPT_TIMEOUT_MILLIS + LogCalls.transferMillis(append);
+        // Of several attempts the first counts: it was sent before any reader can have received the records.
+        ClockReading sent = Clocks.now();
         while (!Thread.currentThread().isInterrupted()) {
-            ClockReading sent = Clocks.now();
             switch (log.append(append, Clocks.deadlineAfter(timeoutMillis))) {
                 case AppendOutcome.Appended appended -> {
                     return recordConfirmation(sent);
@@ -134,9 +136,8 @@
     }
 
     /**
-     * Returns the send time of the last append that the log confirmed; this term was the newest then. Before the first
-     * one, returns the send time of the fence whether or not the log confirmed it, or null if none was sent; use the
-     * value only if {@link #fenceEarlierTerms} has returned true.
+     * Returns when the last append that the log confirmed was first sent, or the claim before the first one; this term
+     * was the newest then. Null before {@link #fenceEarlierTerms}; use the value only if that has returned true.
      */
     ClockReading lastConfirmed() {
         return lastConfirmed;
--- /dev/null
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaseRecords.java
@@ -0,0 +1,89 @@
+package org.acaciaport.node;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.ClockReading;
+import org.jboss.logging.Logger;
+
+/**
+ * Keeps the {@link LeaseRecord}s of a term: one for each target that may have runs and is silent.
+ *
+ * <p>Confined to the thread of the term. Invariant: a target whose record is in the log, or will be, gets no lease.
+ */
+final class LeaseRecords {
+    private static final Logger LOG = Logger.getLogger(LeaseRecords.class);
+
+    /** How long a target is silent until its record is written, in milliseconds; most answer again sooner. */
+    private static final long SILENCE_MILLIS = 1_000;
+
+    private final Map<String, TargetSession> sessions;
+    private final EarlierLeases earlier;
+    private final TermWriter writer;
+    private final ClockReading began;
+
+    /** Targets whose record is in the log or will be. */
+    private final Set<String> recorded;
+
+    /**
+     * Creates the records of a term.
+     *
+     * @param sessions the sessions of the term, by target; read only
+     * @param began when the term began
+     */
+    LeaseRecords(Map<String, TargetSession> sessions, EarlierLeases earlier, TermWriter writer, ClockReading began) {
+        this.sessions = sessions;
+        this.earlier = earlier;
+        this.writer = writer;
+        this.began = began;
+        recorded = new HashSet<>(earlier.endNanosByTarget().keySet());
+    }
+
+    /** Returns whether the record of a target without a session is in the log or will be. */
+    boolean isRecorded(String target) {
+        return recorded.contains(target);
+    }
+
+    /**
+     * Writes the records of targets that have fallen silent, and deletes those of targets that answer or have no runs.
+     *
+     * @param occupied targets that may have runs
+     */
+    void update(Set<String> occupied, ClockReading now) {
+        for (String id : occupied) {
+            if (!recorded.contains(id)) {
+                recordIfSilent(id, now);
+            }
+        }
+        for (String id : Set.copyOf(recorded)) {
+            TargetSession session = sessions.get(id);
+            if (!occupied.contains(id) || session != null && session.hasAnswered()) {
+                delete(id);
+            }
+        }
+    }
+
+    private void recordIfSilent(String id, ClockReading now) {
+        TargetSession session = sessions.get(id);
+        long silentSince = session == null ? began.monotonicNanos() : session.silentSinceNanos();
+        if (silentSince == TargetSession.NOT_SILENT || now.millisSince(silentSince) < SILENCE_MILLIS) {
+            return;
+        }
+        long endNanos = session == null ? earlier.endNanos(id) : session.suspendLease();
+        long remainingMillis = Math.max(0, (endNanos - now.monotonicNanos()) / Clocks.NANOS_PER_MILLI + 1);
+        LOG.infof("lease: target=%s outcome=running-out remaining_ms=%s", id, remainingMillis);
+        recorded.add(id);
+        writer.write(JobRecords.encode(new LeaseRecord(id, remainingMillis)), () -> {});
+    }
+
+    private void delete(String id) {
+        recorded.remove(id);
+        writer.write(KeyedRecord.tombstone(JobRecords.LEASE_PREFIX + id), () -> {
+            TargetSession session = sessions.get(id);
+            if (session != null && !recorded.contains(id)) {
+                session.resumeLease();
+            }
+        });
+    }
+}
--- a/acacia-node/src/main/java/org/acaciaport/node/OrphanDetector.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/OrphanDetector.java
@@ -13,16 +13,11 @@
  * <p>Immutable. Such runs have ended once every lease that an earlier leader may have granted has expired.
  */
 final class OrphanDetector {
-    private final long earlierLeasesEndNanos;
+    private final EarlierLeases earlierLeases;
 
-    /**
-     * Creates a detector for one term.
-     *
-     * @param earlierLeasesEndNanos when the leases of earlier leaders have expired, on the monotonic clock, in
-     *     nanoseconds
-     */
-    OrphanDetector(long earlierLeasesEndNanos) {
-        this.earlierLeasesEndNanos = earlierLeasesEndNanos;
+    /** Creates a detector for one term. */
+    OrphanDetector(EarlierLeases earlierLeases) {
+        this.earlierLeases = earlierLeases;
     }
 
     /**
@@ -33,11 +28,8 @@
      */
     List<String> findExpired(Collection<String> occupied, Set<String> polled, ClockReading now) {
         List<String> expired = new ArrayList<>();
-        if (now.monotonicNanos() - earlierLeasesEndNanos < 0) {
-            return expired;
-        }
         for (String id : occupied) {
-            if (!polled.contains(id)) {
+            if (!polled.contains(id) && now.monotonicNanos() - earlierLeases.endNanos(id) >= 0) {
                 expired.add(id);
             }
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -68,8 +69,11 @@
     @Override
     public synchronized void apply(KeyedRecord record, long offset) {
         contents.nextOffset = offset + 1;
+        if (JobRecords.isOfLeader(record.key())) {
+            contents.recordLeaderWrite(offset);
+        }
         try {
-            applyRecord(record);
+            applyRecord(record, offset);
         } catch (IOException e) {
             LOG.errorf("log: key=%s offset=%s outcome=skipped reason=%s", record.key(), offset, e.getMessage());
         }
@@ -84,17 +88,17 @@
         earlier = null;
     }
 
-    private void applyRecord(KeyedRecord record) throws IOException {
+    private void applyRecord(KeyedRecord record, long offset) throws IOException {
         String key = record.key();
         if (key.startsWith(JobRecords.JOB_PREFIX)) {
             applyJob(key.substring(JobRecords.JOB_PREFIX.length()), decode(record, Job.class));
         } else if (key.startsWith(JobRecords.PROGRESS_PREFIX)) {
             String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
             contents.putProgress(id, isTombstone(record) ? null : JobRecords.decodeProgress(record));
-            contents.recordLeaderWrite();
         } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
             contents.putTask(JobRecords.jobOfTaskKey(key), key, decode(record, JobProgress.Task.class));
-            contents.recordLeaderWrite();
+        } else if (key.startsWith(JobRecords.LEASE_PREFIX)) {
+            applyLease(key.substring(JobRecords.LEASE_PREFIX.length()), decode(record, LeaseRecord.class), offset);
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
@@ -135,6 +139,33 @@
         }
     }
 
+    /** Sets or, for null, removes the record of a target whose leases run out. */
+    private void applyLease(String target, LeaseRecord lease, long offset) {
+        if (lease == null) {
+            contents.leases.remove(target);
+            return;
+        }
+        ReplicaContents.ReceivedLease known = earlier == null ? null : earlier.leases.get(target);
+        boolean received = known != null && known.offset() == offset;
+        contents.leases.put(
+                target, received ? known : new ReplicaContents.ReceivedLease(lease, offset, System.nanoTime()));
+    }
+
+    /**
+     * Returns when the last record that a leader before the term {@code epoch} wrote was received at the latest, on the
+     * monotonic clock, in nanoseconds. The replica must have read on beyond the claim of that term.
+     */
+    synchronized long lastLeaderWriteNanos(long epoch) {
+        return shown().lastLeaderWriteNanos(epoch);
+    }
+
+    /** Returns when all leases have expired of the targets whose leases run out, on the monotonic clock. */
+    synchronized Map<String, Long> leaseEndNanos() {
+        Map<String, Long> ends = new HashMap<>();
+        shown().leases.forEach((target, received) -> ends.put(target, received.endNanos()));
+        return ends;
+    }
+
     /** Returns the decoded value, or null for a tombstone. */
     private static <T> T decode(KeyedRecord record, Class<T> type) throws IOException {
         return isTombstone(record) ? null : JobRecords.decode(record, type);
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -26,13 +26,52 @@
     /** Offset of the next record of the log. */
     long nextOffset;
 
-    /** Records that the leader has written a record just now, so it is alive. */
-    void recordLeaderWrite() {
+    /** The records of targets whose leases run out, by target. */
+    final Map<String, ReceivedLease> leases = new HashMap<>();
+
+    /** Offset of the last record that a leader wrote; -1 before the first. */
+    private long lastWriteOffset = -1;
+
+    /** When that record was received, on the monotonic clock, in nanoseconds. */
+    private long lastWriteNanos = System.nanoTime();
+
+    /** When the last record that a leader wrote before it was received at the latest, on the same clock. */
+    private long earlierWriteNanos = System.nanoTime();
+
+    /**
+     * A record of a target whose leases run out.
+     *
+     * @param record the record
+     * @param offset its offset
+     * @param receivedNanos when it was first received, on the monotonic clock, in nanoseconds
+     */
+    record ReceivedLease(LeaseRecord record, long offset, long receivedNanos) {
+        long endNanos() {
+            return receivedNanos + record.remainingMillis() * Clocks.NANOS_PER_MILLI;
+        }
+    }
+
+    /** Records that a record which only leaders write is received now; a snapshot has them in no order. */
+    void recordLeaderWrite(long offset) {
+        long now = System.nanoTime();
+        earlierWriteNanos = offset > lastWriteOffset ? lastWriteNanos : now;
+        if (offset > lastWriteOffset) {
+            lastWriteOffset = offset;
+            lastWriteNanos = now;
+        }
         if (leader != null) {
-            leader = new Replica.Leader(leader.record(), System.nanoTime());
+            leader = new Replica.Leader(leader.record(), now);
         }
     }
 
+    /**
+     * Returns when the last record that a leader before the term {@code epoch} wrote was received at the latest, on the
+     * monotonic clock, in nanoseconds. Its claim, at the offset {@code epoch}, is the only record of that term so far.
+     */
+    long lastLeaderWriteNanos(long epoch) {
+        return lastWriteOffset == epoch ? earlierWriteNanos : lastWriteNanos;
+    }
+
     /** Returns what is known of a job, without the progress of its tasks; {@link JobEntry#NONE} if nothing is. */
     JobEntry entry(String id) {
         return jobs.getOrDefault(id, JobEntry.NONE);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
@@ -1,7 +1,6 @@
 package org.acaciaport.node;
 
 import java.util.OptionalLong;
-import org.acaciaport.pool.ClockReading;
 
 /**
  * The latest lease that one target may hold, on the target's own clock.
@@ -23,6 +22,9 @@
     /** When leases of earlier leaders have expired, on this node's monotonic clock; 0 after the first report. */
     private long earlierLeasesEndNanos;
 
+    /** Whether no lease may be granted. */
+    private boolean suspended;
+
     private boolean clockKnown;
 
     /** Last reading of the target's clock, in milliseconds. */
@@ -34,18 +36,33 @@
     /** Latest end of a lease that may have been granted, on the target's clock, in milliseconds. */
     private long grantedEndMillis;
 
-    TargetLease(long earlierLeasesEndNanos) {
+    TargetLease(long earlierLeasesEndNanos, boolean suspended) {
         this.earlierLeasesEndNanos = earlierLeasesEndNanos;
+        this.suspended = suspended;
     }
 
-    /**
-     * Returns when every lease of earlier leaders has expired, on this node's monotonic clock, in nanoseconds.
-     *
-     * @param maxRenewalMillis longest time for which an earlier leader may still grant leases, in milliseconds
-     */
-    static long earlierLeasesEndNanos(ClockReading now, long maxRenewalMillis) {
+    /** Returns when a lease that was granted at {@code grantedNanos} has expired at the latest, on the same clock. */
+    static long latestEndNanos(long grantedNanos) {
         long lease = (long) (LEASE_MILLIS / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MILLIS;
-        return now.nanosAfter(maxRenewalMillis + lease);
+        return grantedNanos + lease * Clocks.NANOS_PER_MILLI;
+    }
+
+    /** Grants no lease until {@link #resume}; returns when all have expired, on this node's monotonic clock. */
+    long suspend() {
+        suspended = true;
+        if (earlierLeasesEndNanos != 0) {
+            return earlierLeasesEndNanos;
+        }
+        if (!clockKnown) {
+            return latestEndNanos(System.nanoTime());
+        }
+        double millis = (grantedEndMillis + EXPIRY_MARGIN_MILLIS - clockMillis) / MIN_CLOCK_RATE;
+        return clockNanos + (long) Math.ceil(millis * Clocks.NANOS_PER_MILLI);
+    }
+
+    /** Lets leases be granted again. */
+    void resume() {
+        suspended = false;
     }
 
     /** Returns whether the target's clock is known. */
@@ -78,9 +95,12 @@
         }
     }
 
-    /** Returns the end of the lease to request next, and counts it as granted; empty while the clock is unknown. */
+    /**
+     * Returns the end of the lease to request next, and counts it as granted; empty while leases are suspended or the
+     * clock is unknown.
+     */
     OptionalLong nextLeaseEndMillis() {
-        if (!clockKnown) {
+        if (suspended || !clockKnown) {
             return OptionalLong.empty();
         }
         long endMillis = clockMillis + (System.nanoTime() - clockNanos) / Clocks.NANOS_PER_MILLI + LEASE_MILLIS;
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
@@ -98,6 +98,16 @@
         return lease.nextLeaseEndMillis();
     }
 
+    /** Grants no lease until {@link #resumeLease}; returns when all have expired, on the monotonic clock. */
+    synchronized long suspendLease() {
+        return lease.suspend();
+    }
+
+    /** Lets leases be granted again. */
+    synchronized void resumeLease() {
+        lease.resume();
+    }
+
     synchronized boolean isLeaseExpired() {
         return lease.isExpired();
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -52,6 +52,9 @@
     /** Pause between reports of a silent target without runs, in milliseconds; it stays excluded meanwhile. */
     private static final long IDLE_PAUSE_MILLIS = 500;
 
+    /** Value of {@link #silentSinceNanos} for a target whose last report was received. */
+    static final long NOT_SILENT = 0;
+
     /** Receives the events of a session, on the session's threads. Implementations must not block. */
     interface Events {
         /** Called with each report, in the order in which they were taken. */
@@ -101,22 +104,42 @@
     private boolean registered = true;
     private boolean reportRequired;
     private boolean unresponsive;
+
+    /** Since when the target has not answered, on the monotonic clock; {@link #NOT_SILENT} if its report came last. */
+    private long silentSinceNanos = System.nanoTime();
+
     private Thread thread;
 
-    TargetSession(
-            TargetCalls.Endpoint endpoint,
-            TargetCalls calls,
-            Events events,
-            long baseFence,
-            long earlierLeasesEndNanos) {
+    TargetSession(TargetCalls.Endpoint endpoint, TargetCalls calls, Events events, long baseFence, TargetLease lease) {
         this.id = endpoint.id();
         this.calls = new GuardedTargetCalls(calls);
         this.events = events;
-        link = new TargetLink(endpoint, baseFence, new TargetLease(earlierLeasesEndNanos));
+        link = new TargetLink(endpoint, baseFence, lease);
         stops = new StopCommands(link, this.calls, events);
         starts = new StartCommands(link, this.calls, events, stops, this::pollIfNeeded);
     }
 
+    /** Returns since when the target has not answered, on the monotonic clock; {@link #NOT_SILENT} if it has. */
+    long silentSinceNanos() {
+        synchronized (link) {
+            return silentSinceNanos;
+        }
+    }
+
+    boolean hasAnswered() {
+        return silentSinceNanos() == NOT_SILENT;
+    }
+
+    /** Grants no lease until {@link #resumeLease}; returns when all have expired, on the monotonic clock. */
+    long suspendLease() {
+        return link.suspendLease();
+    }
+
+    /** Lets leases be granted again. */
+    void resumeLease() {
+        link.resumeLease();
+    }
+
     void setEndpoint(TargetCalls.Endpoint changed) {
         link.setEndpoint(changed);
     }
@@ -306,6 +329,7 @@
                 stops.clear();
             }
             reportRequired = false;
+            silentSinceNanos = NOT_SILENT;
             link.recordReport(reported.clockMillis());
             for (TargetReport.Ended end : report.ended()) {
                 lastReportedEnd = Math.max(lastReportedEnd, end.number());
@@ -331,6 +355,9 @@
     private void handleNoAnswer(String reason) {
         boolean leaseExpired;
         synchronized (link) {
+            if (silentSinceNanos == NOT_SILENT) {
+                silentSinceNanos = System.nanoTime();
+            }
             if (!unresponsive) {
                 unresponsive = true;
                 LOG.infof("dependency: target=%s outcome=lost reason=%s", id, reason);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -27,29 +27,32 @@
     private final ExecutorService executor;
     private final TermLoad load;
     private final long baseFence;
-    private final long earlierLeasesEndNanos;
+    private final EarlierLeases earlierLeases;
     private final OrphanDetector orphanDetector;
+    private final LeaseRecords leaseRecords;
 
     /**
      * Creates the sessions of the term {@code epoch}.
      *
-     * @param earlierLeasesEndNanos when the leases of earlier leaders have expired, on the monotonic clock, in
-     *     nanoseconds
+     * @param earlierLeases when the leases of earlier leaders have expired
+     * @param writer writes the records of silent targets
      */
     TargetSessions(
             long epoch,
-            long earlierLeasesEndNanos,
+            EarlierLeases earlierLeases,
+            TermWriter writer,
             TargetCalls calls,
             TargetSession.Events events,
             ExecutorService executor,
             TermLoad load) {
         this.baseFence = epoch << FENCE_INCREMENT_BITS;
-        this.earlierLeasesEndNanos = earlierLeasesEndNanos;
+        this.earlierLeases = earlierLeases;
         this.calls = calls;
         this.events = events;
         this.executor = executor;
         this.load = load;
-        orphanDetector = new OrphanDetector(earlierLeasesEndNanos);
+        orphanDetector = new OrphanDetector(earlierLeases);
+        leaseRecords = new LeaseRecords(sessions, earlierLeases, writer, Clocks.now());
     }
 
     /** Returns the session of a target, created on first use; null if this term has seen no registration of it. */
@@ -58,7 +61,8 @@
         TargetInfo info = registered.get(id);
         if (session == null && info != null) {
             TargetCalls.Endpoint endpoint = new TargetCalls.Endpoint(id, info.address());
-            session = new TargetSession(endpoint, calls, events, baseFence, earlierLeasesEndNanos);
+            TargetLease lease = new TargetLease(earlierLeases.endNanos(id), leaseRecords.isRecorded(id));
+            session = new TargetSession(endpoint, calls, events, baseFence, lease);
             sessions.put(id, session);
         }
         return session;
@@ -120,6 +124,7 @@
     List<String> poll(Set<String> occupied, ClockReading now) {
         occupied.forEach(this::getOrCreate);
         sessions.forEach((id, session) -> session.setOccupied(occupied.contains(id)));
+        leaseRecords.update(occupied, now);
         return orphanDetector.findExpired(occupied, sessions.keySet(), now);
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -30,9 +30,11 @@
     /**
      * How long this node continues to act as leader after the log last confirmed its term, in milliseconds.
      *
-     * <p>A later leader waits at least this long before it treats leases granted by this term as expired.
+     * <p>A later leader waits at least this long, and a lease longer, after the last record of this term before it
+     * treats leases granted by this term as expired. With the time to notice a failed leader, that is less than the
+     * 14 s in which work must go on.
      */
-    static final long MAX_UNCONFIRMED_MILLIS = 8_000;
+    static final long MAX_UNCONFIRMED_MILLIS = 5_000;
 
     /** Interval between heartbeat records in the log, in milliseconds. */
     static final long HEARTBEAT_INTERVAL_MILLIS = 250;
@@ -76,7 +78,12 @@
     private volatile boolean ended;
     private long lastPurgeNanos;
 
-    Term(LeaderRecord self, long epoch, LeaderLogWriter logWriter, Dependencies dependencies) {
+    Term(
+            LeaderRecord self,
+            long epoch,
+            LeaderLogWriter logWriter,
+            EarlierLeases earlierLeases,
+            Dependencies dependencies) {
         this.epoch = epoch;
         this.logWriter = logWriter;
         this.replica = dependencies.replica();
@@ -93,8 +100,7 @@
         writer = new TermWriter(
                 self, logWriter, new TermWriter.Threads(executor, events::post), this::end, replica::setAside, load);
         jobIntake = new JobIntake(pool, writer);
-        long earlierLeasesEndNanos = TargetLease.earlierLeasesEndNanos(now, MAX_UNCONFIRMED_MILLIS);
-        sessions = new TargetSessions(epoch, earlierLeasesEndNanos, dependencies.calls(), this, executor, load);
+        sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
     }
 
     /**
--- a/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
@@ -26,6 +26,9 @@
     /** Records for the next append that belong to no batch. */
     private final List<KeyedRecord> pending = new ArrayList<>();
 
+    /** What to do once the records for the next append are durable. */
+    private final List<Runnable> pendingActions = new ArrayList<>();
+
     /** Batches whose records are durable. */
     private final List<Batch> durable = new ArrayList<>();
 
@@ -75,6 +78,12 @@
         pending.addAll(progressEncoder.remove(id));
     }
 
+    /** Writes a record with the next append; runs {@code onDurable} on the thread of the term once it is durable. */
+    void write(KeyedRecord record, Runnable onDurable) {
+        pending.add(record);
+        pendingActions.add(onDurable);
+    }
+
     /** Makes the next append a resignation, which is due at once. */
     void resign() {
         resigning = true;
@@ -99,6 +108,8 @@
         }
         List<KeyedRecord> records = new ArrayList<>(pending);
         pending.clear();
+        List<Runnable> actions = List.copyOf(pendingActions);
+        pendingActions.clear();
         batch.records().forEach(progress -> records.addAll(progressEncoder.encode(progress)));
         if (heartbeatDue || resigning) {
             lastHeartbeatNanos = now.monotonicNanos();
@@ -108,7 +119,13 @@
         boolean resignation = resigning;
         Runnable append = () -> {
             LeaderLogWriter.Result result = logWriter.append(records);
-            threads.term().execute(() -> handleResult(result, resignation, batch, now.monotonicNanos()));
+            threads.term().execute(() -> {
+                load.recordAppend(now.monotonicNanos());
+                if (result instanceof LeaderLogWriter.Result.Durable) {
+                    actions.forEach(Runnable::run);
+                }
+                handleResult(result, resignation, batch);
+            });
         };
         // Whether the records were appended is not known; the next term reads the log.
         threads.background()
@@ -116,9 +133,8 @@
     }
 
     /** Ends the term if the log rejected the append or it was a resignation. */
-    private void handleResult(LeaderLogWriter.Result result, boolean resignation, Batch batch, long takenNanos) {
+    private void handleResult(LeaderLogWriter.Result result, boolean resignation, Batch batch) {
         appendInFlight = false;
-        load.recordAppend(takenNanos);
         switch (result) {
             case LeaderLogWriter.Result.Durable written when resignation -> end.accept("resigned");
             case LeaderLogWriter.Result.Durable written -> durable.add(batch);
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
@@ -28,7 +28,7 @@
     /** Guards against finished work that a successor runs again, since it read a part of the batch that ended it. */
     @Test
     void aLargeBatchIsAppendedAsAWhole() {
-        assertThat(writer.fenceEarlierTerms()).isTrue();
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
         int callsBefore = log.calls;
         assertThat(writer.append(largeBatch())).isEqualTo(new LeaderLogWriter.Result.Durable());
         assertThat(log.calls - callsBefore).isEqualTo(1);
@@ -37,7 +37,7 @@
     /** Guards against a leader that writes nothing any more (LOST), since its batch exceeds the limit of the log. */
     @Test
     void aBatchBeyondTheLimitIsAppendedInOrderInSeveralAppends() {
-        assertThat(writer.fenceEarlierTerms()).isTrue();
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
         int callsBefore = log.calls;
         List<KeyedRecord> batch = new ArrayList<>();
         for (int i = 0; i < 5; i++) {
@@ -57,16 +57,32 @@
     /** Guards against repeating for ever an append that the log rejects each time (LOST). */
     @Test
     void theRecordThatTheLogRejectsIsNamed() {
-        assertThat(writer.fenceEarlierTerms()).isTrue();
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
         log.rejectedKey = "key-700";
         List<KeyedRecord> batch = largeBatch();
         assertThat(writer.append(batch)).isEqualTo(new LeaderLogWriter.Result.Rejected("key-700", "too large"));
         assertThat(records()).isEqualTo(batch.subList(0, 700));
     }
 
+    /**
+     * Guards against work that runs twice (TWICE): a leader must not act longer than a successor assumes, which counts
+     * from when it received the records.
+     */
+    @Test
+    void anAppendCountsAsConfirmedWhenItsFirstAttemptWasSent() throws Exception {
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
+        log.failure = MemoryLog.Failure.LOSE_ANSWER;
+        long start = System.nanoTime();
+        Thread append = Thread.ofVirtual().start(() -> writer.append(List.of(KeyedRecord.tombstone("a"))));
+        Clocks.sleep(300);
+        log.failure = MemoryLog.Failure.NONE;
+        append.join();
+        assertThat(writer.lastConfirmed().monotonicNanos() - start).isLessThan(200 * Clocks.NANOS_PER_MILLI);
+    }
+
     @Test
     void nothingOfABatchIsAppendedAfterALaterTermHasBegun() {
-        assertThat(writer.fenceEarlierTerms()).isTrue();
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
         Append later = new Append(TOPIC, List.of(), new Append.Writer("leader", 6, 0));
         log.append(later, Clocks.deadlineAfter(1_000));
         assertThat(writer.append(largeBatch())).isEqualTo(new LeaderLogWriter.Result.Ended());
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessTest.java
@@ -173,9 +173,9 @@
     @Test
     void aDeposedLeaderCannotAppend() {
         LeaderLogWriter first = new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 5);
-        assertThat(first.fenceEarlierTerms()).isTrue();
+        assertThat(first.fenceEarlierTerms(Clocks.now())).isTrue();
         assertThat(first.append(List.of(KeyedRecord.tombstone("a")))).isEqualTo(new LeaderLogWriter.Result.Durable());
-        assertThat(new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 9).fenceEarlierTerms())
+        assertThat(new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 9).fenceEarlierTerms(Clocks.now()))
                 .isTrue();
         assertThat(first.append(List.of(KeyedRecord.tombstone("b")))).isEqualTo(new LeaderLogWriter.Result.Ended());
     }
@@ -183,7 +183,7 @@
     @Test
     void aLeaderAppendWithALostAnswerIsAppliedOnce() throws Exception {
         LeaderLogWriter writer = new LeaderLogWriter(log, TOPIC, MemoryLog.LIMITS, 5);
-        assertThat(writer.fenceEarlierTerms()).isTrue();
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
         log.failure = MemoryLog.Failure.LOSE_ANSWER;
         Thread append = Thread.ofVirtual().start(() -> writer.append(List.of(KeyedRecord.tombstone("a"))));
         while (log.calls < 3) {
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
@@ -28,6 +28,12 @@
     /** How many of the next start commands are carried out without an answer. */
     volatile int startAnswersToLose;
 
+    /** Whether no call is answered or carried out. */
+    volatile boolean silent;
+
+    /** Called with each report that renews the lease. */
+    volatile Runnable onLease = () -> {};
+
     /** Whether runs end as done as soon as they have started. */
     volatile boolean endsAtOnce;
 
@@ -67,6 +73,9 @@
 
     @Override
     public synchronized CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
+        if (silent) {
+            return new NoAnswer("silent");
+        }
         if (startsToThrow > 0) {
             startsToThrow--;
             throw new IllegalArgumentException("unsupported URI");
@@ -89,6 +98,9 @@
 
     @Override
     public synchronized CommandReply stop(Endpoint address, TaskId task, int run, long fence, long timeoutMillis) {
+        if (silent) {
+            return new NoAnswer("silent");
+        }
         if (stopsToLose > 0) {
             stopsToLose--;
             return new NoAnswer("lost");
@@ -105,6 +117,12 @@
     public ReportReply report(Endpoint address, ReportRequest request, long timeoutMillis) {
         long requestNanos = System.nanoTime();
         Clocks.sleep(5);
+        if (silent) {
+            return new NoAnswer("silent");
+        }
+        if (request.leaseEndMillis().isPresent()) {
+            onLease.run();
+        }
         synchronized (this) {
             List<TargetReport.Running> runs = new ArrayList<>();
             running.forEach((task, run) -> runs.add(new TargetReport.Running(task, run, "", 0)));
--- a/acacia-node/src/test/java/org/acaciaport/node/OrphanDetectorTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/OrphanDetectorTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.acaciaport.pool.ClockReading;
 import org.junit.jupiter.api.Test;
@@ -12,7 +13,7 @@
  * leaves during a network partition and all nodes then lose power: the log still shows runs on that target.
  */
 final class OrphanDetectorTest {
-    private final OrphanDetector detector = new OrphanDetector(1_000);
+    private final OrphanDetector detector = new OrphanDetector(new EarlierLeases(1_000, Map.of()));
 
     @Test
     void runsOnAnUnregisteredTargetExpireWithTheLeases() {
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
@@ -33,7 +33,11 @@
 
     private void open(String address) {
         session = new TargetSession(
-                new TargetCalls.Endpoint("t", address), calls, events, 1_000, Clocks.deadlineAfter(3_600_000));
+                new TargetCalls.Endpoint("t", address),
+                calls,
+                events,
+                1_000,
+                new TargetLease(Clocks.deadlineAfter(3_600_000), false));
         session.setOccupied(true);
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -28,7 +28,12 @@
     private final Recorder events = new Recorder();
 
     private TargetSession newSession(long earlierLeasesEndNanos) {
-        return new TargetSession(new TargetCalls.Endpoint("t", "host:1"), target, events, 1_000, earlierLeasesEndNanos);
+        return new TargetSession(
+                new TargetCalls.Endpoint("t", "host:1"),
+                target,
+                events,
+                1_000,
+                new TargetLease(earlierLeasesEndNanos, false));
     }
 
     private TargetSession newReportedSession() throws InterruptedException {
@@ -127,7 +132,7 @@
                 memory,
                 events,
                 1_000,
-                System.nanoTime() + TimeUnit.HOURS.toNanos(1));
+                new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false));
         session.setOccupied(true);
         Conditions.await(() -> events.reportCount.get() > 0);
         TargetCommand.Start earlier = new TargetCommand.Start("t", 1, new TaskId("a", 0, 0, 1), 1, "payload", "");
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
@@ -46,6 +47,12 @@
     /** Time after which a target without runs is not asked for reports any more, in milliseconds. */
     private static final long IDLE_MILLIS = 1_000;
 
+    /** Longest lease of a target with a slow clock, in milliseconds. */
+    private static final long LEASE_MILLIS = 6_300;
+
+    /** Time that a record takes to the log and back, in milliseconds. */
+    private static final long TOLERANCE_MILLIS = 500;
+
     private final MemoryTarget target = new MemoryTarget();
     private final MemoryLog log = new MemoryLog();
     private final UnreadableLog leaderLog = new UnreadableLog(log);
@@ -73,7 +80,7 @@
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
         LeaderLogWriter logWriter = new LeaderLogWriter(leaderLogWriterLog, TOPICS.jobs(), MemoryLog.LIMITS, 5);
-        assertThat(logWriter.fenceEarlierTerms()).isTrue();
+        assertThat(logWriter.fenceEarlierTerms(Clocks.now())).isTrue();
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica,
                 configuration,
@@ -83,7 +90,8 @@
                 failoverLog,
                 new OneTarget(),
                 new MetricRegistry());
-        term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, dependencies);
+        EarlierLeases earlierLeases = EarlierLeases.of(replica, 5);
+        term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, earlierLeases, dependencies);
         thread = Thread.ofVirtual().start(term::run);
     }
 
@@ -171,6 +179,59 @@
         return replica.find(id).state();
     }
 
+    /** Returns whether the log has a record of the target whose leases run out. */
+    private boolean hasLeaseRecord(String id) {
+        ReadOutcome.Records read = (ReadOutcome.Records) log.read(TOPICS.jobs(), 0, 0, deadline());
+        boolean recorded = false;
+        for (KeyedRecord record : read.records()) {
+            if (record.key().equals(JobRecords.LEASE_PREFIX + id)) {
+                recorded = record.value().length > 0;
+            }
+        }
+        return recorded;
+    }
+
+    /** Guards against a later leader that does not know of a lease (TWICE), as a record says that leases run out. */
+    @Test
+    void aTargetWhoseLeasesRunOutGetsOneOnlyOnceItsRecordIsDeleted() {
+        append(JobRecords.encode(newJob("a", 1)));
+        lead();
+        TaskId task = new TaskId("a", 0, 0, 0);
+        Conditions.await(() -> target.isRunning(task));
+        AtomicInteger leases = new AtomicInteger();
+        AtomicInteger early = new AtomicInteger();
+        target.onLease = () -> {
+            leases.incrementAndGet();
+            early.addAndGet(hasLeaseRecord("t") ? 1 : 0);
+        };
+        target.silent = true;
+        Conditions.await(() -> hasLeaseRecord("t"));
+        long remainingNanos = replica.leaseEndNanos().getOrDefault("t", System.nanoTime()) - System.nanoTime();
+        assertThat(remainingNanos).isLessThan(LEASE_MILLIS * Clocks.NANOS_PER_MILLI);
+        leases.set(0);
+        target.silent = false;
+        Conditions.await(() -> leases.get() > 0);
+        assertThat(early.get()).isEqualTo(0);
+        assertThat(hasLeaseRecord("t")).isFalse();
+        assertThat(target.started).containsExactly(task);
+    }
+
+    /** Guards against a task that stays bound to a target that is gone (LOST), as each term counts its leases anew. */
+    @Test
+    void aLaterTermDoesNotCountTheLeasesOfAGoneTargetAnew() {
+        JobProgress.Task bound = new JobProgress.Task(0, 0, 0, 1, 0, false, "gone", 1, "");
+        JobProgress progress = new JobProgress("a", JobState.RUNNING, 0, List.of(), List.of(bound));
+        append(JobRecords.encode(newJob("a", 1)), JobRecords.encode(progress));
+        lead();
+        long latest = TargetLease.latestEndNanos(Clocks.deadlineAfter(Term.MAX_UNCONFIRMED_MILLIS));
+        Conditions.await(() -> replica.leaseEndNanos().containsKey("gone"));
+        Clocks.sleep(IDLE_MILLIS);
+        EarlierLeases later = EarlierLeases.of(replica, replica.nextOffset());
+        assertThat(later.areRunningOut("gone")).isTrue();
+        assertThat(later.endNanos("gone") - latest).isLessThan(TOLERANCE_MILLIS * Clocks.NANOS_PER_MILLI);
+        assertThat(later.endNanos("other") - latest).isGreaterThan(IDLE_MILLIS * Clocks.NANOS_PER_MILLI);
+    }
+
     /** Guards against a task that waits for ever, since the call that was to start it threw. */
     @Test
     void aTaskWhoseStartThrowsRunsInTheEnd() {
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -32,7 +32,7 @@
             target,
             events,
             1_000,
-            System.nanoTime() + TimeUnit.HOURS.toNanos(1));
+            new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false));
 
     @AfterEach
     void closeSession() {
