--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -90,6 +90,16 @@
         }
     }
 
+    /** Lets a node lead until the job is done. */
+    private void leadUntilDone() {
+        LeaderElection election = newElection();
+        election.start();
+        awaitDone();
+        election.stop(1_000);
+        jobConsumer.stop();
+        assertThat(isDone()).isTrue();
+    }
+
     private void registerTargets() {
         for (int i = 0; i < TARGET_COUNT; i++) {
             append(new KeyedRecord(TARGET_PREFIX + i, new byte[] {1}));
@@ -113,12 +123,7 @@
         registerTargets();
         append(JobRecords.encode(wideJob()));
         jobConsumer.start();
-        LeaderElection election = newElection();
-        election.start();
-        awaitDone();
-        election.stop(1_000);
-        jobConsumer.stop();
-        assertThat(isDone()).isTrue();
+        leadUntilDone();
         assertThat(bytesAbout("a")).isLessThan((long) TASK_COUNT * MAX_BYTES_PER_TASK);
     }
 
@@ -162,12 +167,7 @@
         append(JobRecords.encode(wideJob("b")));
         append(JobRecords.encode(wideJob()));
         jobConsumer.start();
-        LeaderElection election = newElection();
-        election.start();
-        awaitDone();
-        election.stop(1_000);
-        jobConsumer.stop();
-        assertThat(isDone()).isTrue();
+        leadUntilDone();
     }
 
     /** Registers a large target for each record with the prefix of targets. */
