A session whose leases are suspended asks for reports at short intervals

A target that answers again got its next lease only after a long poll of up to 0.5 s, found in reading. While no lease may be granted the reports are held back for 80 ms at most. TermTest and TargetSessionTest pass.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
@@ -60,6 +60,11 @@
         return clockNanos + (long) Math.ceil(millis * Clocks.NANOS_PER_MILLI);
     }
 
+    /** Returns whether no lease may be granted. */
+    boolean isSuspended() {
+        return suspended;
+    }
+
     /** Lets leases be granted again. */
     void resume() {
         suspended = false;
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
@@ -103,6 +103,10 @@
         return lease.suspend();
     }
 
+    synchronized boolean isLeaseSuspended() {
+        return lease.isSuspended();
+    }
+
     /** Lets leases be granted again. */
     synchronized void resumeLease() {
         lease.resume();
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -41,8 +41,8 @@
     private static final long DURABLE_WAIT_MILLIS = 200;
 
     /**
-     * Pause after a failed report, while the term is not confirmed or while a stop is unconfirmed, and how long a
-     * target without room gets no new work, in milliseconds.
+     * Pause after a failed report, while the term is not confirmed, while a stop is unconfirmed or no lease may be
+     * granted, and how long a target without room gets no new work, in milliseconds.
      */
     static final long PAUSE_MILLIS = 80;
 
@@ -271,7 +271,7 @@
             if (!idle) {
                 return 0;
             }
-            return stops.areConfirmed() ? REPORT_WAIT_MILLIS : PAUSE_MILLIS;
+            return stops.areConfirmed() && !link.isLeaseSuspended() ? REPORT_WAIT_MILLIS : PAUSE_MILLIS;
         }
     }
 
