The leases of a target stay suspended until the deletion of its record is durable, also for a new session

Found in reading: a target that was registered between the deletion of its record and the moment at which that is durable got a session that could grant a lease at once. TermTest passes.

--- a/acacia-node/src/main/java/org/acaciaport/node/LeaseRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaseRecords.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -23,9 +24,12 @@
     private final TermWriter writer;
     private final ClockReading began;
 
-    /** Targets whose record is in the log or will be. */
+    /** Targets whose record is in the log or will be, and is to stay. */
     private final Set<String> recorded;
 
+    /** The last deletion in progress of the record of each target. */
+    private final Map<String, KeyedRecord> deleting = new HashMap<>();
+
     /**
      * Creates the records of a term.
      *
@@ -40,9 +44,9 @@
         recorded = new HashSet<>(earlier.endNanosByTarget().keySet());
     }
 
-    /** Returns whether the record of a target without a session is in the log or will be. */
-    boolean isRecorded(String target) {
-        return recorded.contains(target);
+    /** Returns whether the log may have a record of a target, so that it gets no lease. */
+    boolean mayBeInLog(String target) {
+        return recorded.contains(target) || deleting.containsKey(target);
     }
 
     /**
@@ -79,9 +83,14 @@
 
     private void delete(String id) {
         recorded.remove(id);
-        writer.write(KeyedRecord.tombstone(JobRecords.LEASE_PREFIX + id), () -> {
+        KeyedRecord deletion = KeyedRecord.tombstone(JobRecords.LEASE_PREFIX + id);
+        deleting.put(id, deletion);
+        writer.write(deletion, () -> {
+            if (deleting.get(id) == deletion) {
+                deleting.remove(id);
+            }
             TargetSession session = sessions.get(id);
-            if (session != null && !recorded.contains(id)) {
+            if (session != null && !mayBeInLog(id)) {
                 session.resumeLease();
             }
         });
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -61,7 +61,7 @@
         TargetInfo info = registered.get(id);
         if (session == null && info != null) {
             TargetCalls.Endpoint endpoint = new TargetCalls.Endpoint(id, info.address());
-            TargetLease lease = new TargetLease(earlierLeases.endNanos(id), leaseRecords.isRecorded(id));
+            TargetLease lease = new TargetLease(earlierLeases.endNanos(id), leaseRecords.mayBeInLog(id));
             session = new TargetSession(endpoint, calls, events, baseFence, lease);
             sessions.put(id, session);
         }
