A term logs its reason before it ends

Traced: the line stands in the output, logged by the thread of the append after the thread of the term had seen that the term had ended, so the test looked too soon; two threads could also have logged one reason each.

Change: the reason is logged first, by one caller only.

--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -289,11 +289,11 @@
         return !ended && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_UNCONFIRMED_MILLIS;
     }
 
-    /** Ends the term immediately. */
-    void end(String reason) {
+    /** Ends the term immediately. The reason of the first call is logged before the thread of the term can end. */
+    synchronized void end(String reason) {
         if (!ended) {
-            ended = true;
             LOG.infof("lead: epoch=%s outcome=ended reason=%s", epoch, reason);
+            ended = true;
         }
     }
 
