--- a/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
@@ -99,11 +99,9 @@
         }
     }
 
-    /** Sends a start again that has certainly not started a run, unless the target would refuse it or it is too old. */
+    /** Sends a start again that has certainly not started a run, unless it is too old. */
     private void handleAbsent(UnansweredStarts.UnansweredStart each) {
-        if (each.refused()) {
-            events.notStarted(each.start(), "old run", 0);
-        } else if (isWithinResendLimit(each.sentNanos())) {
+        if (isWithinResendLimit(each.sentNanos())) {
             send(each.start(), each.sentNanos());
         } else {
             events.notStarted(each.start(), "no answer", TargetSession.EXCLUSION_MILLIS);
@@ -145,19 +143,14 @@
         }
     }
 
-    private void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
-        recordUnanswered(new UnansweredStarts.UnansweredStart(start, fence, firstNanos, false), reason);
-    }
-
     /** Records an unanswered start, and raises the fencing token so that a delayed copy is rejected. */
-    private void recordUnanswered(UnansweredStarts.UnansweredStart each, String reason) {
-        TargetCommand.Start start = each.start();
+    private void recordUnanswered(TargetCommand.Start start, long fence, long firstNanos, String reason) {
         LOG.infof(
                 "start: request=%s task=%s run=%s target=%s outcome=unanswered reason=%s",
                 start.task().job(), start.task(), start.run(), link.id(), reason);
         synchronized (link) {
-            unanswered.add(each);
-            link.raiseFenceAbove(each.fence());
+            unanswered.add(new UnansweredStarts.UnansweredStart(start, fence, firstNanos));
+            link.raiseFenceAbove(fence);
         }
         needsReport.run();
     }
@@ -184,9 +177,8 @@
                 }
             }
             case OLD_RUN ->
-                // The run was stopped before it started, or an unanswered copy of the command has started it.
-                recordUnanswered(
-                        new UnansweredStarts.UnansweredStart(start, request.fence(), firstNanos, true), "old run");
+                // Stopped before it started: a report has shown that no earlier copy of the command started it.
+                events.notStarted(start, "old run", 0);
             case ROOM -> events.notStarted(start, "no room", TargetSession.PAUSE_MILLIS);
             case UNKNOWN_TASK -> events.notStarted(start, "unknown task", 0);
             case UNHEALTHY, OTHER_TARGET ->
--- a/acacia-node/src/main/java/org/acaciaport/node/UnansweredStarts.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/UnansweredStarts.java
@@ -16,9 +16,8 @@
      * @param start the command
      * @param fence fencing token that it was sent with
      * @param sentNanos when it was first sent, on the monotonic clock, in nanoseconds
-     * @param refused whether the target has seen the end of this run, so that it will refuse each repetition
      */
-    record UnansweredStart(TargetCommand.Start start, long fence, long sentNanos, boolean refused) {}
+    record UnansweredStart(TargetCommand.Start start, long fence, long sentNanos) {}
 
     private final List<UnansweredStart> starts = new ArrayList<>();
 
