--- a/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
@@ -19,7 +19,7 @@
 
     private final TargetLink link;
     private final TargetCalls calls;
-    private final TargetSession.Events events;
+    private final SessionEvents events;
     private final StopCommands stops;
     private final Runnable needsReport;
     private final UnansweredStarts unanswered = new UnansweredStarts();
@@ -30,8 +30,7 @@
      * @param stops the stop commands of the session
      * @param needsReport called when a report is needed to determine an outcome
      */
-    StartCommands(
-            TargetLink link, TargetCalls calls, TargetSession.Events events, StopCommands stops, Runnable needsReport) {
+    StartCommands(TargetLink link, TargetCalls calls, SessionEvents events, StopCommands stops, Runnable needsReport) {
         this.link = link;
         this.calls = calls;
         this.events = events;
--- a/acacia-node/src/main/java/org/acaciaport/node/StopCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StopCommands.java
@@ -14,10 +14,10 @@
 
     private final TargetLink link;
     private final TargetCalls calls;
-    private final TargetSession.Events events;
+    private final SessionEvents events;
     private final UnconfirmedStops unconfirmed = new UnconfirmedStops();
 
-    StopCommands(TargetLink link, TargetCalls calls, TargetSession.Events events) {
+    StopCommands(TargetLink link, TargetCalls calls, SessionEvents events) {
         this.link = link;
         this.calls = calls;
         this.events = events;
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -20,7 +20,8 @@
  *       the tasks of earlier ones.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
- *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually.
+ *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually. No lease is granted
+ *       while leases are suspended.
  *   <li>A call that throws counts as unanswered, and so does a report that cannot be handled. No exception ends the
  *       session, and while a report is needed, a thread polls the target.
  * </ul>
@@ -55,50 +56,13 @@
     /** Value of {@link #silentSinceNanos} for a target whose last report was received. */
     static final long NOT_SILENT = 0;
 
-    /** Receives the events of a session, on the session's threads. Implementations must not block. */
-    interface Events {
-        /** Called with each report, in the order in which they were taken. */
-        void reported(TargetReport report);
-
-        /** Called when the target has confirmed a start. */
-        void started(TargetCommand.Start start);
-
-        /**
-         * Called when a start has not happened and cannot happen any more.
-         *
-         * @param exclusionMillis how long the target should get no new work, in milliseconds
-         */
-        void notStarted(TargetCommand.Start start, String reason, long exclusionMillis);
-
-        /**
-         * Called when the target did not answer.
-         *
-         * @param exclusionMillis how long the target should get no new work, in milliseconds
-         */
-        void unresponsive(String target, long exclusionMillis);
-
-        /** Called when the lease has expired, so that no run is left on the target. */
-        void leaseExpired(String target);
-
-        /** Called when the target has seen the fencing token of a later leader. */
-        void deposed(String target);
-
-        /** Returns whether the term was confirmed recently enough to send commands and renew leases. */
-        boolean isLeading();
-    }
-
     private final String id;
     private final TargetCalls calls;
-    private final Events events;
+    private final SessionEvents events;
     private final TargetLink link;
     private final StopCommands stops;
     private final StartCommands starts;
-
-    /** Sequence number of the last ended run whose record is durable; the target need not report it again. */
-    private long lastAcknowledgedEnd;
-
-    /** Sequence number of the last ended run that the target has reported. */
-    private long lastReportedEnd;
+    private final EndedRuns ends;
 
     private boolean occupied;
     private boolean registered = true;
@@ -110,12 +74,14 @@
 
     private Thread thread;
 
-    TargetSession(TargetCalls.Endpoint endpoint, TargetCalls calls, Events events, long baseFence, TargetLease lease) {
+    TargetSession(
+            TargetCalls.Endpoint endpoint, TargetCalls calls, SessionEvents events, long baseFence, TargetLease lease) {
         this.id = endpoint.id();
         this.calls = new GuardedTargetCalls(calls);
         this.events = events;
         link = new TargetLink(endpoint, baseFence, lease);
         stops = new StopCommands(link, this.calls, events);
+        ends = new EndedRuns(link);
         starts = new StartCommands(link, this.calls, events, stops, this::pollIfNeeded);
     }
 
@@ -173,7 +139,7 @@
                 || link.incarnation() == 0
                 || reportRequired
                 || registered && unresponsive
-                || lastReportedEnd > lastAcknowledgedEnd
+                || !ends.areDurable()
                 || !starts.areAnswered()
                 || !stops.areConfirmed();
     }
@@ -203,9 +169,8 @@
     /** Records that the ended runs of {@code ofIncarnation} up to sequence number {@code upTo} are durable. */
     void acknowledge(long ofIncarnation, long upTo) {
         synchronized (link) {
-            if (ofIncarnation == link.incarnation() && upTo > lastAcknowledgedEnd) {
-                lastAcknowledgedEnd = upTo;
-                link.notifyAll();
+            if (ofIncarnation == link.incarnation()) {
+                ends.acknowledge(upTo);
                 pollIfNeeded();
             }
         }
@@ -249,7 +214,7 @@
             Clocks.sleep(pauseMillis());
         }
         stops.resend();
-        awaitDurable();
+        ends.awaitDurable(DURABLE_WAIT_MILLIS);
     }
 
     private void handleFailedPoll(String reason) {
@@ -265,7 +230,7 @@
         synchronized (link) {
             boolean idle = link.isClockKnown()
                     && starts.areAnswered()
-                    && lastReportedEnd <= lastAcknowledgedEnd
+                    && ends.areDurable()
                     && (occupied || !stops.areConfirmed())
                     && !unresponsive;
             if (!idle) {
@@ -283,21 +248,6 @@
         }
     }
 
-    /** Waits a limited time until the reported ended runs are acknowledged, so that the next report omits them. */
-    private void awaitDurable() {
-        long deadline = Clocks.deadlineAfter(DURABLE_WAIT_MILLIS);
-        synchronized (link) {
-            while (lastReportedEnd > lastAcknowledgedEnd && !link.isClosed() && Clocks.millisUntil(deadline) > 0) {
-                try {
-                    link.wait(Math.max(1, Clocks.millisUntil(deadline)));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                    return;
-                }
-            }
-        }
-    }
-
     /** Requests one report; returns whether it was received. */
     private boolean pollReport(long waitMillis) {
         long fence = link.fence();
@@ -305,7 +255,7 @@
         TargetCalls.Endpoint target;
         synchronized (link) {
             OptionalLong leaseEnd = unresponsive ? OptionalLong.empty() : link.nextLeaseEndMillis();
-            request = new TargetCalls.ReportRequest(fence, lastAcknowledgedEnd, leaseEnd, waitMillis);
+            request = new TargetCalls.ReportRequest(fence, ends.acknowledged(), leaseEnd, waitMillis);
             target = link.endpoint();
         }
         switch (calls.report(target, request, waitMillis + REPORT_TIMEOUT_MARGIN_MILLIS)) {
@@ -324,16 +274,13 @@
         TargetReport report = reported.report();
         synchronized (link) {
             if (link.confirmIncarnation(report.incarnation())) {
-                lastAcknowledgedEnd = 0;
-                lastReportedEnd = 0;
+                ends.reset();
                 stops.clear();
             }
             reportRequired = false;
             silentSinceNanos = NOT_SILENT;
             link.recordReport(reported.clockMillis());
-            for (TargetReport.Ended end : report.ended()) {
-                lastReportedEnd = Math.max(lastReportedEnd, end.number());
-            }
+            report.ended().forEach(end -> ends.recordReported(end.number()));
             if (unresponsive) {
                 unresponsive = false;
                 LOG.infof("dependency: target=%s outcome=regained", id);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -23,7 +23,7 @@
     private final Map<String, TargetSession> sessions = new HashMap<>();
     private final Map<String, TargetInfo> registered = new HashMap<>();
     private final TargetCalls calls;
-    private final TargetSession.Events events;
+    private final SessionEvents events;
     private final ExecutorService executor;
     private final TermLoad load;
     private final long baseFence;
@@ -42,7 +42,7 @@
             EarlierLeases earlierLeases,
             TermWriter writer,
             TargetCalls calls,
-            TargetSession.Events events,
+            SessionEvents events,
             ExecutorService executor,
             TermLoad load) {
         this.baseFence = epoch << FENCE_INCREMENT_BITS;
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -24,7 +24,7 @@
  * the record of that start is durable. An exception of an event, a pass or an append ends the term, as the pool may be
  * inconsistent with the log; a job that the pool rejects is left out instead, as it would end each later term.
  */
-final class Term implements TargetSession.Events, Replica.Listener {
+final class Term implements SessionEvents, Replica.Listener {
     private static final Logger LOG = Logger.getLogger(Term.class);
 
     /**
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
@@ -172,7 +172,7 @@
     }
 
     /** Records the events of a session, and throws at the first reports if told to. */
-    private static final class Recorder implements TargetSession.Events {
+    private static final class Recorder implements SessionEvents {
         final AtomicInteger reportsToThrow = new AtomicInteger();
         final LinkedBlockingQueue<TargetReport> reported = new LinkedBlockingQueue<>();
         final LinkedBlockingQueue<TargetCommand.Start> started = new LinkedBlockingQueue<>();
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -205,7 +205,7 @@
     }
 
     /** Records the events of a session. */
-    private static final class Recorder implements TargetSession.Events {
+    private static final class Recorder implements SessionEvents {
         final CountDownLatch reported = new CountDownLatch(1);
         volatile long lastIncarnation;
         volatile long lastEnded;
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -126,7 +126,7 @@
      * Passes the events of the session to the pool as {@link Term} does. Stops that the pool issues after a report are
      * not sent, so that only the session can repeat one.
      */
-    private final class PoolEvents implements TargetSession.Events {
+    private final class PoolEvents implements SessionEvents {
         volatile long lastIncarnation;
         volatile boolean leading = true;
 
