A planned stop waits until responses have been written

Cause: JsonServer counted a request as done when its service had answered, before the response was written; drain could stop the server in between. Evidence: with a response larger than the buffers and a caller that reads after 0.5 s, the connection is always cut before the change.

Change: the count falls once the response has been written. The node program does not use this server.

--- a/acacia-platform/src/main/java/org/acaciaport/http/JsonServer.java
+++ b/acacia-platform/src/main/java/org/acaciaport/http/JsonServer.java
@@ -70,8 +70,8 @@
     }
 
     /**
-     * Waits up to {@code millis} milliseconds until no requests are in flight, then stops. Accepts new requests while
-     * it waits.
+     * Waits up to {@code millis} milliseconds until all responses have been written, then stops. Accepts new requests
+     * while it waits.
      */
     public void drain(long millis) throws InterruptedException {
         long deadline = System.nanoTime() + millis * 1_000_000;
@@ -100,13 +100,18 @@
         @Override
         public boolean handle(Request request, Response response, Callback callback) {
             boolean overloaded = inFlight.incrementAndGet() > MAX_IN_FLIGHT;
-            HttpReply reply;
+            // A request is in flight until its response has been written.
+            Callback counted = new Callback.Nested(callback) {
+                @Override
+                public void completed() {
+                    inFlight.decrementAndGet();
+                }
+            };
             try {
-                reply = overloaded ? reply(busy()) : handleCall(request);
-            } finally {
-                inFlight.decrementAndGet();
+                send(response, overloaded ? reply(busy()) : handleCall(request), counted);
+            } catch (Throwable e) {
+                counted.failed(e);
             }
-            send(response, reply, callback);
             return true;
         }
 
