--- a/acacia-pool/src/test/java/org/acaciaport/pool/Deployments.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/Deployments.java
@@ -58,6 +58,34 @@
             24,
             0.62);
 
+    /** Auctions: urgent settlements with rough estimates compete with wide valuations and inspections. */
+    static final PoolSimulation.Deployment AUCTIONS = new PoolSimulation.Deployment(
+            245,
+            8,
+            new Resources(128_000, 262_144, 8),
+            List.of(
+                    urgent("settle", 6.9, 5.4, 15, 22_000, 0.75).withSpread(0.15, WorkKind.Tail.NONE),
+                    gangs("value", 1.29, 13, 8.5, 52, 110_000, 0.2).withSpread(0.15, WorkKind.Tail.NONE),
+                    batches("inspect", 1.59, 39, 6.1, 11, 23_000).withSpread(0.15, WorkKind.Tail.NONE)),
+            10,
+            0.62,
+            List.of(1.0, 1.0, 1.3),
+            new PoolSimulation.Swing(0.15, 11_000));
+
+    /** Planning of stock: targets of unequal speed, a strong swing of the demand, runs with a long tail. */
+    static final PoolSimulation.Deployment PLANNING = new PoolSimulation.Deployment(
+            245,
+            8,
+            new Resources(64_000, 131_072, 8),
+            List.of(
+                    urgent("restock", 3.53, 5.4, 7.5, 20_000, 0.2).withSpread(0.15, new WorkKind.Tail(0.03, 7)),
+                    gangs("forecast", 0.826, 13, 9.4, 26, 38_000, 0.75).withSpread(0.3, new WorkKind.Tail(0.03, 7)),
+                    batches("scan", 0.815, 39, 8.1, 5.6, 8_200).withSpread(0.15, new WorkKind.Tail(0.03, 7))),
+            10,
+            0.62,
+            List.of(0.6, 1.0, 1.6),
+            new PoolSimulation.Swing(0.55, 13_000));
+
     private Deployments() {}
 
     private static WorkKind urgent(
@@ -81,7 +109,9 @@
                 true,
                 0.8,
                 0,
-                estimateError);
+                estimateError,
+                0,
+                WorkKind.Tail.NONE);
     }
 
     private static WorkKind gangs(
@@ -111,7 +141,9 @@
                 true,
                 0.6,
                 0.45,
-                estimateError);
+                estimateError,
+                0,
+                WorkKind.Tail.NONE);
     }
 
     private static WorkKind batches(
@@ -135,7 +167,9 @@
                 false,
                 0,
                 0.45,
-                0.5);
+                0.5,
+                0,
+                WorkKind.Tail.NONE);
     }
 
     private static int maxTasks(double meanTasks) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -47,6 +47,8 @@
      * @param kinds kinds of request
      * @param accounts number of client accounts
      * @param guaranteedFraction fraction of all accelerators that is guaranteed to the accounts, in equal parts
+     * @param speeds speeds of the targets, assigned in turn; a task takes its duration divided by the speed
+     * @param swing periodic change of all arrival rates
      */
     record Deployment(
             int targets,
@@ -54,7 +56,39 @@
             Resources target,
             List<WorkKind> kinds,
             int accounts,
-            double guaranteedFraction) {}
+            double guaranteedFraction,
+            List<Double> speeds,
+            Swing swing) {
+        /** Creates a deployment of equally fast targets with steady arrival rates. */
+        Deployment(
+                int targets,
+                int rackSize,
+                Resources target,
+                List<WorkKind> kinds,
+                int accounts,
+                double guaranteedFraction) {
+            this(targets, rackSize, target, kinds, accounts, guaranteedFraction, List.of(1.0), Swing.NONE);
+        }
+
+        /** Returns the speed of target number {@code index}. */
+        double speedOf(int index) {
+            return speeds.get(index % speeds.size());
+        }
+    }
+
+    /**
+     * A sinusoidal change of the arrival rates.
+     *
+     * @param relativeAmplitude amplitude as a fraction of the mean rate
+     * @param periodMillis period, in milliseconds
+     */
+    record Swing(double relativeAmplitude, long periodMillis) {
+        static final Swing NONE = new Swing(0, 1);
+
+        double factor(long millis) {
+            return 1 + relativeAmplitude * Math.sin(2 * Math.PI * millis / periodMillis);
+        }
+    }
 
     /** A period in which requests of one kind arrive {@code factor} times as often. */
     record Burst(int kind, long fromMillis, long toMillis, double factor) {}
@@ -135,7 +169,7 @@
         WorkKind kind = deployment.kinds().get(number);
         long when = 0;
         while (true) {
-            double rate = kind.perSecond();
+            double rate = kind.perSecond() * deployment.swing.factor(when);
             for (Burst burst : bursts) {
                 if (burst.kind == number && when >= burst.fromMillis && when < burst.toMillis) {
                     rate *= burst.factor;
@@ -194,9 +228,13 @@
         Set<String> racks = new HashSet<>();
         active.forEach(each -> racks.add(rackOf(each.start.target())));
         double slowdown = step.constraints().tight() && racks.size() > 1 ? CROSS_RACK_SLOWDOWN : 1;
+        double seconds = 0;
+        for (Running each : active) {
+            seconds = Math.max(seconds, submission.sample().seconds(each.start.task()) / speedOf(each.start.target()));
+        }
         for (Running each : active) {
             each.sinceMillis = millis;
-            each.seconds = submission.sample().taskSeconds()[start.task().step()] * slowdown;
+            each.seconds = seconds * slowdown;
             long remaining = (long) Math.ceil((1 - each.startProgress) * each.seconds * 1_000);
             schedule(millis + remaining, () -> handleDone(each));
         }
@@ -220,7 +258,15 @@
     }
 
     private String rackOf(String target) {
-        return "r" + Integer.parseInt(target.substring(1)) / deployment.rackSize;
+        return "r" + indexOf(target) / deployment.rackSize;
+    }
+
+    private double speedOf(String target) {
+        return deployment.speedOf(indexOf(target));
+    }
+
+    private static int indexOf(String target) {
+        return Integer.parseInt(target.substring(1));
     }
 
     private void handleDone(Running run) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
@@ -1,6 +1,7 @@
 package org.acaciaport.pool;
 
 import java.util.List;
+import java.util.Random;
 import java.util.random.RandomGenerator;
 
 /**
@@ -24,6 +25,8 @@
  * @param tightFraction fraction of gangs that run slower on several racks
  * @param checkpointFraction fraction of steps that write checkpoints
  * @param estimateError standard deviation of the logarithm of the ratio of estimate to duration
+ * @param unevenness standard deviation of the logarithm of the ratio of the duration of a task to that of its step
+ * @param tail jobs that last several times as long as the others
  */
 record WorkKind(
         String name,
@@ -43,11 +46,29 @@
         boolean gang,
         double tightFraction,
         double checkpointFraction,
-        double estimateError) {
+        double estimateError,
+        double unevenness,
+        Tail tail) {
     private static final double TASK_COUNT_RELATIVE_DEVIATION = 0.8;
 
-    /** A job, with the true duration of the tasks of each step, in seconds. */
-    record Sample(Job job, double[] taskSeconds) {
+    /**
+     * Jobs that last several times as long as the others of their kind.
+     *
+     * @param fraction fraction of the jobs
+     * @param factor multiple of the usual duration
+     */
+    record Tail(double fraction, double factor) {
+        static final Tail NONE = new Tail(0, 1);
+    }
+
+    /** A job, with the true duration of the tasks of each step and the unevenness of its tasks, in seconds. */
+    record Sample(Job job, double[] taskSeconds, double unevenness) {
+        /** Returns the duration of a task on a target of speed 1, in seconds; the same for each call. */
+        double seconds(TaskId task) {
+            double deviation = unevenness == 0 ? 0 : unevenness * new Random(task.hashCode()).nextGaussian();
+            return taskSeconds[task.step()] * Math.exp(deviation);
+        }
+
         double criticalPathSeconds() {
             double sum = 0;
             for (double each : taskSeconds) {
@@ -63,13 +84,16 @@
         double[] seconds = new double[count];
         for (int i = 0; i < count; i++) {
             seconds[i] = Math.min(maxSeconds, logNormal(meanSeconds, relativeDeviation, random));
+            if (tail.fraction > 0 && random.nextDouble() < tail.fraction) {
+                seconds[i] *= tail.factor;
+            }
             int tasks =
                     Math.clamp(Math.round(logNormal(meanTasks, TASK_COUNT_RELATIVE_DEVIATION, random)), 1, maxTasks);
             steps[i] = sampleStep(i, tasks, seconds[i], random);
         }
         Job job = new Job(
                 id, name, PoolFixture.SERVICE, account, terms, "payload", List.of(steps), Job.Schedule.NOW, millis);
-        return new Sample(job, seconds);
+        return new Sample(job, seconds, unevenness);
     }
 
     private Step sampleStep(int number, int tasks, double seconds, RandomGenerator random) {
@@ -86,6 +110,31 @@
                 new Step.Mode(gang, checkpoints, false, false, false, 0));
     }
 
+    /** Returns this kind with uneven tasks and a tail of long jobs. */
+    WorkKind withSpread(double unevenness, Tail tail) {
+        return new WorkKind(
+                name,
+                perSecond,
+                value,
+                lateValue,
+                terms,
+                meanSteps,
+                meanTasks,
+                maxTasks,
+                meanSeconds,
+                relativeDeviation,
+                maxSeconds,
+                cores,
+                memoryMb,
+                accelerators,
+                gang,
+                tightFraction,
+                checkpointFraction,
+                estimateError,
+                unevenness,
+                tail);
+    }
+
     /** Returns a sample of a log-normal distribution. */
     private static double logNormal(double mean, double relativeDeviation, RandomGenerator random) {
         double variance = Math.log(1 + relativeDeviation * relativeDeviation);
