--- a/acacia-estimate/src/test/java/org/acaciaport/estimate/SimulatedRuns.java
+++ b/acacia-estimate/src/test/java/org/acaciaport/estimate/SimulatedRuns.java
@@ -8,12 +8,16 @@
 final class SimulatedRuns {
     static final double TASK_DEVIATION = 0.15;
     static final double STEP_DEVIATION = 0.3;
+    private static final double TAIL_FACTOR = 7;
     private static final double[] PROGRESS = {0.1, 0.3, 0.7, 1};
     static final long SECOND = 1_000_000_000L;
 
     final Estimates estimates = new Estimates();
     final Random random;
     final List<Double> speeds = new ArrayList<>();
+    /** Probability that a run lasts seven times as long. */
+    double tail;
+
     long now;
     private int steps;
 
@@ -45,6 +49,9 @@
         double[] seconds = new double[targets.size()];
         for (int i = 0; i < seconds.length; i++) {
             seconds[i] = duration * Math.exp(TASK_DEVIATION * random.nextGaussian()) / speeds.get(targets.get(i));
+            if (tail > 0 && random.nextDouble() < tail) {
+                seconds[i] *= TAIL_FACTOR;
+            }
         }
         for (double progress : PROGRESS) {
             for (int i = 0; i < seconds.length; i++) {
--- a/acacia-estimate/src/test/java/org/acaciaport/estimate/TargetSpeedsTest.java
+++ b/acacia-estimate/src/test/java/org/acaciaport/estimate/TargetSpeedsTest.java
@@ -191,6 +191,23 @@
         }
     }
 
+    /** Guards against tiers of speed, or drifting durations, that come from the tail of runs alone. */
+    @Test
+    void theTailOfLongRunsDoesNotMakeEqualSpeedsDiffer() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SimulatedRuns runs = new SimulatedRuns(seed, 300, 1);
+            runs.tail = 0.03;
+            for (int i = 0; i < 300; i++) {
+                playSteps(runs, 1);
+                assertThat(runs.estimates.speedsDiffer()).isFalse();
+            }
+            Distribution expected = runs.estimates.expected(new Work("queue0", "account", MEDIAN));
+            assertThat(Math.log(expected.medianSeconds() / MEDIAN))
+                    .isWithin(0.25)
+                    .of(0);
+        }
+    }
+
     /** Guards against a threshold that hides real differences, of a factor of 1.3 on a third of the targets. */
     @Test
     void unequalSpeedsDiffer() {
