Estimates: the only run of a step also shows that its target has changed

Cause: the only run of a step moves the step's duration to what was seen; compared with that, it never surprises, and a target that turned slow kept its speed.

Change: such a run is compared with what was expected of the step before it ran.

--- a/acacia-estimate/src/main/java/org/acaciaport/estimate/StepDurations.java
+++ b/acacia-estimate/src/main/java/org/acaciaport/estimate/StepDurations.java
@@ -176,8 +176,10 @@
 
     /** Compares a run with the speed of its target; if the speed has changed, all of the run counts for the new one. */
     private static void count(StepState step, TargetSpeeds.State speed, RunState run, double y, double noise) {
-        double innovation = y - step.mean + speed.mean;
-        double otherVariance = step.variance + noise;
+        // The only run of a step has moved the step itself, so that it is compared with what was expected before.
+        boolean alone = step.runs.size() == 1;
+        double innovation = y - (alone ? step.prior.logMedian() : step.mean) + speed.mean;
+        double otherVariance = (alone ? step.prior.variance() : step.variance) + noise;
         if (!speed.countRun(innovation, otherVariance)) {
             return;
         }
--- a/acacia-estimate/src/test/java/org/acaciaport/estimate/TargetSpeedsTest.java
+++ b/acacia-estimate/src/test/java/org/acaciaport/estimate/TargetSpeedsTest.java
@@ -135,6 +135,20 @@
         assertThat(errors / (2 * SEEDS)).isLessThan(0.15);
     }
 
+    /** Guards against a slow target that is never recognised because its runs are the only ones of their steps. */
+    @Test
+    void aTargetThatTurnsSlowIsRecognisedByStepsOfOneTask() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            SimulatedRuns runs = new SimulatedRuns(seed, 30, 1);
+            playSteps(runs, 60);
+            runs.speeds.set(0, 0.25);
+            for (int i = 0; i < 8; i++) {
+                runs.step("queue0", MEDIAN, List.of(0));
+            }
+            assertThat(runs.speed(0)).isLessThan(0.6);
+        }
+    }
+
     /** Guards against a target that is avoided, or preferred, because of one run of the tail. */
     @Test
     void oneOddRunMovesASpeedByAtMostHalf() {
