Work that needs speed goes to fast targets, work with slack to slow ones

Change: the pool learns durations and speeds (acacia-estimate). A unit that can meet its objective only on faster targets accepts no slower ones until none would be fast enough; a claim for at most 1 s. Work with slack takes targets first that are too slow for urgent work, and a few unknown ones, which measures them. Objectives, predicted ends and stragglers go by learned durations. Nothing changes while speeds are not known to differ.

--- a/acacia-estimate/src/main/java/org/acaciaport/estimate/TargetSpeeds.java
+++ b/acacia-estimate/src/main/java/org/acaciaport/estimate/TargetSpeeds.java
@@ -60,13 +60,13 @@
     private static final double CENTRE_OBSERVATIONS = 20;
 
     /** Largest deviation of the log speed of a target whose speed is well known. */
-    private static final double KNOWN_DEVIATION = 0.08;
+    private static final double KNOWN_DEVIATION = 0.15;
 
     /** Ratio of the variance of the errors to the one kept, which leaves out that errors of one step are correlated. */
     private static final double ERROR_RATIO = 2;
 
-    /** Smallest number of well-known targets that are compared; they must also be half of those observed. */
-    private static final int MIN_KNOWN = 4;
+    /** Smallest number of well-known targets that are compared; they must also be a quarter of those observed. */
+    private static final int MIN_KNOWN = 8;
 
     /** Ratio of speeds up to which they count as equal. */
     private static final double EQUAL_RATIO = 1.1;
@@ -209,7 +209,7 @@
         State[] known = states.values().stream()
                 .filter(state -> state.variance <= KNOWN_DEVIATION * KNOWN_DEVIATION)
                 .toArray(State[]::new);
-        if (known.length < Math.max(MIN_KNOWN, states.size() / 2)) {
+        if (known.length < Math.max(MIN_KNOWN, states.size() / 4)) {
             return false;
         }
         double[] means =
--- a/acacia-pool/src/main/java/org/acaciaport/pool/DemandKey.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/DemandKey.java
@@ -13,6 +13,7 @@
  * @param takesHeld whether resources that a gang holds in vain are accepted
  * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
  * @param claim whether it may also take the room of others of the highest priority
+ * @param speedClass class of the speed that its targets need; the lowest value if any speed will do
  */
 record DemandKey(
         String service,
@@ -22,15 +23,21 @@
         boolean leavesRack,
         boolean takesHeld,
         boolean urgent,
-        boolean claim) {
+        boolean claim,
+        long speedClass) {
+    /** Ratio of required speeds within which demands count as equal. */
+    private static final double SPEED_CLASS_RATIO = 1.05;
+
     /**
      * Returns the key of {@code unit}.
      *
      * @param leavesRack whether targets outside the preferred rack are accepted
      * @param takesHeld whether resources that a gang holds in vain are accepted
      * @param claim whether the unit is a claim
+     * @param requiredSpeed speed that its targets need; 0 if any speed will do
      */
-    static DemandKey of(PlacementUnit unit, boolean leavesRack, boolean takesHeld, boolean claim) {
+    static DemandKey of(
+            PlacementUnit unit, boolean leavesRack, boolean takesHeld, boolean claim, double requiredSpeed) {
         Step.Constraints constraints = unit.step().spec.constraints();
         return new DemandKey(
                 unit.job().service(),
@@ -40,6 +47,11 @@
                 leavesRack,
                 takesHeld,
                 unit.priority() == 0,
-                claim);
+                claim,
+                speedClass(requiredSpeed));
+    }
+
+    private static long speedClass(double requiredSpeed) {
+        return requiredSpeed == 0 ? Long.MIN_VALUE : Math.round(Math.log(requiredSpeed) / Math.log(SPEED_CLASS_RATIO));
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -30,9 +30,9 @@
     JobState state = JobState.QUEUED;
     long endedMillis;
 
-    JobExecution(Job spec) {
+    JobExecution(Job spec, RunEstimates estimates) {
         this.spec = spec;
-        objective = Objective.of(spec);
+        objective = Objective.of(spec, number -> estimates.seconds(spec, number));
         tasksPerOccurrence = spec.steps().stream().mapToLong(Step::count).sum();
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -12,11 +12,28 @@
  * <p>Not thread-safe; confined to the thread of the pool.
  *
  * @param groups groups of targets
+ * @param order order in which the targets of a group are filled
+ * @param selective whether targets were left out that are only too slow, so that a claim has no right to the others
  */
-record LocalityTier(List<List<TargetState>> groups) {
+record LocalityTier(List<List<TargetState>> groups, TargetOrder order, boolean selective) {
     /** Multiple of its estimated duration that a task waits for a target in the rack of its data. */
     private static final double LOCALITY_WAIT_FACTOR = 1.0;
 
+    /** Creates a tier whose targets are filled regardless of their speed. */
+    LocalityTier(List<List<TargetState>> groups) {
+        this(groups, TargetOrder.FULLEST_FIRST, false);
+    }
+
+    /** Returns this tier with another order of its targets. */
+    LocalityTier inOrder(TargetOrder other) {
+        return new LocalityTier(groups, other, selective);
+    }
+
+    /** Returns this tier as one without the targets that are too slow. */
+    LocalityTier forSpeed() {
+        return new LocalityTier(groups, order, true);
+    }
+
     /**
      * Returns the tiers in which {@code unit} may be placed, best locality first.
      *
@@ -43,9 +60,10 @@
 
     /** Returns the same groups with only those targets for which {@code usable} holds. */
     LocalityTier filter(Predicate<TargetState> usable) {
-        return new LocalityTier(groups.stream()
+        List<List<TargetState>> filtered = groups.stream()
                 .map(group -> group.stream().filter(usable).toList())
-                .toList());
+                .toList();
+        return new LocalityTier(filtered, order, selective);
     }
 
     /** Returns whether a task that prefers the rack of its data accepts targets outside it. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntToDoubleFunction;
 
 /**
  * The completion-time objective of a job.
@@ -15,6 +16,8 @@
     /** Multiple of its objective up to which a late occurrence is still useful. */
     private static final int LATE_LIMIT_FACTOR = 3;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     /** Longest critical path and longest part of an objective, in milliseconds: a hundred years. */
     private static final long MAX_MILLIS = 36_500L * 24 * 60 * 60 * 1_000;
 
@@ -28,16 +31,26 @@
         MISSED
     }
 
-    /** Returns the objective of {@code job}. */
+    /** Returns the objective of {@code job} by its declared durations. */
     static Objective of(Job job) {
+        return of(job, number -> job.steps().get(number).estimateSeconds());
+    }
+
+    /**
+     * Returns the objective of {@code job}.
+     *
+     * @param stepSeconds expected duration of a task of the step with the given number, in seconds
+     */
+    static Objective of(Job job, IntToDoubleFunction stepSeconds) {
         List<Long> ends = new ArrayList<>();
         long longest = 0;
-        for (Step step : job.steps()) {
+        for (int number = 0; number < job.steps().size(); number++) {
             long start = 0;
-            for (int earlier : step.after()) {
+            for (int earlier : job.steps().get(number).after()) {
                 start = Math.max(start, ends.get(earlier));
             }
-            long end = Math.min(MAX_MILLIS, start + Math.min(MAX_MILLIS, step.estimateMillis()));
+            long millis = Math.round(stepSeconds.applyAsDouble(number) * MILLIS_PER_SECOND);
+            long end = Math.min(MAX_MILLIS, start + Math.min(MAX_MILLIS, millis));
             ends.add(end);
             longest = Math.max(longest, end);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -46,10 +46,12 @@
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final AccountDemand accountDemand;
+    private final RunEstimates estimates;
     private final ClockReading now;
 
-    OccupiedResourceSearch(AccountDemand accountDemand, ClockReading now) {
+    OccupiedResourceSearch(AccountDemand accountDemand, RunEstimates estimates, ClockReading now) {
         this.accountDemand = accountDemand;
+        this.estimates = estimates;
         this.now = now;
     }
 
@@ -102,8 +104,7 @@
 
     /** Returns the maximum work lost by preemption for a unit beyond its guarantee, in core-seconds. */
     private double lossBudgetCoreSeconds(PlacementUnit unit) {
-        double work =
-                unit.size() * unit.demand().coreEquivalents() * unit.step().spec.estimateSeconds();
+        double work = unit.size() * unit.demand().coreEquivalents() * estimates.seconds(unit.step());
         return switch (unit.step().deadlineStatus(now)) {
             case IN_TIME -> Math.max(MIN_LOSS_BUDGET_CORE_SECONDS, MAX_LOSS_FACTOR * work);
             case LATE -> LATE_MAX_LOSS_FACTOR * work;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,15 +63,28 @@
     }
 
     /**
-     * Returns a target for each task of {@code unit}, or null if the tasks do not all fit. Prefers targets with the
-     * fewest free accelerators, then racks with the fewest, so that idle targets and racks stay available to large
-     * units.
+     * Returns a target for each task of {@code unit}, or null if the tasks do not all fit; takes them regardless of
+     * their speed.
+     */
+    static List<TargetState> selectTargets(
+            PlacementUnit unit, List<TargetState> candidates, Function<TargetState, Resources> available) {
+        return selectTargets(unit, candidates, available, TargetOrder.FULLEST_FIRST);
+    }
+
+    /**
+     * Returns a target for each task of {@code unit}, or null if the tasks do not all fit. Among targets that are alike
+     * in {@code preferred}, takes those with the fewest free accelerators, then racks with the fewest, so that idle
+     * targets and racks stay available to large units.
      *
      * @param candidates targets to choose from
      * @param available resources of a target that the unit may use
+     * @param preferred the order in which targets are taken
      */
     static List<TargetState> selectTargets(
-            PlacementUnit unit, List<TargetState> candidates, Function<TargetState, Resources> available) {
+            PlacementUnit unit,
+            List<TargetState> candidates,
+            Function<TargetState, Resources> available,
+            TargetOrder preferred) {
         Map<TargetState, Resources> freeByTarget = new HashMap<>();
         Map<TargetState, Integer> slots = new HashMap<>();
         Map<String, Long> freeByRack = new HashMap<>();
@@ -91,8 +103,9 @@
             return null;
         }
         List<TargetState> order = new ArrayList<>(slots.keySet());
-        order.sort(Comparator.comparingLong(
-                        (TargetState target) -> freeByTarget.get(target).accelerators())
+        order.sort(preferred
+                .comparator()
+                .thenComparingLong(target -> freeByTarget.get(target).accelerators())
                 .thenComparingLong(target -> freeByRack.get(target.rack()))
                 .thenComparingLong(target -> freeByTarget.get(target).cpuMillis())
                 .thenComparing(target -> target.id));
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -30,6 +30,7 @@
     private final Collection<TargetState> targets;
     private final Placement placement;
     private final AccountDemand accountDemand;
+    private final SpeedTiers speedTiers;
     private final UnitWaits unitWaits;
     private final OccupiedResourceSearch occupiedResourceSearch;
     private final ClockReading now;
@@ -54,8 +55,9 @@
         this.now = now;
         placement = new Placement(targets, settings);
         accountDemand = AccountDemand.of(jobs, settings);
-        unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), targets, now);
-        occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, now);
+        speedTiers = new SpeedTiers(context.estimates(), targets, now);
+        unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), speedTiers, targets, now);
+        occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, context.estimates(), now);
     }
 
     /**
@@ -64,8 +66,9 @@
      * @param outbox collects start commands
      * @param targetHealth tells on which targets a job failed
      * @param taskLifecycle stops runs and cancels reservations
+     * @param estimates expected durations and speeds
      */
-    record Context(Outbox outbox, TargetHealth targetHealth, TaskLifecycle taskLifecycle) {}
+    record Context(Outbox outbox, TargetHealth targetHealth, TaskLifecycle taskLifecycle, RunEstimates estimates) {}
 
     void run() {
         List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
@@ -140,7 +143,11 @@
 
     private DemandKey demandKey(PlacementUnit unit) {
         return DemandKey.of(
-                unit, unitWaits.mayLeaveRack(unit), unitWaits.isLongInMostlyFreePool(unit), unitWaits.isClaim(unit));
+                unit,
+                unitWaits.mayLeaveRack(unit),
+                unitWaits.isLongInMostlyFreePool(unit),
+                unitWaits.isClaim(unit),
+                speedTiers.requiredSpeed(unit));
     }
 
     /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
@@ -198,7 +205,7 @@
         List<TargetState> best = null;
         long leastFree = Long.MAX_VALUE;
         for (List<TargetState> group : tier.groups()) {
-            List<TargetState> chosen = Placement.selectTargets(unit, group, available);
+            List<TargetState> chosen = Placement.selectTargets(unit, group, available, tier.order());
             if (chosen == null) {
                 continue;
             }
@@ -222,7 +229,8 @@
     }
 
     private boolean preempt(PlacementUnit unit, LocalityTier tier) {
-        return reserve(unit, occupiedResourceSearch.findPreemption(unit, tier, unitWaits.isClaim(unit)));
+        return reserve(
+                unit, occupiedResourceSearch.findPreemption(unit, tier, unitWaits.isClaim(unit) && !tier.selective()));
     }
 
     private boolean reserveInAdvance(PlacementUnit unit, LocalityTier tier) {
@@ -249,18 +257,26 @@
             chosen.get(i).put(task, Phase.RESERVED);
         }
         LOG.infof(
-                "place: request=%s step=%s tasks=%s cores=%.1f account=%s target=%s why=%s waited_ms=%s",
+                "place: request=%s step=%s tasks=%s cores=%.1f account=%s target=%s speed=%.2f seconds=%.1f slack_ms=%s"
+                        + " why=%s waited_ms=%s",
                 unit.job().id(),
                 unit.step().number,
                 unit.size(),
                 unit.demand().coreEquivalents(),
                 unit.job().account(),
                 chosen.get(0).id,
+                slowestSpeed(chosen),
+                context.estimates().seconds(unit.step()) / slowestSpeed(chosen),
+                unit.step().slackMillis(now),
                 reservation.why(),
                 unitWaits.millis(unit));
         return true;
     }
 
+    private static double slowestSpeed(List<TargetState> targets) {
+        return targets.stream().mapToDouble(target -> target.speed).min().orElse(1);
+    }
+
     private void stopVictims(PlacementUnit unit, Reservation reservation) {
         for (TaskExecution task : reservation.victims()) {
             if (task.phase == Phase.RESERVED) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -22,9 +22,11 @@
     private final Map<String, TargetState> targets = new TreeMap<>();
     private final TargetHealth targetHealth = new TargetHealth();
     private final Outbox outbox = new Outbox();
-    private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth);
-    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, this::findTask);
-    private final PlacementPass.Context passContext = new PlacementPass.Context(outbox, targetHealth, taskLifecycle);
+    private final RunEstimates estimates = new RunEstimates();
+    private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth, estimates);
+    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, estimates, this::findTask);
+    private final PlacementPass.Context passContext =
+            new PlacementPass.Context(outbox, targetHealth, taskLifecycle, estimates);
     private PoolSettings settings = PoolSettings.EMPTY;
 
     /** Replaces the operator-defined settings. */
@@ -56,7 +58,7 @@
 
     /** Adds a job. Has no effect if the pool already has a job with this id. */
     public void submit(Job job) {
-        if (jobs.putIfAbsent(job.id(), new JobExecution(job)) == null) {
+        if (jobs.putIfAbsent(job.id(), new JobExecution(job, estimates)) == null) {
             LOG.infof(
                     "accept: request=%s queue=%s account=%s priority=%s steps=%s",
                     job.id(),
@@ -73,7 +75,7 @@
      * ignored. The progress may be that of a part of a batch.
      */
     public void restore(Job job, JobProgress progress, ClockReading now) {
-        JobExecution execution = new JobExecution(job);
+        JobExecution execution = new JobExecution(job, estimates);
         execution.state = progress.state();
         execution.endedMillis = progress.endedMillis();
         execution.doneOccurrences.addAll(progress.doneOccurrences());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -19,6 +19,7 @@
 
     private final Outbox outbox;
     private final TaskLifecycle taskLifecycle;
+    private final RunEstimates estimates;
     private final Function<TaskId, TaskExecution> findTask;
 
     /**
@@ -26,11 +27,17 @@
      *
      * @param outbox collects stop commands and acknowledgements
      * @param taskLifecycle changes the states of tasks
+     * @param estimates learns from the progress of runs
      * @param findTask returns a task by its id, or null if it is unknown
      */
-    ReportHandler(Outbox outbox, TaskLifecycle taskLifecycle, Function<TaskId, TaskExecution> findTask) {
+    ReportHandler(
+            Outbox outbox,
+            TaskLifecycle taskLifecycle,
+            RunEstimates estimates,
+            Function<TaskId, TaskExecution> findTask) {
         this.outbox = outbox;
         this.taskLifecycle = taskLifecycle;
+        this.estimates = estimates;
         this.findTask = findTask;
     }
 
@@ -118,6 +125,7 @@
             return;
         }
         task.recordProgress(run.percent(), now.monotonicNanos());
+        estimates.recordProgress(task, now);
         taskLifecycle.checkProgress(task, now);
     }
 
@@ -135,6 +143,7 @@
             return;
         }
         target.incarnation = incarnation;
+        estimates.resetSpeed(target, now);
         target.clearStrayRuns();
         target.failureScore = 0;
         target.lastSuccessNanos = 0;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -13,6 +13,10 @@
     final Step spec;
     final int occurrence;
     final int number;
+
+    /** Identifies the step among those of all jobs. */
+    final String key;
+
     final List<TaskExecution> tasks = new ArrayList<>();
     int doneTaskCount;
 
@@ -39,6 +43,7 @@
         this.spec = job.spec.steps().get(number);
         this.occurrence = occurrence;
         this.number = number;
+        this.key = job.spec.id() + "." + occurrence + "." + number;
         for (int i = 0; i < spec.count(); i++) {
             tasks.add(new TaskExecution(new TaskId(job.spec.id(), occurrence, number, i), this));
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -42,6 +42,15 @@
     /** Id of the job that failed last; empty if none has failed since the last success. */
     String lastFailedJob = "";
 
+    /** Expected speed relative to the nominal one; 1 until it is known better. */
+    double speed = 1;
+
+    /** Speed that the target very probably has at least; 0 until it is known better. */
+    double probableSpeed;
+
+    /** Whether {@code speed} is known well enough to tell this target from slower and faster ones. */
+    boolean speedKnown;
+
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
     private Resources used = Resources.NONE;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -67,9 +67,13 @@
     /** Monotonic clock reading at the last change of {@code percent}, in nanoseconds. */
     long lastProgressNanos;
 
+    /** Expected duration of the newest run on its target, in seconds. */
+    double expectedSeconds;
+
     TaskExecution(TaskId id, StepExecution step) {
         this.id = id;
         this.step = step;
+        expectedSeconds = step.spec.estimateSeconds();
     }
 
     /** Records that the newest run has started. The initial progress of a run that resumes a checkpoint is unknown. */
@@ -103,7 +107,7 @@
         if (gainedPercent() < 1 || !observed || step.lacksLocality(this)) {
             return false;
         }
-        return projectedRunSeconds() > usualFactor * step.spec.estimateSeconds() + MIN_OBSERVATION_SECONDS;
+        return projectedRunSeconds() > usualFactor * expectedSeconds + MIN_OBSERVATION_SECONDS;
     }
 
     /** Returns whether the newest run ran from its beginning on targets near its data or each other. */
@@ -116,36 +120,41 @@
      * may be the cause, so the duration elsewhere is taken as the mean of the estimate and the projection of this run.
      */
     boolean wouldEndSoonerElsewhere() {
-        double restartedSeconds = (step.spec.estimateSeconds() + projectedRunSeconds()) / 2;
+        double restartedSeconds = (expectedSeconds + projectedRunSeconds()) / 2;
         double savedFraction = step.spec.mode().checkpoint() ? (double) percent / COMPLETE_PERCENT : 0;
         double remaining = (COMPLETE_PERCENT - percent) * secondsPerPercent();
         return remaining > restartedSeconds * (1 - savedFraction) + RESTART_DELAY_SECONDS;
     }
 
     /** Returns the total duration of the newest run at its observed rate, in seconds. */
-    private double projectedRunSeconds() {
+    double projectedRunSeconds() {
         return COMPLETE_PERCENT * secondsPerPercent();
     }
 
     /**
-     * Returns the predicted time until the newest run completes, in seconds. Uses the observed rate of the run, or the
-     * estimate of its step while too little progress was observed.
+     * Returns the predicted time until the newest run completes, in seconds. Uses the observed rate of the run, or its
+     * expected duration while too little progress was observed.
      */
     double remainingSeconds(ClockReading now) {
         if (gainedPercent() < MIN_RATE_SAMPLE_PERCENT) {
-            return Math.max(0, step.spec.estimateSeconds() - now.secondsSince(confirmedNanos));
+            return Math.max(0, expectedSeconds - now.secondsSince(confirmedNanos));
         }
         double remaining = (COMPLETE_PERCENT - percent) * secondsPerPercent();
         return Math.max(0, remaining - now.secondsSince(lastProgressNanos));
     }
 
     /** Returns the progress of the newest run since {@code firstPercent}, in percent; 0 while that is unknown. */
-    private int gainedPercent() {
+    int gainedPercent() {
         return firstPercent < 0 ? 0 : percent - firstPercent;
     }
 
+    /** Returns the time in which the newest run made the progress since {@code firstPercent}, in seconds. */
+    double observedSeconds() {
+        return (lastProgressNanos - firstPercentNanos) / NANOS_PER_SECOND;
+    }
+
     private double secondsPerPercent() {
-        return (lastProgressNanos - firstPercentNanos) / NANOS_PER_SECOND / gainedPercent();
+        return observedSeconds() / gainedPercent();
     }
 
     Resources demand() {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -27,11 +27,13 @@
 
     private final Outbox outbox;
     private final TargetHealth targetHealth;
+    private final RunEstimates estimates;
     private final EstimateErrors estimateErrors = new EstimateErrors();
 
-    TaskLifecycle(Outbox outbox, TargetHealth targetHealth) {
+    TaskLifecycle(Outbox outbox, TargetHealth targetHealth, RunEstimates estimates) {
         this.outbox = outbox;
         this.targetHealth = targetHealth;
+        this.estimates = estimates;
     }
 
     /**
@@ -56,13 +58,18 @@
             case DONE -> {
                 targetHealth.recordSuccess(target, now);
                 recordDuration(task, now);
+                estimates.recordCompleted(task, now);
                 handleDone(task, now);
             }
             case FAILED -> {
                 targetHealth.recordFailure(task.id.job(), target, now);
+                estimates.recordInterrupted(task, now);
                 handleFailed(task, now);
             }
-            case STOPPED, LAPSED, BROKEN, ALONE -> requeue(task, now);
+            case STOPPED, LAPSED, BROKEN, ALONE -> {
+                estimates.recordInterrupted(task, now);
+                requeue(task, now);
+            }
         }
     }
 
@@ -81,7 +88,7 @@
         Step step = task.step.spec;
         if (!step.mode().lasting() && task.isMeasurable()) {
             double runSeconds = now.secondsSince(task.confirmedNanos);
-            estimateErrors.record(task.job().queue(), runSeconds, step.estimateSeconds());
+            estimateErrors.record(task.job().queue(), runSeconds, task.expectedSeconds);
         }
     }
 
@@ -139,6 +146,9 @@
         }
         detach(task, Phase.DONE);
         task.step.doneTaskCount++;
+        if (task.step.isDone()) {
+            estimates.forget(task.step);
+        }
     }
 
     private void handleFailed(TaskExecution task, ClockReading now) {
@@ -178,6 +188,7 @@
     void stopAll(JobExecution job, ClockReading now) {
         targetHealth.removeJob(job.spec.id());
         job.tasks().forEach(task -> cancelReservationOrStop(task, now));
+        job.openOccurrences().forEach(steps -> steps.forEach(estimates::forget));
     }
 
     /** Cancels the reservation of the task, or stops its run if it is not stopping yet. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -61,13 +61,16 @@
             cancelExpiredReservation(unit);
             return;
         }
+        double slowest = Double.MAX_VALUE;
         int run = 0;
         for (TaskExecution task : unit.tasks()) {
             run = Math.max(run, task.lastRun + 1);
+            slowest = Math.min(slowest, task.target.speed);
         }
         for (TaskExecution task : unit.tasks()) {
             task.lastRun = run;
             task.incarnation = task.target.incarnation;
+            task.expectedSeconds = context.estimates().seconds(unit.step()) / slowest;
             task.target.put(task, Phase.STARTING);
             context.outbox().addStart(task);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -17,6 +17,9 @@
     /** Time after which a claim accepts targets outside its preferred locality, in milliseconds. */
     private static final long CLAIM_LOCALITY_WAIT_MILLIS = 1_000;
 
+    /** Time after which a claim accepts targets on which it will be late, in milliseconds; its guarantee is for any. */
+    private static final long CLAIM_SPEED_WAIT_MILLIS = 1_000;
+
     /** Time after which any unit accepts more while most of the capacity is free, in milliseconds. */
     private static final long MOSTLY_FREE_WAIT_MILLIS = 2_000;
 
@@ -32,6 +35,7 @@
     private final Placement placement;
     private final AccountDemand accountDemand;
     private final TargetHealth targetHealth;
+    private final SpeedTiers speedTiers;
     private final Collection<TargetState> targets;
     private final ClockReading now;
 
@@ -42,11 +46,13 @@
             Placement placement,
             AccountDemand accountDemand,
             TargetHealth targetHealth,
+            SpeedTiers speedTiers,
             Collection<TargetState> targets,
             ClockReading now) {
         this.placement = placement;
         this.accountDemand = accountDemand;
         this.targetHealth = targetHealth;
+        this.speedTiers = speedTiers;
         this.targets = targets;
         this.now = now;
     }
@@ -84,7 +90,9 @@
     }
 
     private List<LocalityTier> tiersOf(PlacementUnit unit, Map<String, List<TargetState>> racks) {
-        return LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
+        List<LocalityTier> tiers = LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
+        boolean patient = !isLongInMostlyFreePool(unit) && !(isClaim(unit) && millis(unit) > CLAIM_SPEED_WAIT_MILLIS);
+        return speedTiers.apply(unit, tiers, patient);
     }
 
     /** Returns whether the unit has waited for others long enough to accept a target on which its job failed. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/OddJobTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/OddJobTest.java
@@ -26,8 +26,8 @@
     @Test
     void occurrencesOpenAsEarlierOnesEnd() {
         Job.Schedule allDue = new Job.Schedule(100_000, 1, 0);
-        JobExecution execution =
-                new JobExecution(job(TERMS, List.of(step(TASKS_PER_OCCURRENCE, 1, List.of())), allDue));
+        JobExecution execution = new JobExecution(
+                job(TERMS, List.of(step(TASKS_PER_OCCURRENCE, 1, List.of())), allDue), new RunEstimates());
         execution.openDueOccurrences(NOW_MILLIS);
         assertThat(execution.tasks()).hasSize(MAX_OPEN_TASKS);
         execution.closeOccurrence(0, NOW_MILLIS);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -108,7 +108,10 @@
     /** A submitted request and its kind. */
     record Submission(WorkKind kind, WorkKind.Sample sample) {}
 
-    /** A run on a target. The runs of a gang make progress only once all of them have started. */
+    /**
+     * A run on a target. The runs of a gang make progress only once all of them have started, each at the speed of its
+     * target, and end together.
+     */
     private static final class Running {
         TargetCommand.Start start;
         double startProgress;
@@ -228,14 +231,13 @@
         Set<String> racks = new HashSet<>();
         active.forEach(each -> racks.add(rackOf(each.start.target())));
         double slowdown = step.constraints().tight() && racks.size() > 1 ? CROSS_RACK_SLOWDOWN : 1;
-        double seconds = 0;
+        long remaining = 0;
         for (Running each : active) {
-            seconds = Math.max(seconds, submission.sample().seconds(each.start.task()) / speedOf(each.start.target()));
+            each.sinceMillis = millis;
+            each.seconds = submission.sample().seconds(each.start.task()) * slowdown / speedOf(each.start.target());
+            remaining = Math.max(remaining, (long) Math.ceil((1 - each.startProgress) * each.seconds * 1_000));
         }
         for (Running each : active) {
-            each.sinceMillis = millis;
-            each.seconds = seconds * slowdown;
-            long remaining = (long) Math.ceil((1 - each.startProgress) * each.seconds * 1_000);
             schedule(millis + remaining, () -> handleDone(each));
         }
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkKind.java
@@ -63,9 +63,14 @@
 
     /** A job, with the true duration of the tasks of each step and the unevenness of its tasks, in seconds. */
     record Sample(Job job, double[] taskSeconds, double unevenness) {
-        /** Returns the duration of a task on a target of speed 1, in seconds; the same for each call. */
+        /**
+         * Returns the duration of a task on a target of speed 1, in seconds; the same for each call and for all tasks
+         * of a gang.
+         */
         double seconds(TaskId task) {
-            double deviation = unevenness == 0 ? 0 : unevenness * new Random(task.hashCode()).nextGaussian();
+            boolean uneven =
+                    unevenness > 0 && !job.steps().get(task.step()).mode().gang();
+            double deviation = uneven ? unevenness * new Random(task.hashCode()).nextGaussian() : 0;
             return taskSeconds[task.step()] * Math.exp(deviation);
         }
 
