Limits of client accounts in the pool and the configuration

AccountUsage is kept up to date with each change of a task that has a target. A pass reserves and starts only within the limit; a unit of priority 0 displaces the cheapest work of lower priorities of its own account. LimitMonitor logs when accounts reach their limits and counts the tasks held back.

--- a/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
@@ -63,7 +63,7 @@
                 "configuration: version=%s queues=%s accounts=%s outcome=in-force",
                 published.version(),
                 published.queues().size(),
-                published.guaranteedAccelerators().size());
+                published.accounts().size());
     }
 
     @Override
--- a/acacia-node/src/main/java/org/acaciaport/node/OperatorConfiguration.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/OperatorConfiguration.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.PoolSettings;
 
@@ -14,20 +15,20 @@
  * @param version version number; increases with each publication
  * @param queues the queues
  * @param accountsByKey client account of each API key
- * @param guaranteedAccelerators number of accelerators guaranteed to each client account
+ * @param accounts terms of each client account
  * @param services names of the services
  */
 public record OperatorConfiguration(
         long version,
         List<Queue> queues,
         Map<String, String> accountsByKey,
-        Map<String, Long> guaranteedAccelerators,
+        Map<String, AccountTerms> accounts,
         Set<String> services) {
     /** Creates a configuration with immutable copies of the collections. */
     public OperatorConfiguration {
         queues = List.copyOf(queues);
         accountsByKey = Map.copyOf(accountsByKey);
-        guaranteedAccelerators = Map.copyOf(guaranteedAccelerators);
+        accounts = Map.copyOf(accounts);
         services = Set.copyOf(services);
     }
 
@@ -59,6 +60,6 @@
 
     /** Returns the settings of the pool, given the names of the evacuated data centres. */
     PoolSettings poolSettings(Set<String> evacuated) {
-        return new PoolSettings(guaranteedAccelerators, evacuated, services);
+        return new PoolSettings(accounts, evacuated, services);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermLoad.java
@@ -86,7 +86,7 @@
         LOG.infof(
                 "load: epoch=%s events=%s event_wait_ms=%s passes=%s pass_ms=%s iteration_ms=%s append_ms=%s"
                         + " dispatch_ms=%s jobs=%s blocked=%s waiting=%s reserved=%s running=%s stopping=%s"
-                        + " accelerators_used=%s of=%s",
+                        + " accelerators_used=%s of=%s held_back=%s",
                 epoch,
                 eventCount,
                 toMillis(longestEventWaitNanos),
@@ -102,7 +102,8 @@
                 backlog.running(),
                 backlog.stopping(),
                 backlog.usedAccelerators(),
-                backlog.accelerators());
+                backlog.accelerators(),
+                backlog.heldBack());
         pool.longestWaitingSteps(now).forEach(TermLoad::report);
         eventCount = 0;
         passCount = 0;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountDemand.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountDemand.java
@@ -11,21 +11,28 @@
  */
 final class AccountDemand {
     private final Map<String, Long> requestedAccelerators = new HashMap<>();
-    private final Map<String, Long> guarantees;
+    private final PoolSettings settings;
 
-    private AccountDemand(Map<String, Long> guarantees) {
-        this.guarantees = guarantees;
+    private AccountDemand(PoolSettings settings) {
+        this.settings = settings;
     }
 
-    /** Returns the demand of all unfinished jobs of priority 0; each counts with the demand of its largest step. */
+    /**
+     * Returns the demand of all unfinished jobs of priority 0; each counts with the demand of its largest step. Gangs
+     * beyond the limit of their account do not count, as they cannot start.
+     */
     static AccountDemand of(Collection<JobExecution> jobs, PoolSettings settings) {
-        AccountDemand demand = new AccountDemand(settings.guarantees());
+        AccountDemand demand = new AccountDemand(settings);
         for (JobExecution job : jobs) {
             if (job.state.isTerminal() || job.spec.terms().priority() != 0) {
                 continue;
             }
             long largestStep = 0;
+            AccountTerms terms = settings.terms(job.spec.account());
             for (Step step : job.spec.steps()) {
+                if (step.mode().gang() && !terms.isWithinLimit(Resources.sumOf(step.demand(), step.count()))) {
+                    continue;
+                }
                 largestStep = Math.max(largestStep, step.count() * step.demand().accelerators());
             }
             demand.requestedAccelerators.merge(job.spec.account(), largestStep, Long::sum);
@@ -35,6 +42,7 @@
 
     /** Returns whether the total demand of {@code account} is within its guarantee. */
     boolean isWithinGuarantee(String account) {
-        return requestedAccelerators.getOrDefault(account, 0L) <= guarantees.getOrDefault(account, 0L);
+        return requestedAccelerators.getOrDefault(account, 0L)
+                <= settings.terms(account).guaranteedAccelerators();
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Backlog.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Backlog.java
@@ -11,6 +11,7 @@
  * @param jobs unfinished jobs
  * @param blocked tasks of steps whose earlier steps have not ended
  * @param waiting tasks of ready steps without a run and without reserved resources
+ * @param heldBack those of the waiting tasks that the limits of their accounts held back in the newest pass
  * @param reserved tasks with reserved resources
  * @param running tasks whose start was decided and that were not told to stop
  * @param stopping tasks that were told to stop
@@ -21,13 +22,14 @@
         int jobs,
         int blocked,
         int waiting,
+        int heldBack,
         int reserved,
         int running,
         int stopping,
         long usedAccelerators,
         long accelerators) {
     /** Returns the backlog of {@code jobs} on {@code targets}; takes time linear in their tasks. */
-    static Backlog of(Collection<JobExecution> jobs, Collection<TargetState> targets) {
+    static Backlog of(Collection<JobExecution> jobs, Collection<TargetState> targets, int heldBack) {
         int unfinished = 0;
         int blocked = 0;
         int[] tasks = new int[Phase.values().length];
@@ -61,6 +63,7 @@
                 unfinished,
                 blocked,
                 tasks[Phase.WAITING.ordinal()],
+                heldBack,
                 tasks[Phase.RESERVED.ordinal()],
                 tasks[Phase.STARTING.ordinal()] + tasks[Phase.RUNNING.ordinal()],
                 tasks[Phase.STOPPING.ordinal()],
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -32,6 +32,9 @@
     private final AccountDemand accountDemand;
     private final UnitWaits unitWaits;
     private final OccupiedResourceSearch occupiedResourceSearch;
+    private final AccountLimits limits;
+    private final OwnWorkSearch ownWorkSearch;
+    private final PoolSettings settings;
     private final ClockReading now;
 
     /** Demands for which there is no free room. */
@@ -51,11 +54,14 @@
         this.context = context;
         this.jobs = jobs;
         this.targets = targets;
+        this.settings = settings;
         this.now = now;
         placement = new Placement(targets, settings);
         accountDemand = AccountDemand.of(jobs, settings);
         unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), targets, now);
         occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, now);
+        limits = new AccountLimits(context.accountUsage(), settings.accounts(), context.limitMonitor(), now);
+        ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, now);
     }
 
     /**
@@ -64,21 +70,31 @@
      * @param outbox collects start commands
      * @param targetHealth tells on which targets a job failed
      * @param taskLifecycle stops runs and cancels reservations
+     * @param accountUsage what the client accounts use
+     * @param limitMonitor logs which limits hold work back
      */
-    record Context(Outbox outbox, TargetHealth targetHealth, TaskLifecycle taskLifecycle) {}
+    record Context(
+            Outbox outbox,
+            TargetHealth targetHealth,
+            TaskLifecycle taskLifecycle,
+            AccountUsage accountUsage,
+            LimitMonitor limitMonitor) {}
 
     void run() {
         List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
+        context.limitMonitor().beginPass();
+        limits.cancelExcessReservations(units, context.taskLifecycle());
         advanceReservations =
                 (int) units.stream().filter(PlacementPass::isReservedGang).count();
         for (PlacementUnit unit : units) {
             if (unit.isIn(Phase.WAITING)) {
-                place(unit);
+                placeWithinLimit(unit);
             } else if (unit.isIn(Phase.RESERVED)) {
                 reviewReservation(unit);
             }
         }
-        new UnitStarter(context, placement, now).startReserved(jobs);
+        new UnitStarter(context, placement, limits, now).startReserved(jobs);
+        context.limitMonitor().endPass(settings.accounts(), context.accountUsage(), now);
     }
 
     /** Returns whether the unit is a gang below the highest priority with reserved resources. */
@@ -86,6 +102,28 @@
         return unit.priority() > 0 && unit.step().spec.mode().gang() && unit.isIn(Phase.RESERVED);
     }
 
+    /** Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. */
+    private void placeWithinLimit(PlacementUnit unit) {
+        if (limits.admits(unit)) {
+            place(unit);
+        } else if (!displaceOwnWork(unit)) {
+            limits.holdBack(unit);
+        }
+    }
+
+    /** Stops work of lower priorities of the unit's own account to bring the unit within the account's limit. */
+    private boolean displaceOwnWork(PlacementUnit unit) {
+        if (!limits.mayDisplaceOwnWork(unit) || !isSearchDue(unit)) {
+            return false;
+        }
+        if (reserve(unit, ownWorkSearch.find(unit, unitWaits.localityTiers(unit), unitWaits.isClaim(unit)))) {
+            return true;
+        }
+        unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
+        limits.recordSearchFailed(unit);
+        return false;
+    }
+
     private void place(PlacementUnit unit) {
         DemandKey key = demandKey(unit);
         boolean cacheable = isCacheable(unit);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -25,6 +25,11 @@
         return step.spec.chargedResources();
     }
 
+    /** Returns the resources of all tasks that count against the limit of the account. */
+    Resources fullDemand() {
+        return Resources.sumOf(step.spec.demand(), tasks.size());
+    }
+
     int size() {
         return tasks.size();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -20,13 +20,20 @@
 
     private final Map<String, JobExecution> jobs = new LinkedHashMap<>();
     private final Map<String, TargetState> targets = new TreeMap<>();
+    private final AccountUsage accountUsage = new AccountUsage();
+    private final LimitMonitor limitMonitor = new LimitMonitor();
     private final TargetHealth targetHealth = new TargetHealth();
     private final Outbox outbox = new Outbox();
     private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth);
-    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, this::findTask);
-    private final PlacementPass.Context passContext = new PlacementPass.Context(outbox, targetHealth, taskLifecycle);
+    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, jobs::get);
+    private final PlacementPass.Context passContext =
+            new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor);
     private PoolSettings settings = PoolSettings.EMPTY;
 
+    private TargetState newTarget(String id) {
+        return new TargetState(id, accountUsage);
+    }
+
     /** Replaces the operator-defined settings. */
     public void configure(PoolSettings settings) {
         this.settings = settings;
@@ -37,7 +44,7 @@
      * incarnation.
      */
     public void register(TargetInfo info) {
-        TargetState target = targets.computeIfAbsent(info.id(), TargetState::new);
+        TargetState target = targets.computeIfAbsent(info.id(), this::newTarget);
         target.info = info;
         target.registered = true;
     }
@@ -49,7 +56,7 @@
             return;
         }
         target.registered = false;
-        if (target.tasks.isEmpty()) {
+        if (target.tasks.isEmpty() && !target.hasStrayRuns) {
             targets.remove(id);
         }
     }
@@ -100,7 +107,7 @@
             task.phase = Phase.DONE;
             step.doneTaskCount++;
         } else if (!persisted.target().isEmpty()) {
-            TargetState target = targets.computeIfAbsent(persisted.target(), TargetState::new);
+            TargetState target = targets.computeIfAbsent(persisted.target(), this::newTarget);
             task.incarnation = persisted.incarnation();
             task.confirmedNanos = now.monotonicNanos();
             task.lastProgressNanos = now.monotonicNanos();
@@ -135,7 +142,7 @@
      * means a restart, and the incarnation may be lower then, if the target's clock was set back.
      */
     public void handleReport(TargetReport report, ClockReading now) {
-        reportHandler.handle(targets.computeIfAbsent(report.target(), TargetState::new), report, now);
+        reportHandler.handle(targets.computeIfAbsent(report.target(), this::newTarget), report, now);
     }
 
     /** Returns whether a start that has not been sent yet is still to be sent. */
@@ -226,7 +233,7 @@
 
     /** Returns the unfinished work and the use of capacity. */
     public Backlog backlog() {
-        return Backlog.of(jobs.values(), targets.values());
+        return Backlog.of(jobs.values(), targets.values(), limitMonitor.heldBackTasks());
     }
 
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PoolSettings.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PoolSettings.java
@@ -8,18 +8,23 @@
  *
  * <p>Immutable.
  *
- * @param guarantees number of guaranteed accelerators by client account
+ * @param accounts terms by client account; an account without terms has {@link AccountTerms#NONE}
  * @param evacuatedDataCentres data centres that accept no new work
  * @param services names of the known services
  */
-public record PoolSettings(Map<String, Long> guarantees, Set<String> evacuatedDataCentres, Set<String> services) {
-    /** Settings without any guarantee, evacuated data centre or service. */
+public record PoolSettings(Map<String, AccountTerms> accounts, Set<String> evacuatedDataCentres, Set<String> services) {
+    /** Settings without any account, evacuated data centre or service. */
     public static final PoolSettings EMPTY = new PoolSettings(Map.of(), Set.of(), Set.of());
 
     /** Creates settings with immutable copies of the collections. */
     public PoolSettings {
-        guarantees = Map.copyOf(guarantees);
+        accounts = Map.copyOf(accounts);
         evacuatedDataCentres = Set.copyOf(evacuatedDataCentres);
         services = Set.copyOf(services);
     }
+
+    /** Returns the terms of {@code account}. */
+    AccountTerms terms(String account) {
+        return accounts.getOrDefault(account, AccountTerms.NONE);
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -19,19 +19,19 @@
 
     private final Outbox outbox;
     private final TaskLifecycle taskLifecycle;
-    private final Function<TaskId, TaskExecution> findTask;
+    private final Function<String, JobExecution> findJob;
 
     /**
      * Creates a handler.
      *
      * @param outbox collects stop commands and acknowledgements
      * @param taskLifecycle changes the states of tasks
-     * @param findTask returns a task by its id, or null if it is unknown
+     * @param findJob returns a job by its id, or null if it is unknown
      */
-    ReportHandler(Outbox outbox, TaskLifecycle taskLifecycle, Function<TaskId, TaskExecution> findTask) {
+    ReportHandler(Outbox outbox, TaskLifecycle taskLifecycle, Function<String, JobExecution> findJob) {
         this.outbox = outbox;
         this.taskLifecycle = taskLifecycle;
-        this.findTask = findTask;
+        this.findJob = findJob;
     }
 
     /** Handles a report of {@code target}; one of another incarnation means a restart. */
@@ -40,7 +40,7 @@
         handleRestart(target, report.incarnation(), now);
         long lastNumber = 0;
         for (TargetReport.Ended end : report.ended()) {
-            taskLifecycle.handleEnd(findTask.apply(end.task()), target, end, now);
+            taskLifecycle.handleEnd(findTask(end.task()), target, end, now);
             lastNumber = end.number();
         }
         if (lastNumber > 0) {
@@ -70,7 +70,7 @@
         Set<TaskId> reported = new HashSet<>();
         target.clearStrayRuns();
         for (TargetReport.Running run : report.running()) {
-            TaskExecution task = findTask.apply(run.task());
+            TaskExecution task = findTask(run.task());
             if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.mayOccupyTarget()) {
                 stopStray(target, task, run);
                 continue;
@@ -98,12 +98,27 @@
         if (task != null) {
             target.strayDemand = target.strayDemand.plus(task.demand());
         }
+        countStray(target, run.task());
         LOG.infof(
                 "run: request=%s task=%s run=%s target=%s outcome=stray",
                 run.task().job(), run.task(), run.run(), target.id);
         outbox.addStop(target.id, target.incarnation, run.task(), run.run());
     }
 
+    /** Counts a stray run against the limit of its account, also if its occurrence is done. */
+    private void countStray(TargetState target, TaskId id) {
+        JobExecution job = findJob.apply(id.job());
+        if (job != null && id.step() >= 0 && id.step() < job.spec.steps().size()) {
+            target.addStrayRun(job.spec, job.spec.steps().get(id.step()).demand());
+        }
+    }
+
+    /** Returns the task, or null if it is unknown. */
+    private TaskExecution findTask(TaskId id) {
+        JobExecution job = findJob.apply(id.job());
+        return job == null ? null : job.task(id);
+    }
+
     private void recordProgress(TaskExecution task, TargetReport.Running run, ClockReading now) {
         if (!run.checkpoint().isEmpty()) {
             taskLifecycle.saveCheckpoint(task, run.checkpoint());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Resources.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Resources.java
@@ -29,6 +29,11 @@
         return new Resources(cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
     }
 
+    /** Returns the sum of {@code count} times {@code amounts}. */
+    public static Resources sumOf(Resources amounts, int count) {
+        return new Resources(amounts.cpuMillis * count, amounts.memoryMb * count, amounts.accelerators * count);
+    }
+
     /** Returns whether every amount is at most that of {@code available}. */
     public boolean fitsIn(Resources available) {
         return cpuMillis <= available.cpuMillis
@@ -51,6 +56,11 @@
         return fitsIn(available) ? (int) Math.max(0, times) : 0;
     }
 
+    /** Returns the processor time in cores. */
+    public double cores() {
+        return cpuMillis / MILLIS_PER_CORE;
+    }
+
     /** Returns the equivalent number of cores, counting each accelerator as {@value #CORES_PER_ACCELERATOR} cores. */
     public double coreEquivalents() {
         return cpuMillis / MILLIS_PER_CORE + accelerators * CORES_PER_ACCELERATOR;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -31,6 +31,12 @@
     /** Monotonic clock reading of the next search among running tasks, in nanoseconds; the search is expensive. */
     long nextSearchNanos;
 
+    /**
+     * Whether a unit of this step has waited too long for its account's stopped runs to end, so that it reserves
+     * resources only once it could start.
+     */
+    boolean limitHoldExpired;
+
     /** Monotonic clock reading at which the step became ready to run, in nanoseconds; 0 until then. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -1,6 +1,8 @@
 package org.acaciaport.pool;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -44,12 +46,22 @@
 
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
+    /** The stray runs of known jobs, which count against the limits of their accounts. */
+    private final List<StrayRun> strayRuns = new ArrayList<>();
+
+    private final AccountUsage accountUsage;
     private Resources used = Resources.NONE;
     private Resources stopping = Resources.NONE;
     private Resources reserved = Resources.NONE;
 
-    TargetState(String id) {
+    /**
+     * Creates a target without tasks.
+     *
+     * @param accountUsage is told each change of the tasks and stray runs on this target
+     */
+    TargetState(String id, AccountUsage accountUsage) {
         this.id = id;
+        this.accountUsage = accountUsage;
     }
 
     String rack() {
@@ -75,8 +87,19 @@
         return info == null ? Resources.NONE : info.capacity();
     }
 
+    /** A stray run of a known job. */
+    private record StrayRun(String account, Resources demand) {}
+
+    /** Records that a stray run of {@code job} uses resources, by its full {@code demand}. */
+    void addStrayRun(Job job, Resources demand) {
+        strayRuns.add(new StrayRun(job.account(), demand));
+        accountUsage.addStray(job.account(), demand);
+    }
+
     /** Records that the target has no stray runs. */
     void clearStrayRuns() {
+        strayRuns.forEach(run -> accountUsage.removeStray(run.account(), run.demand()));
+        strayRuns.clear();
         strayDemand = Resources.NONE;
         hasStrayRuns = false;
     }
@@ -101,6 +124,11 @@
     }
 
     private void adjustUsage(TaskExecution task, int sign) {
+        if (sign > 0) {
+            accountUsage.add(task);
+        } else {
+            accountUsage.remove(task);
+        }
         Resources demand = task.demand();
         if (task.phase == Phase.RESERVED) {
             reserved = add(reserved, demand, sign);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -11,15 +11,17 @@
 final class UnitStarter {
     private final PlacementPass.Context context;
     private final Placement placement;
+    private final AccountLimits limits;
     private final ClockReading now;
 
-    UnitStarter(PlacementPass.Context context, Placement placement, ClockReading now) {
+    UnitStarter(PlacementPass.Context context, Placement placement, AccountLimits limits, ClockReading now) {
         this.context = context;
         this.placement = placement;
+        this.limits = limits;
         this.now = now;
     }
 
-    /** Starts every unit whose reserved resources are all free. */
+    /** Starts every unit whose reserved resources are all free and whose account stays within its limit. */
     void startReserved(Collection<JobExecution> jobs) {
         for (JobExecution job : jobs) {
             if (job.state.isTerminal()) {
@@ -61,6 +63,14 @@
             cancelExpiredReservation(unit);
             return;
         }
+        if (!limits.mayStart(unit)) {
+            if (!limits.mayHold(unit)) {
+                unit.step().limitHoldExpired = unit.priority() == 0;
+                unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
+            }
+            return;
+        }
+        unit.step().limitHoldExpired = false;
         int run = 0;
         for (TaskExecution task : unit.tasks()) {
             run = Math.max(run, task.lastRun + 1);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -58,7 +58,8 @@
     }
 
     void setGuarantee(String account, long accelerators) {
-        pool.configure(new PoolSettings(Map.of(account, accelerators), Set.of(), Set.of(SERVICE)));
+        pool.configure(
+                new PoolSettings(Map.of(account, AccountTerms.ofGuarantee(accelerators)), Set.of(), Set.of(SERVICE)));
     }
 
     static Step step(int count, long accelerators, Step.Mode mode, boolean tight) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -149,13 +149,13 @@
     }
 
     private void registerTargets() {
-        Map<String, Long> guarantees = new HashMap<>();
+        Map<String, AccountTerms> accounts = new HashMap<>();
         long totalAccelerators = deployment.targets * deployment.target.accelerators();
         for (int i = 0; i < deployment.accounts; i++) {
-            guarantees.put(
-                    "account" + i, (long) (totalAccelerators * deployment.guaranteedFraction / deployment.accounts));
+            long share = (long) (totalAccelerators * deployment.guaranteedFraction / deployment.accounts);
+            accounts.put("account" + i, AccountTerms.ofGuarantee(share));
         }
-        pool.configure(new PoolSettings(guarantees, Set.of(), Set.of(PoolFixture.SERVICE)));
+        pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
         for (int i = 0; i < deployment.targets; i++) {
             String id = "t%03d".formatted(i);
             String rack = "r" + i / deployment.rackSize;
