Refusal of jobs that can never start under the limits of their account

Cause: a gang or single task beyond a limit would be accepted and wait for ever.

Change: such a submission is answered 429 with account, resource, limit and demand and with Retry-After, and is not written. The node first reads the log on, so that a retry of a job that was accepted elsewhere or before the limit was lowered is still accepted; if it cannot, it answers 503 as before.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -33,6 +33,9 @@
     /** Retry-After for callers while no node reaches the log, in seconds. */
     private static final int OUTAGE_RETRY_AFTER_SECONDS = 1;
 
+    /** Retry-After for callers whose job exceeds a limit, in seconds: only a new configuration helps. */
+    private static final int OVER_LIMIT_RETRY_AFTER_SECONDS = 30;
+
     /** Part of a caller's deadline that is reserved for delivering the answer, in milliseconds. */
     private static final long ANSWER_RESERVE_MILLIS = 40;
 
@@ -102,6 +105,15 @@
          */
         record TooLarge(String reason) implements Answer {}
 
+        /**
+         * Nothing was written: a part of the job that starts only as a whole exceeds a limit of its client account. The
+         * same request may be accepted once operators have raised the limit.
+         *
+         * @param reason account, resource, limit and demand
+         * @param retryAfterSeconds when to retry, in seconds
+         */
+        record OverLimit(String reason, int retryAfterSeconds) implements Answer {}
+
         /**
          * The outcome is unknown. The service allows a retry of the same request, since requests are idempotent, but
          * callers do not retry once their deadline has passed.
@@ -170,6 +182,10 @@
         if (existing != null) {
             return new Answer.Accepted();
         }
+        String excess = AccountLimitCheck.findExcess(configurationView.latest(), access.account(), steps);
+        if (!excess.isEmpty()) {
+            return refuseOverLimit(access, id, excess, deadline);
+        }
         OperatorConfiguration.Queue queue = access.queue();
         Job job = new Job(
                 id,
@@ -186,6 +202,26 @@
         return answer;
     }
 
+    /**
+     * Refuses a job that exceeds a limit, unless the log has the job already: an earlier call may have been accepted by
+     * another node, or before the limit was lowered.
+     */
+    private Answer refuseOverLimit(Access.Granted access, String id, String excess, long deadline) {
+        Answer answer;
+        if (!jobConsumer.catchUp(deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI)) {
+            answer = new StaleReplicaException().answer();
+        } else if (replica.find(id) != null) {
+            answer = new Answer.Accepted();
+        } else {
+            metrics.counter("submit.over-limit").inc();
+            answer = new Answer.OverLimit(excess, OVER_LIMIT_RETRY_AFTER_SECONDS);
+        }
+        LOG.infof(
+                "submit: request=%s queue=%s account=%s outcome=%s",
+                id, access.queue().name(), access.account(), answer);
+        return answer;
+    }
+
     /**
      * Makes a record durable, retrying while the outcome is unknown. Stops early if the log becomes unreachable, so
      * that the caller has time left to try another node.
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
@@ -56,8 +57,20 @@
     }
 
     static ConfigurationView newConfiguration() {
+        return newConfiguration(Map.of());
+    }
+
+    static ConfigurationView newConfiguration(Map<String, AccountTerms> accounts) {
         return new ConfigurationView(record -> new OperatorRecordDecoder.Published(
-                new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), Map.of(), Set.of("s"))));
+                new OperatorConfiguration(1, List.of(QUEUE), Map.of("key", "account"), accounts, Set.of("s"))));
+    }
+
+    /** Returns a service whose configuration has the terms {@code accounts}. */
+    JobService newJobService(Map<String, AccountTerms> accounts) {
+        ConfigurationView configuration = newConfiguration(accounts);
+        configuration.apply(KeyedRecord.tombstone("config"), 0);
+        configuration.caughtUp(Clocks.now(), 1);
+        return newJobService(configuration, 4_000);
     }
 
     JobService newJobService(KeyedRecord published) {
