Tests of stray runs and of the lines about limits

The case of stray runs passed without the count of stray runs, since the run was still stopping when it was reported: the stop is now ended first, and the case fails without the count. A new case bounds the lines per account: 500 tasks held back for 10 s lead to one line, and the end to another.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/AccountLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/AccountLimitTest.java
@@ -2,10 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 /** Tests that accounts stay within their limits, and that work held back by a limit delays nobody else. */
@@ -185,6 +189,7 @@
         fixture.submit(fixture.job("old", "a", 2, PoolFixture.independentTasks(1, 8)));
         TargetCommand.Start start = fixture.starts.get(0);
         fixture.pool.cancel("old", fixture.now());
+        fixture.schedulePass();
         fixture.completeStops();
         fixture.running.put(start.task(), start);
         fixture.report(start.target());
@@ -340,4 +345,42 @@
         fixture.submit(fixture.job("j", "a", 0, PoolFixture.independentTasks(4, 1)));
         assertThat(runningOf("j")).isEqualTo(2);
     }
+
+    /** Guards against a line per pass and unit while an account is at its limit, and against a missing end. */
+    @Test
+    void reachingALimitAndItsEndAreLoggedOnce() {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord record) {
+                lines.add(record.getMessage());
+            }
+
+            @Override
+            public void flush() {
+                // Records are not buffered.
+            }
+
+            @Override
+            public void close() {
+                // There is no resource to close.
+            }
+        };
+        Logger logger = Logger.getLogger(LimitMonitor.class.getName());
+        logger.addHandler(handler);
+        setTerms("a", 0, 8);
+        addTargets(2);
+        fixture.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(9, 1)));
+        fixture.submit(fixture.job("k", "a", 2, PoolFixture.independentTasks(500, 1)));
+        fixture.pass(10_000);
+        assertThat(lines).hasSize(1);
+        assertThat(lines.get(0)).containsMatch("account=a outcome=reached .*running=.*accelerators:8 .*limit=.*:8");
+        setTerms("a", 0, 0);
+        fixture.pool.cancel("k", fixture.now());
+        fixture.pass(5_000);
+        logger.removeHandler(handler);
+        assertThat(lines).hasSize(2);
+        assertThat(lines.get(1)).contains("account=a outcome=below");
+        assertThat(fixture.pool.backlog().heldBack()).isEqualTo(0);
+    }
 }
