Starts not yet sent are taken back when a limit is lowered

Cause: a start whose record was becoming durable while a limit was lowered went out and took the account above the new limit.

Change: Pool.isWanted compares what the account has running, the start included, with its limit. Runs that were sent continue.

Tests: AccountLimitTest has a case with six such starts and a new limit of 4.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -145,10 +145,16 @@
         reportHandler.handle(targets.computeIfAbsent(report.target(), this::newTarget), report, now);
     }
 
-    /** Returns whether a start that has not been sent yet is still to be sent. */
+    /**
+     * Returns whether a start that has not been sent yet is still to be sent. It is not if the limit of its account has
+     * become lower than what the account would have running with it.
+     */
     public boolean isWanted(TargetCommand.Start start) {
         TaskExecution task = currentTask(start);
-        return task != null && task.phase == Phase.STARTING;
+        return task != null
+                && task.phase == Phase.STARTING
+                && settings.terms(task.job().account())
+                        .isWithinLimit(accountUsage.running(task.job().account()));
     }
 
     /** Handles the confirmation of a start by the target. Ignores confirmations of runs that are no longer current. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/AccountLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/AccountLimitTest.java
@@ -224,6 +224,26 @@
         assertThat(runningOf("j")).isEqualTo(17);
     }
 
+    /** Guards against starts beyond a limit that was lowered while their records became durable. */
+    @Test
+    void startsThatWereNotSentBeforeTheLimitWasLoweredAreNotWanted() {
+        setTerms("a", 0, 8);
+        addTargets(2);
+        fixture.pool.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(6, 1)));
+        fixture.pool.schedule(fixture.now());
+        List<TargetCommand.Start> unsent = fixture.pool.takeBatch().starts();
+        setTerms("a", 0, 4);
+        int sent = 0;
+        for (TargetCommand.Start start : unsent) {
+            if (fixture.pool.isWanted(start)) {
+                sent++;
+            } else {
+                fixture.pool.handleStartFailure(start, "not wanted", 0, fixture.now());
+            }
+        }
+        assertThat(sent).isEqualTo(4);
+    }
+
     /** Guards against a reservation that survives a lowered limit and keeps resources from other accounts. */
     @Test
     void aLoweredLimitCancelsReservationsBeyondIt() {
