Outlook of the pool and the policy that decides on it

A request that cannot start while it is of use is held until its caller gives up, and takes capacity from requests that could still be in time. acacia-admission holds the outlook, the policy and the retry times, all pure; OutlookBuilder derives the outlook from free capacity, the expected ends of runs, what waits at the same or a higher priority, and what priority 0 may stop.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -90,4 +90,23 @@
     public long dueMillis(int number) {
         return schedule.times() == 0 ? acceptedMillis : schedule.firstMillis() + number * schedule.intervalMillis();
     }
+
+    /** Returns until when the first occurrence is of use, in milliseconds since the Unix epoch. */
+    public long latestUsefulEndMillis() {
+        return Objective.of(this).latestUsefulEndMillis(0);
+    }
+
+    /** Returns the latest start at which the first occurrence is of use, in milliseconds since the Unix epoch. */
+    public long latestUsefulStartMillis() {
+        return Objective.of(this).latestUsefulStartMillis(0);
+    }
+
+    /** Returns the accelerators that the tasks of the largest step need together. */
+    public long largestStepAccelerators() {
+        long largest = 0;
+        for (Step step : steps) {
+            largest = Math.max(largest, step.count() * step.demand().accelerators());
+        }
+        return largest;
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Objective.java
@@ -56,7 +56,7 @@
         if (slackMillis(occurrence, nowMillis) >= 0) {
             return DeadlineStatus.IN_TIME;
         }
-        boolean stillUseful = nowMillis <= job.dueMillis(occurrence) + LATE_LIMIT_FACTOR * durationMillis();
+        boolean stillUseful = nowMillis <= latestUsefulEndMillis(occurrence);
         return stillUseful ? DeadlineStatus.LATE : DeadlineStatus.MISSED;
     }
 
@@ -64,4 +64,14 @@
     long slackMillis(int occurrence, long nowMillis) {
         return job.dueMillis(occurrence) + durationMillis() - criticalPathMillis - nowMillis;
     }
+
+    /** Returns until when an occurrence is of use, in milliseconds since the Unix epoch. */
+    long latestUsefulEndMillis(int occurrence) {
+        return job.dueMillis(occurrence) + LATE_LIMIT_FACTOR * durationMillis();
+    }
+
+    /** Returns the latest start at which an occurrence is of use, in milliseconds since the Unix epoch. */
+    long latestUsefulStartMillis(int occurrence) {
+        return latestUsefulEndMillis(occurrence) - criticalPathMillis;
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.acaciaport.admission.Outlook;
 import org.jboss.logging.Logger;
 
 /**
@@ -229,6 +230,11 @@
         return Backlog.of(jobs.values(), targets.values());
     }
 
+    /** Returns when more work could start, as far as that can be expected from the runs and the waiting work. */
+    public Outlook outlook(ClockReading now) {
+        return OutlookBuilder.build(jobs.values(), targets.values(), settings, now);
+    }
+
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
     public List<WaitingStep> longestWaitingSteps(ClockReading now) {
         return WaitingStep.longest(jobs.values(), targets.values(), settings, now);
