The leader publishes its outlook, and nodes refuse what can be of no use

The outlook has its own key, since Codecs rejects unknown fields and an earlier build could not read a leader's record with one; earlier builds skip keys that they do not know. A node accepts whenever it does not know the wait: no leader, a resigned one, a record or a replica that is too old. Before it refuses, it reads the log to its end, so that a job that was accepted is never refused.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Stream;
+import org.acaciaport.admission.Outlook;
 import org.acaciaport.encoding.MessagePackCheck;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
@@ -27,6 +28,7 @@
     static final String CANCEL_PREFIX = "cancel/";
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
+    static final String OUTLOOK_KEY = "outlook";
     static final String LEASE_PREFIX = "lease/";
 
     /** Ends the id of the job in the key of a task; no id contains it. */
@@ -75,6 +77,7 @@
     /** Returns whether only leaders write records with this key. */
     static boolean isOfLeader(String key) {
         return key.equals(LEADER_KEY)
+                || key.equals(OUTLOOK_KEY)
                 || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
     }
 
@@ -107,6 +110,24 @@
         return record(LEADER_KEY, leader);
     }
 
+    /** Encodes an outlook under its own key, since earlier builds reject unknown fields of the leader's record. */
+    static KeyedRecord encode(OutlookRecord outlook) {
+        return record(OUTLOOK_KEY, outlook);
+    }
+
+    /**
+     * Decodes an outlook.
+     *
+     * @throws IOException if the value is no outlook, or one that is not to be believed
+     */
+    static Outlook decodeOutlook(KeyedRecord record) throws IOException {
+        try {
+            return decode(record, OutlookRecord.class).toOutlook();
+        } catch (IllegalArgumentException | NullPointerException e) {
+            throw new IOException("the outlook is absurd: " + e.getMessage(), e);
+        }
+    }
+
     private static KeyedRecord record(String key, Object value) {
         try {
             return new KeyedRecord(key, Codecs.messagePack().writeValueAsBytes(value));
@@ -144,6 +165,7 @@
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
+        decodeOutlook(encode(OutlookRecord.of(Outlook.NO_WAIT)));
         decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.Optional;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
@@ -44,6 +45,7 @@
     private final ConfigurationView configurationView;
     private final long maxConfigurationAgeMillis;
     private final MetricRegistry metrics;
+    private final AdmissionControl admission;
 
     JobService(Term.Dependencies dependencies, TopicConsumer jobConsumer, long maxConfigurationAgeMillis) {
         this.topics = dependencies.topics();
@@ -54,6 +56,7 @@
         this.jobConsumer = jobConsumer;
         this.maxConfigurationAgeMillis = maxConfigurationAgeMillis;
         this.metrics = dependencies.metrics();
+        admission = new AdmissionControl(dependencies);
     }
 
     /** The result of authorizing a call. */
@@ -95,6 +98,17 @@
          */
         record Refused(String reason) implements Answer {}
 
+        /**
+         * Nothing was written: the job would start when it is of no use. It may be sent again.
+         *
+         * @param reason why
+         * @param expectedStartMillis when it would be expected to start, in milliseconds since the Unix epoch
+         * @param latestStartMillis when it would have to start to be of use, in milliseconds since the Unix epoch
+         * @param retryAfterSeconds when the caller should return, in seconds from now
+         */
+        record Overloaded(String reason, long expectedStartMillis, long latestStartMillis, int retryAfterSeconds)
+                implements Answer {}
+
         /**
          * Nothing was written, and the same request will never be: the log has no room for its record.
          *
@@ -160,7 +174,8 @@
     }
 
     /**
-     * Makes a job durable; a job that the replica already has is accepted without another append.
+     * Makes a job durable; a job that the replica already has is accepted without another append. Before a job is
+     * refused for the load, the replica is brought up to date, so that one that the log has is never refused.
      *
      * @param deadline reading of the monotonic clock by which the caller needs the answer
      */
@@ -181,6 +196,10 @@
                 steps,
                 schedule,
                 System.currentTimeMillis());
+        Optional<AdmissionControl.Refusal> refusal = admission.weigh(job);
+        if (refusal.isPresent() && catchUp(deadline)) {
+            return replica.find(id) == null ? admission.refuse(refusal.get()) : new Answer.Accepted();
+        }
         Answer answer = makeDurable(JobRecords.encode(job), deadline);
         LOG.infof("submit: request=%s queue=%s account=%s outcome=%s", id, queue.name(), access.account(), answer);
         return answer;
@@ -229,7 +248,7 @@
     private JobEntry find(Access.Granted access, String id, long deadline) throws StaleReplicaException {
         JobEntry entry = replica.asOf() == null ? null : replica.find(id);
         if (entry == null) {
-            if (!jobConsumer.catchUp(deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI)) {
+            if (!catchUp(deadline)) {
                 throw new StaleReplicaException();
             }
             entry = replica.find(id);
@@ -237,6 +256,11 @@
         return entry == null || !entry.job().account().equals(access.account()) ? null : entry;
     }
 
+    /** Brings the replica up to date; returns false if that takes longer than the caller waits. */
+    private boolean catchUp(long deadline) {
+        return jobConsumer.catchUp(deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI);
+    }
+
     /** Thrown when a stale replica cannot show whether a job exists. */
     private static final class StaleReplicaException extends Exception {
         private static final long serialVersionUID = 1L;
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -56,6 +56,7 @@
      * @param topics topics in the shared log
      * @param limits what the shared log takes in one append
      * @param maxConfigurationAgeMillis age up to which the operators' configuration counts as current, in milliseconds
+     * @param scheduling returns which parts of the scheduler are in use now
      */
     public record Settings(
             String name,
@@ -64,7 +65,8 @@
             VmCapacity capacity,
             Topics topics,
             AppendLimits limits,
-            long maxConfigurationAgeMillis) {}
+            long maxConfigurationAgeMillis,
+            Supplier<SchedulingSettings> scheduling) {}
 
     /**
      * The external systems that a node uses.
@@ -93,7 +95,8 @@
                 settings.limits(),
                 log,
                 dependencies.targetDecoder(),
-                metrics);
+                metrics,
+                settings.scheduling());
         jobConsumer = new TopicConsumer(
                 settings.topics().jobs(),
                 log,
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -6,7 +6,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.acaciaport.admission.AdmissionPolicy;
+import org.acaciaport.admission.Outlook;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
@@ -105,10 +108,60 @@
             NodeRecord node = JobRecords.decode(record, NodeRecord.class);
             contents.nodes.put(node.name(), node);
         } else if (key.equals(JobRecords.LEADER_KEY) && !isTombstone(record)) {
-            contents.leader = new Leader(JobRecords.decode(record, LeaderRecord.class), System.nanoTime());
+            applyLeader(JobRecords.decode(record, LeaderRecord.class));
+        } else if (key.equals(JobRecords.OUTLOOK_KEY) && !isTombstone(record)) {
+            applyOutlook(JobRecords.decodeOutlook(record));
         }
     }
 
+    /** Sets the leader; the outlook of another one is not valid any more. A snapshot has its records in no order. */
+    private void applyLeader(LeaderRecord leader) {
+        boolean another = contents.leader != null
+                && (!contents.leader.record().node().equals(leader.node())
+                        || contents.leader.record().startedMillis() != leader.startedMillis());
+        if (!isReadingSnapshot() && (another || leader.resigned())) {
+            contents.outlook = null;
+        }
+        contents.leader = new Leader(leader, System.nanoTime());
+    }
+
+    private boolean isReadingSnapshot() {
+        return earlier != null || asOf == null;
+    }
+
+    /** Sets the outlook. When one of a snapshot was written is not known, so it counts only if it has no waits. */
+    private void applyOutlook(Outlook outlook) {
+        if (!isReadingSnapshot()) {
+            contents.outlook = new ReplicaContents.ReceivedOutlook(outlook, asOf);
+        } else if (outlook.isEmpty()) {
+            contents.outlook = new ReplicaContents.ReceivedOutlook(outlook, null);
+        }
+    }
+
+    /**
+     * Returns what this node knows of the wait. The age counts from before the outlook was written, or from the latest
+     * sign of the leader if there was no wait, and is at least that of the replica.
+     */
+    synchronized AdmissionPolicy.Knowledge knowledge() {
+        Leader leader = shown().leader;
+        ReplicaContents.ReceivedOutlook received = shown().outlook;
+        if (asOf == null) {
+            return AdmissionPolicy.Knowledge.unknown("log not read yet");
+        }
+        if (leader == null || leader.record().resigned()) {
+            return AdmissionPolicy.Knowledge.unknown(leader == null ? "no leader" : "leader resigned");
+        }
+        if (received == null) {
+            return AdmissionPolicy.Knowledge.unknown("no outlook of this leader");
+        }
+        long replicaAgeMillis = Clocks.ageMillis(asOf);
+        long outlookAgeMillis = received.outlook().isEmpty()
+                ? (System.nanoTime() - leader.receivedNanos()) / Clocks.NANOS_PER_MILLI
+                : Clocks.ageMillis(received.notBefore());
+        return new AdmissionPolicy.Knowledge(
+                Optional.of(received.outlook()), Math.max(replicaAgeMillis, outlookAgeMillis), "");
+    }
+
     /** Adds or, for null, removes a job. A repeated submission leaves the first in place. */
     private void applyJob(String id, Job job) throws IOException {
         if (job != null && !job.id().equals(id)) {
@@ -204,6 +257,21 @@
         return List.copyOf(shown().nodes.values());
     }
 
+    /** Returns the accelerators that the unfinished jobs of priority 0 of an account need, by their largest steps. */
+    synchronized long urgentAccelerators(String account) {
+        long accelerators = 0;
+        for (JobEntry entry : shown().entries()) {
+            Job job = entry.job();
+            if (job != null
+                    && job.terms().priority() == 0
+                    && job.account().equals(account)
+                    && !entry.state().isTerminal()) {
+                accelerators += job.largestStepAccelerators();
+            }
+        }
+        return accelerators;
+    }
+
     /** Returns how many jobs of {@code queue} have no started task. */
     synchronized long countPending(String queue) {
         long pending = 0;
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.acaciaport.admission.Outlook;
+import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.JobProgress;
 
 /**
@@ -23,6 +25,9 @@
     /** The latest leader record; null if there is none. */
     Replica.Leader leader;
 
+    /** The latest outlook of that leader; null if there is none. */
+    ReceivedOutlook outlook;
+
     /** Offset of the next record of the log. */
     long nextOffset;
 
@@ -51,6 +56,15 @@
         }
     }
 
+    /**
+     * An outlook of the leader.
+     *
+     * @param outlook the outlook
+     * @param notBefore a moment before it was written: when the records read so far were last known to be complete;
+     *     null for one of a snapshot
+     */
+    record ReceivedOutlook(Outlook outlook, ClockReading notBefore) {}
+
     /** Records that a record which only leaders write is received now; a snapshot has them in no order. */
     void recordLeaderWrite(long offset) {
         long now = System.nanoTime();
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.function.Supplier;
 import org.acaciaport.failure.Failures;
 import org.acaciaport.log.AppendLimits;
 import org.acaciaport.pool.Batch;
@@ -74,6 +75,7 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TermWriter writer;
     private final JobIntake jobIntake;
+    private final LateJobs lateJobs;
 
     private volatile boolean ended;
     private long lastPurgeNanos;
@@ -98,7 +100,14 @@
         lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
         writer = new TermWriter(
-                self, logWriter, new TermWriter.Threads(executor, events::post), this::end, replica::setAside, load);
+                self,
+                logWriter,
+                new TermWriter.Threads(executor, events::post),
+                this::end,
+                replica::setAside,
+                load,
+                new OutlookPublisher(pool::outlook, dependencies.scheduling(), now)::records);
+        lateJobs = new LateJobs(replica, dependencies.metrics());
         jobIntake = new JobIntake(pool, writer);
         sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
     }
@@ -113,7 +122,8 @@
      * @param limits what the shared log takes in one append
      * @param log the shared log
      * @param targetDecoder decodes target registrations
-     * @param metrics receives the durations that {@link TermLoad} measures
+     * @param metrics receives the durations that {@link TermLoad} measures, and counters
+     * @param scheduling returns which parts of the scheduler are in use now
      */
     record Dependencies(
             Replica replica,
@@ -123,7 +133,8 @@
             AppendLimits limits,
             FailoverLog log,
             TargetRecordDecoder targetDecoder,
-            MetricRegistry metrics) {}
+            MetricRegistry metrics,
+            Supplier<SchedulingSettings> scheduling) {}
 
     /** Schedules until the term ends or the thread is interrupted. */
     void run() {
@@ -178,7 +189,9 @@
         pool.takeStops().forEach(sessions::stop);
         purge(now);
         if (writer.isIdle()) {
-            writer.append(pool.takeBatch(), now);
+            Batch batch = pool.takeBatch();
+            lateJobs.record(batch.records());
+            writer.append(batch, now);
         }
         Set<String> occupied = new HashSet<>(pool.occupiedTargets());
         sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, now));
--- a/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
@@ -22,6 +23,7 @@
     private final Consumer<String> end;
     private final Consumer<String> rejectedKey;
     private final TermLoad load;
+    private final Function<ClockReading, List<KeyedRecord>> heartbeatRecords;
 
     /** Records for the next append that belong to no batch. */
     private final List<KeyedRecord> pending = new ArrayList<>();
@@ -49,6 +51,7 @@
      *
      * @param end ends the term, with the reason
      * @param rejectedKey called with the key of a record that the log never takes
+     * @param heartbeatRecords returns the records to write with a heartbeat
      */
     TermWriter(
             LeaderRecord self,
@@ -56,13 +59,15 @@
             Threads threads,
             Consumer<String> end,
             Consumer<String> rejectedKey,
-            TermLoad load) {
+            TermLoad load,
+            Function<ClockReading, List<KeyedRecord>> heartbeatRecords) {
         this.self = self;
         this.logWriter = logWriter;
         this.threads = threads;
         this.end = end;
         this.rejectedKey = rejectedKey;
         this.load = load;
+        this.heartbeatRecords = heartbeatRecords;
     }
 
     /** Sets the progress of a job that the log already has. */
@@ -114,6 +119,7 @@
         if (heartbeatDue || resigning) {
             lastHeartbeatNanos = now.monotonicNanos();
             records.add(JobRecords.encode(new LeaderRecord(self.node(), self.startedMillis(), resigning)));
+            records.addAll(resigning ? List.of() : heartbeatRecords.apply(now));
         }
         appendInFlight = true;
         boolean resignation = resigning;
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -60,7 +60,8 @@
                 MemoryLog.LIMITS,
                 failoverLog,
                 new NoTargets(),
-                new MetricRegistry());
+                new MetricRegistry(),
+                () -> SchedulingSettings.OFF);
         return new LeaderElection(SELF, capacity, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
@@ -70,7 +70,15 @@
     /** Returns a service that uses {@code configuration} until it is {@code maxAgeMillis} old, in milliseconds. */
     JobService newJobService(ConfigurationView configuration, long maxAgeMillis) {
         Term.Dependencies dependencies = new Term.Dependencies(
-                replica, configuration, null, TOPICS, MemoryLog.LIMITS, failoverLog, null, new MetricRegistry());
+                replica,
+                configuration,
+                null,
+                TOPICS,
+                MemoryLog.LIMITS,
+                failoverLog,
+                null,
+                new MetricRegistry(),
+                () -> SchedulingSettings.OFF);
         return new JobService(dependencies, jobConsumer, maxAgeMillis);
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -58,7 +58,8 @@
                 log.limits,
                 failoverLog,
                 new TargetRecords(),
-                new MetricRegistry());
+                new MetricRegistry(),
+                () -> SchedulingSettings.OFF);
         return new LeaderElection(SELF, CAPACITY, dependencies, jobConsumer, new SplittableRandom(1));
     }
 
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -89,7 +89,8 @@
                 MemoryLog.LIMITS,
                 failoverLog,
                 new OneTarget(),
-                new MetricRegistry());
+                new MetricRegistry(),
+                () -> SchedulingSettings.OFF);
         EarlierLeases earlierLeases = EarlierLeases.of(replica, 5);
         term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, earlierLeases, dependencies);
         thread = Thread.ofVirtual().start(term::run);
