--- a/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogAccessFixture.java
@@ -30,6 +30,11 @@
     private static final long LOADING_MILLIS = 10_000;
 
     final MemoryLog log = new MemoryLog();
+    final MetricRegistry metrics = new MetricRegistry();
+
+    /** The settings of the services; no part is in use unless a test says otherwise. */
+    volatile SchedulingSettings scheduling = SchedulingSettings.OFF;
+
     final Replica replica = new Replica();
     final TopicConsumer jobConsumer;
     private final FailoverLog failoverLog = new FailoverLog(log, new Peers("self:1", List::of));
@@ -70,15 +75,7 @@
     /** Returns a service that uses {@code configuration} until it is {@code maxAgeMillis} old, in milliseconds. */
     JobService newJobService(ConfigurationView configuration, long maxAgeMillis) {
         Term.Dependencies dependencies = new Term.Dependencies(
-                replica,
-                configuration,
-                null,
-                TOPICS,
-                MemoryLog.LIMITS,
-                failoverLog,
-                null,
-                new MetricRegistry(),
-                () -> SchedulingSettings.OFF);
+                replica, configuration, null, TOPICS, MemoryLog.LIMITS, failoverLog, null, metrics, () -> scheduling);
         return new JobService(dependencies, jobConsumer, maxAgeMillis);
     }
 
