The outlook looks ten minutes ahead, and late work does not count as ahead

The rule of half the wait refuses on waits of over twice the useful time only, up to 152 s, but the forecast ended at 128 s: 512 intervals of 250 ms become 1,200 of 500 ms. The pool starts work that is in time before late work of the same priority, so late work does not delay a new request.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
@@ -124,7 +124,13 @@
             longest = Math.max(longest, seconds);
             int priority = step.job.spec.terms().priority();
             double size = forecast.accelerators(step.spec.chargedResources());
-            forecast.addWaiting(priority, waiting, size, readySeconds, seconds);
+            forecast.addWaiting(new ServiceForecast.Waiting(
+                    priority,
+                    waiting,
+                    size,
+                    ServiceForecast.intervalOf(readySeconds),
+                    ServiceForecast.intervalOf(step.slackMillis(now) / MILLIS_PER_SECOND),
+                    Math.max(1, ServiceForecast.intervalOf(seconds))));
         }
         return longest;
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ServiceForecast.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ServiceForecast.java
@@ -17,9 +17,13 @@
  */
 final class ServiceForecast {
     /** Length of an interval, in milliseconds. */
-    static final int INTERVAL_MILLIS = 250;
+    static final int INTERVAL_MILLIS = 500;
 
-    private static final int INTERVALS = 512;
+    /**
+     * Number of intervals. A request is refused only if its wait is over twice the time for which it is of use, which
+     * is up to 76 s for the usual work, so the horizon is longer than that.
+     */
+    private static final int INTERVALS = 1_200;
 
     /** How far the forecast looks ahead, in milliseconds; a longer wait counts as this. */
     static final int HORIZON_MILLIS = INTERVALS * INTERVAL_MILLIS;
@@ -41,8 +45,17 @@
     /** The resources of a run, and the intervals in which it ends by itself and would end if it were stopped. */
     private record Run(int priority, double accelerators, int end, int stopped) {}
 
-    /** Tasks without a run: their number, the accelerators of each, and when they are ready and how long they run. */
-    private record Waiting(int priority, int count, double accelerators, int ready, int length) {}
+    /**
+     * Tasks without a run.
+     *
+     * @param priority their priority
+     * @param count how many they are
+     * @param accelerators accelerators of each
+     * @param ready interval from which they could start
+     * @param late interval from which they go behind new work of the same priority, being late
+     * @param length number of intervals for which each runs
+     */
+    record Waiting(int priority, int count, double accelerators, int ready, int late, int length) {}
 
     /** Tasks that wait in a simulated queue. */
     private static final class Queued {
@@ -92,15 +105,14 @@
         runs.add(new Run(priority, accelerators, end, Math.min(end, Math.max(1, intervalOf(stopSeconds)))));
     }
 
-    /** Adds tasks that are ready in {@code readySeconds} and run for {@code seconds} each. */
-    void addWaiting(int priority, int count, double accelerators, double readySeconds, double seconds) {
-        int ready = intervalOf(readySeconds);
-        anyReady |= ready == 0;
-        waiting.add(new Waiting(priority, count, accelerators, ready, Math.max(1, intervalOf(seconds))));
+    /** Adds tasks without a run. */
+    void addWaiting(Waiting tasks) {
+        anyReady |= tasks.ready == 0;
+        waiting.add(tasks);
     }
 
     /** Returns the interval that {@code seconds} from now lie in, rounded up, at most {@value #INTERVALS}. */
-    private static int intervalOf(double seconds) {
+    static int intervalOf(double seconds) {
         return (int) Math.clamp(Math.ceil(seconds * INTERVALS_PER_SECOND), 0, INTERVALS);
     }
 
@@ -130,7 +142,7 @@
 
     /**
      * Returns the times until as many more accelerators could start at {@code priority} as the levels say, in
-     * milliseconds: all that waits at this or a higher priority goes first.
+     * milliseconds: all that waits at a higher priority goes first, and at this one what is in time.
      */
     private List<Integer> waitMillis(int priority) {
         double[] freedAt = freedFor(priority);
@@ -141,7 +153,7 @@
         for (int interval = 0; interval < INTERVALS; interval++) {
             free += freedAt[interval];
             readyAt.get(interval).forEach(tasks -> queue.add(new Queued(tasks)));
-            free = startQueued(queue, free, interval, freedAt);
+            free = startQueued(queue, priority, free, interval, freedAt);
             while (queue.isEmpty()
                     && millis.size() < Outlook.LEVELS.size()
                     && free + TOLERANCE >= level(millis.size())) {
@@ -187,10 +199,14 @@
     }
 
     /** Starts queued tasks in turn while there is room; returns the accelerators that stay free. */
-    private static double startQueued(Deque<Queued> queue, double free, int interval, double[] freedAt) {
+    private static double startQueued(Deque<Queued> queue, int priority, double free, int interval, double[] freedAt) {
         double left = free;
         while (!queue.isEmpty()) {
             Queued first = queue.peek();
+            if (first.tasks.priority == priority && interval >= first.tasks.late) {
+                queue.remove();
+                continue;
+            }
             double each = first.tasks.accelerators;
             int started = each <= 0 ? first.remaining : (int) Math.min(first.remaining, (left + TOLERANCE) / each);
             left -= started * each;
