--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -61,6 +61,7 @@
     private final Replica replica = new Replica();
     private final TopicConsumer jobConsumer =
             new TopicConsumer(TOPICS.jobs(), leaderLog, new TopicConsumer.PollSettings(0, 5), replica);
+    private SchedulingSettings scheduling = SchedulingSettings.OFF;
     private Term term;
     private Thread thread;
 
@@ -90,7 +91,7 @@
                 failoverLog,
                 new OneTarget(),
                 new MetricRegistry(),
-                () -> SchedulingSettings.OFF);
+                () -> scheduling);
         EarlierLeases earlierLeases = EarlierLeases.of(replica, 5);
         term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, earlierLeases, dependencies);
         thread = Thread.ofVirtual().start(term::run);
@@ -115,6 +116,24 @@
         log.append(new Append(TOPICS.jobs(), List.of(records), new Append.Always()), deadline());
     }
 
+    /** Under a full pool, guards against nodes that never know the wait, since no term publishes it. */
+    @Test
+    void aTermPublishesTheWaitWhileWorkWaits() {
+        scheduling = new SchedulingSettings(false, false, true, false);
+        append(JobRecords.encode(newJob("a", 2)));
+        lead();
+        Conditions.await(() -> target.started.size() == 1);
+        Conditions.await(() -> replica.knowledge()
+                .outlook()
+                .filter(outlook -> !outlook.isEmpty())
+                .isPresent());
+        append(JobRecords.encode(new CancelRecord("a", 1)));
+        Conditions.await(() -> replica.knowledge()
+                .outlook()
+                .filter(outlook -> outlook.isEmpty())
+                .isPresent());
+    }
+
     /**
      * Guards against starting tasks seconds after their job was cancelled, by a leader whose reads of the log fail
      * while its appends succeed.
