Preemption search with dense indexes and a queue of candidates

Cause: under a burst most of the leader's processor time went to the choice of victims. Each choice scanned all candidates, and hash maps and set intersections decided which ones to look at again.

Change: targets and candidates are numbered once per search, candidates are indexed by target, and a priority queue holds their scores; a choice evaluates again only the candidates that share a target with the chosen one. Whether the unit would fit if all candidates ended is decided before costs are computed. Candidates that have only targets which cannot host a task are left out. The targets of the unit are chosen only for the cheapest group. The cost of a victim moves to VictimCost without a change.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -1,6 +1,5 @@
 package org.acaciaport.pool;
 
-import java.util.List;
 import java.util.function.Predicate;
 
 /**
@@ -47,6 +46,7 @@
 
     private final AccountDemand accountDemand;
     private final ClockReading now;
+    private final SearchEffort effort = new SearchEffort();
 
     OccupiedResourceSearch(AccountDemand accountDemand, ClockReading now) {
         this.accountDemand = accountDemand;
@@ -142,13 +142,7 @@
             LocalityTier tier,
             Predicate<TaskExecution> allowed,
             PreemptionPlanner.CostModel costModel) {
-        PreemptionPlanner.Plan best = null;
-        for (List<TargetState> group : tier.groups()) {
-            PreemptionPlanner.Plan plan = PreemptionPlanner.find(unit, group, allowed, costModel, now);
-            if (plan != null && (best == null || plan.cost() < best.cost())) {
-                best = plan;
-            }
-        }
-        return best;
+        effort.searches++;
+        return PreemptionPlanner.findCheapest(unit, tier.groups(), allowed, costModel, now, effort);
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -114,14 +114,16 @@
 
     /** Returns how many tasks of {@code unit} fit into the resources {@code available} on {@code target}. */
     static int countSlots(PlacementUnit unit, TargetState target, Resources available) {
-        int limit = unit.step().spec.constraints().spreadLimit();
-        int max = unit.size();
-        if (limit > 0) {
-            max = Math.min(max, limit - countTasksOn(unit.step(), target));
-        }
+        int max = maxSlots(unit, target);
         return max <= 0 ? 0 : unit.demand().countFitting(available, max);
     }
 
+    /** Returns how many tasks of {@code unit} may be placed on {@code target}, regardless of its resources. */
+    static int maxSlots(PlacementUnit unit, TargetState target) {
+        int limit = unit.step().spec.constraints().spreadLimit();
+        return limit <= 0 ? unit.size() : Math.min(unit.size(), limit - countTasksOn(unit.step(), target));
+    }
+
     private static int countTasksOn(StepExecution step, TargetState target) {
         int count = 0;
         for (TaskExecution task : step.tasks) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PreemptionPlanner.java
@@ -1,12 +1,10 @@
 package org.acaciaport.pool;
 
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -14,46 +12,37 @@
  * A search for the victims whose end makes room for a unit at the lowest cost.
  *
  * <p>Greedy and not optimal: repeatedly adds the victim with the lowest cost per gained slot, then drops the victims
- * that turn out to be redundant. A gang is a victim only as a whole. A choice looks anew only at victims on the targets
- * of the one chosen before. Not thread-safe; confined to the thread of the
- * pool.
+ * that turn out to be redundant. A gang is a victim only as a whole. After a choice, only the victims that share a
+ * target with the chosen one are evaluated again. Not thread-safe; confined to the thread of the pool.
  */
 final class PreemptionPlanner {
-    private static final double MILLIS_PER_SECOND = 1e3;
-
-    /** Maximum run time lost when a task with checkpoints is stopped, in seconds: the time between two checkpoints. */
-    private static final double MAX_CHECKPOINTED_LOSS_SECONDS = 0.5;
-
-    /** Typical time until a stopped task runs again, in seconds. */
-    private static final double PREEMPTION_DELAY_SECONDS = 1.5;
-
-    /** Cost factor of stopping a task of the highest priority. */
-    private static final int HIGHEST_PRIORITY_WEIGHT = 5;
-
-    /** Minimum cost of a victim, in core-seconds, so that a run that has only just started is not stopped for free. */
-    private static final double MIN_LOSS_CORE_SECONDS = 1.0;
-
-    /** Gain of freed resources in proportion to the demand of one task, relative to the gain of a whole slot. */
-    private static final double PARTIAL_SLOT_GAIN = 0.1;
+    private static final Comparator<Entry> BY_SCORE =
+            Comparator.comparingDouble(Entry::score).thenComparingInt(entry -> entry.victim.number);
 
     private final PlacementUnit unit;
     private final List<TargetState> targets;
     private final CostModel costModel;
     private final ClockReading now;
-    private final Map<TargetState, Resources> freed = new HashMap<>();
-    private final Set<Victim> chosen = new LinkedHashSet<>();
+    private final SearchEffort effort;
+    private final SlotTable table;
+
+    /** Candidates in the order of their targets, then of the tasks on them. */
+    private final List<Victim> candidates = new ArrayList<>();
 
-    /** Number of tasks of the unit that fit on each target after the chosen victims have ended. */
-    private final Map<TargetState, Integer> slots = new HashMap<>();
+    /** Candidates by number of their targets. */
+    private final List<List<Victim>> byTarget = new ArrayList<>();
 
-    /** The sum of {@code slots}. */
-    private int totalSlots;
+    private final PriorityQueue<Entry> queue = new PriorityQueue<>(BY_SCORE);
+    private final List<Victim> chosen = new ArrayList<>();
 
-    private PreemptionPlanner(PlacementUnit unit, List<TargetState> targets, CostModel costModel, ClockReading now) {
+    private PreemptionPlanner(
+            PlacementUnit unit, List<TargetState> targets, CostModel costModel, ClockReading now, SearchEffort effort) {
         this.unit = unit;
         this.targets = targets;
         this.costModel = costModel;
         this.now = now;
+        this.effort = effort;
+        table = new SlotTable(unit, targets);
     }
 
     /** The measure of what a victim costs. */
@@ -61,7 +50,15 @@
         /** Work lost by stopping the victim, in core-seconds. */
         LOST_WORK,
         /** Time until the victim ends by itself, in seconds. */
-        REMAINING_TIME
+        REMAINING_TIME;
+
+        private double costOf(List<TaskExecution> tasks, ClockReading now) {
+            return this == LOST_WORK ? VictimCost.lostCoreSeconds(tasks, now) : VictimCost.remainingSeconds(tasks, now);
+        }
+
+        private double sum(double cost, double other) {
+            return this == LOST_WORK ? cost + other : Math.max(cost, other);
+        }
     }
 
     /**
@@ -73,217 +70,175 @@
      */
     record Plan(List<TargetState> targets, List<TaskExecution> victims, double cost) {}
 
-    /** A gang or a single task that may make room, with its targets and its cost. Equal only to itself. */
-    private static final class Victim {
-        final List<TaskExecution> tasks;
-        final Set<TargetState> targets = new HashSet<>();
-        final double cost;
-
-        Victim(List<TaskExecution> tasks, double cost) {
-            this.tasks = tasks;
-            this.cost = cost;
-            tasks.forEach(task -> targets.add(task.target));
-        }
-
-        boolean sharesTargetWith(Victim other) {
-            return !Collections.disjoint(targets, other.targets);
+    /** The score of a victim at one of its evaluations; outdated if the victim was evaluated again. */
+    private record Entry(Victim victim, int version, double score) {
+        boolean isCurrent() {
+            return !victim.chosen && version == victim.version;
         }
     }
 
     /**
-     * Returns a plan that places {@code unit} on {@code targets}, or null if there is none.
+     * Returns the cheapest of the plans that place {@code unit} on one of {@code groups}, or null if there is none. The
+     * first group goes first among plans of the same cost.
      *
-     * @param targets targets to choose from
+     * @param groups groups of targets to choose from
      * @param allowed tests whether a task may be a victim
      * @param costModel measure of the costs to keep low
+     * @param effort counts the evaluations
      */
-    static Plan find(
+    static Plan findCheapest(
             PlacementUnit unit,
-            List<TargetState> targets,
+            List<List<TargetState>> groups,
             Predicate<TaskExecution> allowed,
             CostModel costModel,
-            ClockReading now) {
-        return new PreemptionPlanner(unit, targets, costModel, now).search(allowed);
+            ClockReading now,
+            SearchEffort effort) {
+        PreemptionPlanner best = null;
+        for (List<TargetState> group : groups) {
+            PreemptionPlanner planner = new PreemptionPlanner(unit, group, costModel, now, effort);
+            if (planner.search(allowed) && (best == null || planner.cost() < best.cost())) {
+                best = planner;
+            }
+        }
+        return best == null ? null : best.plan();
     }
 
-    private Plan search(Predicate<TaskExecution> allowed) {
-        List<Victim> candidates = candidates(allowed);
-        targets.forEach(this::updateSlots);
-        if (!sufficesIfAllStopped(candidates)) {
-            return null;
+    /** Chooses victims; returns false if their end cannot make room for the unit. */
+    private boolean search(Predicate<TaskExecution> allowed) {
+        if (table.total() >= unit.size()) {
+            return true;
+        }
+        collectCandidates(allowed);
+        if (!narrowCandidates()) {
+            return false;
         }
-        Map<Victim, Double> gains = new HashMap<>();
-        while (totalSlots < unit.size()) {
-            Victim best = bestCandidate(candidates, gains);
+        indexCandidates();
+        while (table.total() < unit.size()) {
+            Victim best = cheapestCandidate();
             if (best == null) {
-                return null;
+                return false;
             }
-            candidates.remove(best);
-            apply(best, 1);
-            gains.keySet().removeIf(victim -> victim.sharesTargetWith(best));
+            choose(best);
         }
         removeRedundantVictims();
-        List<TaskExecution> victims = new ArrayList<>();
-        double cost = 0;
-        for (Victim victim : chosen) {
-            victims.addAll(victim.tasks);
-            cost = costModel == CostModel.LOST_WORK ? cost + victim.cost : Math.max(cost, victim.cost);
-        }
-        return new Plan(Placement.selectTargets(unit, targets, this::freeAfterStops), victims, cost);
+        return true;
     }
 
-    /** Returns whether the unit would fit if all candidates ended. */
-    private boolean sufficesIfAllStopped(List<Victim> candidates) {
-        candidates.forEach(victim -> apply(victim, 1));
-        boolean enough = totalSlots >= unit.size();
-        candidates.forEach(victim -> apply(victim, -1));
-        return enough;
-    }
-
-    /** Counts the slots of {@code target} anew, if it is one of the targets to choose from. */
-    private void updateSlots(TargetState target) {
-        int count = Placement.countSlots(unit, target, freeAfterStops(target));
-        Integer before = slots.put(target, count);
-        totalSlots += count - (before == null ? 0 : before);
-    }
-
-    private Resources freeAfterStops(TargetState target) {
-        return target.projectedFree().plus(freed.getOrDefault(target, Resources.NONE));
-    }
-
-    private List<Victim> candidates(Predicate<TaskExecution> allowed) {
-        List<Victim> candidates = new ArrayList<>();
+    private void collectCandidates(Predicate<TaskExecution> allowed) {
         Set<StepExecution> gangs = new HashSet<>();
-        for (TargetState target : targets) {
-            for (TaskExecution task : target.tasks.values()) {
+        for (int i = 0; i < targets.size(); i++) {
+            for (TaskExecution task : targets.get(i).tasks.values()) {
                 if (task.phase == Phase.STOPPING || !allowed.test(task)) {
                     continue;
                 }
                 if (!task.step.spec.mode().gang()) {
-                    candidates.add(createVictim(List.of(task)));
+                    candidates.add(Victim.ofSingle(candidates.size(), task, i));
                 } else if (gangs.add(task.step)) {
-                    candidates.add(createVictim(placedTasks(task.step)));
+                    candidates.add(Victim.ofGang(candidates.size(), task.step, table));
                 }
             }
         }
-        return candidates;
-    }
-
-    private static List<TaskExecution> placedTasks(StepExecution step) {
-        return step.tasks.stream().filter(task -> task.target != null).toList();
     }
 
     /**
-     * Returns a victim with its cost. Work that was stopped for the victim counts as lost with it, as the victim will
-     * displace others again.
+     * Drops candidates none of whose targets could host a task even if all candidates ended: they gain nothing and
+     * change the gain of no other. Returns false if the unit would not fit in that case either.
      */
-    private Victim createVictim(List<TaskExecution> tasks) {
-        double displaced = tasks.get(0).step.displacedCoreSeconds;
-        double cost = costModel == CostModel.LOST_WORK ? MIN_LOSS_CORE_SECONDS + displaced : 0;
-        for (TaskExecution task : tasks) {
-            if (task.phase != Phase.RUNNING) {
-                continue;
-            }
-            double runSeconds = now.secondsSince(task.confirmedNanos);
-            cost = switch (costModel) {
-                case LOST_WORK -> cost + lostCoreSeconds(task, runSeconds);
-                case REMAINING_TIME -> Math.max(cost, task.remainingSeconds(now));
-            };
+    private boolean narrowCandidates() {
+        candidates.forEach(victim -> victim.apply(table, 1));
+        if (table.total() < unit.size()) {
+            return false;
         }
-        return new Victim(tasks, cost);
-    }
-
-    private double lostCoreSeconds(TaskExecution task, double runSeconds) {
-        boolean checkpoints = task.step.spec.mode().checkpoint();
-        double lostSeconds = checkpoints ? Math.min(runSeconds, MAX_CHECKPOINTED_LOSS_SECONDS) : runSeconds;
-        double costSeconds = lostSeconds + delayCostSeconds(task, runSeconds);
-        return task.demand().coreEquivalents() * costSeconds * costMultiplier(task);
-    }
-
-    /**
-     * Returns the factor for the cost of stopping a task. Tasks of the highest priority have little slack, so a stop
-     * makes them late; earlier preemptions raise the factor so that they do not always hit the same step.
-     */
-    private static int costMultiplier(TaskExecution task) {
-        int weight = task.job().terms().priority() == 0 ? HIGHEST_PRIORITY_WEIGHT : 1;
-        return weight * (1 + task.step.preemptionCount);
+        boolean[] usable = new boolean[table.size()];
+        for (int i = 0; i < usable.length; i++) {
+            usable[i] = table.slots(i) > 0;
+        }
+        candidates.forEach(victim -> victim.apply(table, -1));
+        candidates.removeIf(victim -> !reachesAny(victim, usable));
+        return true;
     }
 
-    /**
-     * Returns the cost of the delay caused by a stop, as seconds of lost work: highest for a job that would just meet
-     * its objective without the stop, and 0 for one that misses it anyway.
-     */
-    private double delayCostSeconds(TaskExecution task, double runSeconds) {
-        double slackSeconds = task.step.slackMillis(now) / MILLIS_PER_SECOND + runSeconds;
-        if (slackSeconds < 0) {
-            return 0;
+    private static boolean reachesAny(Victim victim, boolean[] usable) {
+        for (int target : victim.targets) {
+            if (usable[target]) {
+                return true;
+            }
         }
-        return slackSeconds < PREEMPTION_DELAY_SECONDS
-                ? PREEMPTION_DELAY_SECONDS
-                : PREEMPTION_DELAY_SECONDS * PREEMPTION_DELAY_SECONDS / slackSeconds;
+        return false;
     }
 
-    /**
-     * Returns the candidate with the lowest cost per gained slot, or null if none gains anything.
-     *
-     * @param gains gains that are known already; those of other candidates are added
-     */
-    private Victim bestCandidate(List<Victim> candidates, Map<Victim, Double> gains) {
-        Victim best = null;
-        double bestScore = Double.MAX_VALUE;
+    private void indexCandidates() {
+        for (int i = 0; i < table.size(); i++) {
+            byTarget.add(new ArrayList<>());
+        }
         for (Victim victim : candidates) {
-            double gain = gains.computeIfAbsent(victim, this::slotGain);
-            if (gain > 0 && victim.cost / gain < bestScore) {
-                best = victim;
-                bestScore = victim.cost / gain;
+            victim.prepare(unit, costModel.costOf(victim.tasks, now));
+            for (int target : victim.targets) {
+                byTarget.get(target).add(victim);
             }
+            evaluate(victim);
         }
-        return best;
     }
 
-    /** Returns the number of slots that the end of {@code victim} adds, plus a small share for partial slots. */
-    private double slotGain(Victim victim) {
-        int before = totalSlots;
-        apply(victim, 1);
-        int after = totalSlots;
-        apply(victim, -1);
-        double partial = 0;
-        for (TaskExecution task : victim.tasks) {
-            if (slots.containsKey(task.target)) {
-                partial += task.demand().coreEquivalents()
-                        / Math.max(1, unit.demand().coreEquivalents());
-            }
+    private void evaluate(Victim victim) {
+        effort.evaluations++;
+        victim.evaluate(table);
+        if (victim.score < Double.MAX_VALUE) {
+            queue.add(new Entry(victim, victim.version, victim.score));
         }
-        return after - before + PARTIAL_SLOT_GAIN * partial;
     }
 
-    /** Adds {@code victim} to the chosen victims if {@code sign} is positive, or else removes it. */
-    private void apply(Victim victim, int sign) {
-        for (TaskExecution task : victim.tasks) {
-            Resources demand = task.demand();
-            freed.merge(
-                    task.target, sign > 0 ? demand : Resources.NONE.minus(demand), (sum, change) -> sum.plus(change));
+    /** Returns the candidate with the lowest cost per gained slot, or null if none gains anything. */
+    private Victim cheapestCandidate() {
+        Entry entry = queue.poll();
+        while (entry != null && !entry.isCurrent()) {
+            entry = queue.poll();
         }
-        for (TargetState target : victim.targets) {
-            if (slots.containsKey(target)) {
-                updateSlots(target);
+        return entry == null ? null : entry.victim;
+    }
+
+    private void choose(Victim best) {
+        best.chosen = true;
+        chosen.add(best);
+        best.apply(table, 1);
+        for (int target : best.targets) {
+            for (Victim victim : byTarget.get(target)) {
+                if (!victim.chosen && victim.lastChoice != chosen.size()) {
+                    victim.lastChoice = chosen.size();
+                    evaluate(victim);
+                }
             }
         }
-        if (sign > 0) {
-            chosen.add(victim);
-        } else {
-            chosen.remove(victim);
-        }
     }
 
+    /** Drops victims without which there is still room, the most expensive first. */
     private void removeRedundantVictims() {
         List<Victim> byCost = new ArrayList<>(chosen);
         byCost.sort((one, other) -> Double.compare(other.cost, one.cost));
+        chosen.clear();
         for (Victim victim : byCost) {
-            apply(victim, -1);
-            if (totalSlots < unit.size()) {
-                apply(victim, 1);
+            victim.apply(table, -1);
+            if (table.total() < unit.size()) {
+                victim.apply(table, 1);
+                chosen.add(victim);
             }
         }
     }
+
+    private double cost() {
+        double cost = 0;
+        for (Victim victim : chosen) {
+            cost = costModel.sum(cost, victim.cost);
+        }
+        return cost;
+    }
+
+    private Plan plan() {
+        List<TaskExecution> victims = new ArrayList<>();
+        chosen.forEach(victim -> victims.addAll(victim.tasks));
+        // Later searches have numbered the targets anew.
+        SlotTable current = new SlotTable(unit, targets);
+        chosen.forEach(victim -> victim.apply(current, 1));
+        return new Plan(Placement.selectTargets(unit, targets, current::free), victims, cost());
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -42,6 +42,9 @@
     /** Id of the job that failed last; empty if none has failed since the last success. */
     String lastFailedJob = "";
 
+    /** Number of the target in the newest {@link SlotTable} that has it. */
+    int tableIndex;
+
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
     private Resources used = Resources.NONE;
