Simulations report the durations of the scheduling passes

Cause: the load model did not show how long a pass takes, and left out the deployments with contention and uneven load.

Change: PoolSimulation passes the duration of each pass to an observer; PoolLoadMain also runs AUCTIONS and PLANNING and prints the longest pass and the 99th percentile of each deployment.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
@@ -9,12 +9,13 @@
 
 /**
  * Simulates the deployments, with a steady load and with bursts, over several seeds and prints the results. Arguments:
- * number of seeds, first seed.
+ * number of seeds, first seed. Several simulations run at once, so the durations of passes are comparable only between
+ * runs of this program on the same idle machine; with one seed they are those of a single thread.
  */
 final class PoolLoadMain {
     private static final long LENGTH_MILLIS = 60_000;
 
-    /** Factor by which the largest deployment is simulated less often. */
+    /** Factor by which the deployments of more than 200 targets are simulated less often. */
     private static final int LARGE_DIVISOR = 5;
 
     private static final List<PoolSimulation.Burst> BURSTS = List.of(
@@ -33,28 +34,36 @@
         long first = Long.parseLong(args[1]);
         for (List<PoolSimulation.Burst> bursts : List.of(List.<PoolSimulation.Burst>of(), BURSTS)) {
             String when = bursts.isEmpty() ? "calm" : "bursts";
-            print("rendering " + when, simulate(Deployments.RENDERING, bursts, seeds, first));
-            print("booking " + when, simulate(Deployments.BOOKING, bursts, seeds, first));
-            print("climbing " + when, simulate(Deployments.CLIMBING, bursts, seeds, first));
-            print(
-                    "large " + when,
-                    simulate(Deployments.LARGE_RENDERING, bursts, Math.max(1, seeds / LARGE_DIVISOR), first));
+            print("rendering " + when, Deployments.RENDERING, bursts, seeds, first);
+            print("booking " + when, Deployments.BOOKING, bursts, seeds, first);
+            print("climbing " + when, Deployments.CLIMBING, bursts, seeds, first);
+            int fewSeeds = Math.max(1, seeds / LARGE_DIVISOR);
+            print("large " + when, Deployments.LARGE_RENDERING, bursts, fewSeeds, first);
+            print("auctions " + when, Deployments.AUCTIONS, bursts, fewSeeds, first);
+            print("planning " + when, Deployments.PLANNING, bursts, fewSeeds, first);
         }
     }
 
-    private static List<PoolSimulation.Results> simulate(
-            PoolSimulation.Deployment deployment, List<PoolSimulation.Burst> bursts, int seeds, long first) {
-        return LongStream.range(first, first + seeds)
+    private static void print(
+            String name,
+            PoolSimulation.Deployment deployment,
+            List<PoolSimulation.Burst> bursts,
+            int seeds,
+            long first) {
+        PassTimes passTimes = new PassTimes();
+        List<PoolSimulation.Results> runs = LongStream.range(first, first + seeds)
                 .parallel()
-                .mapToObj(seed -> PoolSimulation.simulate(deployment, LENGTH_MILLIS, bursts, randomGenerator(seed)))
+                .mapToObj(seed -> PoolSimulation.simulate(
+                        deployment, LENGTH_MILLIS, bursts, randomGenerator(seed), passTimes::add))
                 .toList();
+        print(name, runs, passTimes);
     }
 
     private static RandomGenerator randomGenerator(long seed) {
         return RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
     }
 
-    private static void print(String name, List<PoolSimulation.Results> runs) {
+    private static void print(String name, List<PoolSimulation.Results> runs, PassTimes passTimes) {
         double valueFraction = runs.stream()
                 .mapToDouble(PoolSimulation.Results::valueFraction)
                 .average()
@@ -63,7 +72,9 @@
                 .mapToDouble(PoolSimulation.Results::wastedCoreSeconds)
                 .average()
                 .orElse(0);
-        System.out.printf("%-16s earned %.3f  wasted core-seconds %.0f%n", name, valueFraction, wastedCoreSeconds);
+        System.out.printf(
+                "%-16s earned %.3f  wasted core-seconds %.0f  longest pass %.1f ms  99%% of passes under %.1f ms%n",
+                name, valueFraction, wastedCoreSeconds, passTimes.longestMillis(), passTimes.highPercentileMillis());
         for (String kind : runs.get(0).kinds().keySet()) {
             printKind(
                     kind,
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -27,6 +28,7 @@
 
     private final Deployment deployment;
     private final RandomGenerator random;
+    private final LongConsumer passNanos;
     private final Pool pool = new Pool();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::millis).thenComparingLong(Event::number));
@@ -120,13 +122,28 @@
         }
     }
 
-    private PoolSimulation(Deployment deployment, RandomGenerator random) {
+    private PoolSimulation(Deployment deployment, RandomGenerator random, LongConsumer passNanos) {
         this.deployment = deployment;
         this.random = random;
+        this.passNanos = passNanos;
     }
 
     static Results simulate(Deployment deployment, long lengthMillis, List<Burst> bursts, RandomGenerator random) {
-        PoolSimulation simulation = new PoolSimulation(deployment, random);
+        return simulate(deployment, lengthMillis, bursts, random, nanos -> {});
+    }
+
+    /**
+     * Simulates {@code deployment} under load for {@code lengthMillis} and until most work has ended.
+     *
+     * @param passNanos receives the duration of each scheduling pass, in nanoseconds
+     */
+    static Results simulate(
+            Deployment deployment,
+            long lengthMillis,
+            List<Burst> bursts,
+            RandomGenerator random,
+            LongConsumer passNanos) {
+        PoolSimulation simulation = new PoolSimulation(deployment, random, passNanos);
         simulation.registerTargets();
         for (int kind = 0; kind < deployment.kinds().size(); kind++) {
             simulation.scheduleArrivals(kind, lengthMillis, bursts);
@@ -196,7 +213,9 @@
             return;
         }
         schedule(millis + PASS_INTERVAL_MILLIS, () -> {
+            long startNanos = System.nanoTime();
             pool.schedule(now());
+            passNanos.accept(System.nanoTime() - startNanos);
             pool.takeStops().forEach(stop -> schedule(millis + STOP_LATENCY_MILLIS, () -> handleStop(stop)));
             Batch batch = pool.takeBatch();
             batch.records().forEach(this::recordCompletion);
