Keys of the scheduling order computed once per unit and pass

Cause: the sort of the waiting units computed slack, deadline status and guarantee state in every comparison, a thousand waiting units need about 20,000 of these.

Change: the keys are kept with each unit while the units are sorted, and are shared by the tasks of a step. The order is the same. The phases of a unit are compared without a stream.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -31,7 +31,12 @@
 
     /** Returns whether all tasks are in {@code phase}. */
     boolean isIn(Phase phase) {
-        return tasks.stream().allMatch(task -> task.phase == phase);
+        for (TaskExecution task : tasks) {
+            if (task.phase != phase) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /** Returns whether runs of the unit have failed so often that one more failure ends its job. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 
 /**
@@ -19,28 +19,49 @@
         this.now = now;
     }
 
+    /**
+     * A unit with the keys of the scheduling order, in the order of their weight.
+     *
+     * @param beyondGuarantee whether the unit is of the highest priority and its account exceeds its guarantee
+     */
+    private record Entry(
+            PlacementUnit unit,
+            int priority,
+            boolean beyondGuarantee,
+            Objective.DeadlineStatus deadlineStatus,
+            long slackMillis,
+            String job)
+            implements Comparable<Entry> {
+        /** Returns the entry of another task of the same step. */
+        Entry forSibling(PlacementUnit sibling) {
+            return new Entry(sibling, priority, beyondGuarantee, deadlineStatus, slackMillis, job);
+        }
+
+        @Override
+        public int compareTo(Entry other) {
+            int order = Integer.compare(priority, other.priority);
+            order = order != 0 ? order : Boolean.compare(beyondGuarantee, other.beyondGuarantee);
+            order = order != 0 ? order : deadlineStatus.compareTo(other.deadlineStatus);
+            order = order != 0 ? order : Long.compare(slackMillis, other.slackMillis);
+            return order != 0 ? order : job.compareTo(other.job);
+        }
+    }
+
     /** Returns the units of {@code jobs} in scheduling order; opens the occurrences that are due. */
     List<PlacementUnit> collect(Collection<JobExecution> jobs) {
-        List<PlacementUnit> units = new ArrayList<>();
+        List<Entry> entries = new ArrayList<>();
         for (JobExecution job : jobs) {
             if (!job.state.isTerminal()) {
-                collect(job, units);
+                collect(job, entries);
             }
         }
-        units.sort(schedulingOrder());
+        Collections.sort(entries);
+        List<PlacementUnit> units = new ArrayList<>(entries.size());
+        entries.forEach(entry -> units.add(entry.unit));
         return units;
     }
 
-    private Comparator<PlacementUnit> schedulingOrder() {
-        return Comparator.comparingInt(PlacementUnit::priority)
-                .thenComparing(unit -> unit.priority() == 0
-                        && !accountDemand.isWithinGuarantee(unit.job().account()))
-                .thenComparing(unit -> unit.step().deadlineStatus(now))
-                .thenComparingLong(unit -> unit.step().slackMillis(now))
-                .thenComparing(unit -> unit.job().id());
-    }
-
-    private void collect(JobExecution job, List<PlacementUnit> units) {
+    private void collect(JobExecution job, List<Entry> entries) {
         job.openDueOccurrences(now.wallClockMillis());
         for (List<StepExecution> steps : job.openOccurrences()) {
             for (StepExecution step : steps) {
@@ -51,24 +72,38 @@
                     step.readyNanos = now.monotonicNanos();
                     step.nextSearchNanos = now.monotonicNanos();
                 }
-                collect(step, units);
+                collect(step, entries);
             }
         }
     }
 
     /** Adds the single tasks without a run, or the gang if none of its tasks has one. */
-    private static void collect(StepExecution step, List<PlacementUnit> units) {
-        if (!step.spec.mode().gang()) {
-            for (TaskExecution task : step.tasks) {
-                if (task.phase == Phase.WAITING || task.phase == Phase.RESERVED) {
-                    units.add(new PlacementUnit(step, List.of(task)));
-                }
+    private void collect(StepExecution step, List<Entry> entries) {
+        if (step.spec.mode().gang()) {
+            PlacementUnit gang = new PlacementUnit(step, step.tasks);
+            if (gang.isIn(Phase.WAITING) || gang.isIn(Phase.RESERVED)) {
+                entries.add(entry(gang));
             }
             return;
         }
-        PlacementUnit gang = new PlacementUnit(step, step.tasks);
-        if (gang.isIn(Phase.WAITING) || gang.isIn(Phase.RESERVED)) {
-            units.add(gang);
+        Entry first = null;
+        for (TaskExecution task : step.tasks) {
+            if (task.phase == Phase.WAITING || task.phase == Phase.RESERVED) {
+                PlacementUnit unit = new PlacementUnit(step, List.of(task));
+                first = first == null ? entry(unit) : first.forSibling(unit);
+                entries.add(first);
+            }
         }
     }
+
+    private Entry entry(PlacementUnit unit) {
+        return new Entry(
+                unit,
+                unit.priority(),
+                unit.priority() == 0
+                        && !accountDemand.isWithinGuarantee(unit.job().account()),
+                unit.step().deadlineStatus(now),
+                unit.step().slackMillis(now),
+                unit.job().id());
+    }
 }
