Failed placements answer for later units of a pass; searches per pass limited

Cause: in a full pool each waiting gang examined all targets in each pass, and all running tasks every 100 ms, although a smaller gang of the same kind had just failed. Each unit built the list of its eligible targets from all targets.

Change: a unit that found no room answers for later units of the pass with the same kind (service, label, preferred rack, locality, claim and urgency) that need at least as much, until resources are freed; the same for a search among running tasks that found no plan, or only a plan that exceeds the budget of the later unit too. The kind of a step is computed once per pass, and its tasks are skipped once one has failed. Eligible targets are listed once per pass, service and label.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/DemandKey.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/DemandKey.java
@@ -5,41 +5,7 @@
  *
  * <p>Immutable.
  *
- * @param service name of the service
+ * @param kind kind of the task
  * @param demand resources of the task
- * @param label label that the target must have; empty for no restriction
- * @param nearRack preferred rack; empty for no preference
- * @param leavesRack whether targets outside {@code nearRack} are accepted
- * @param takesHeld whether resources that a gang holds in vain are accepted
- * @param urgent whether the task is of the highest priority, so that running tasks may make room for it
- * @param claim whether it may also take the room of others of the highest priority
  */
-record DemandKey(
-        String service,
-        Resources demand,
-        String label,
-        String nearRack,
-        boolean leavesRack,
-        boolean takesHeld,
-        boolean urgent,
-        boolean claim) {
-    /**
-     * Returns the key of {@code unit}.
-     *
-     * @param leavesRack whether targets outside the preferred rack are accepted
-     * @param takesHeld whether resources that a gang holds in vain are accepted
-     * @param claim whether the unit is a claim
-     */
-    static DemandKey of(PlacementUnit unit, boolean leavesRack, boolean takesHeld, boolean claim) {
-        Step.Constraints constraints = unit.step().spec.constraints();
-        return new DemandKey(
-                unit.job().service(),
-                unit.demand(),
-                constraints.label(),
-                constraints.nearRack(),
-                leavesRack,
-                takesHeld,
-                unit.priority() == 0,
-                claim);
-    }
-}
+record DemandKey(PlacementKind kind, Resources demand) {}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -30,7 +30,7 @@
         List<TargetState> all = new ArrayList<>();
         racks.values().forEach(all::addAll);
         LocalityTier anywhere = new LocalityTier(List.of(all));
-        if (constraints.tight() && unit.size() > 1 && Placement.fitsOnOneRack(unit, racks)) {
+        if (constraints.tight() && unit.size() > 1 && Placement.fitsOnOneRack(unit, racks.values())) {
             LocalityTier oneRack = new LocalityTier(List.copyOf(racks.values()));
             return overdue ? List.of(oneRack, anywhere) : List.of(oneRack);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -46,25 +46,51 @@
 
     private final AccountDemand accountDemand;
     private final ClockReading now;
-    private final SearchEffort effort = new SearchEffort();
+    private final SearchEffort effort;
+    private final FailedUnits<FailureKey> failedUnits = new FailedUnits<>();
 
-    OccupiedResourceSearch(AccountDemand accountDemand, ClockReading now) {
+    OccupiedResourceSearch(AccountDemand accountDemand, SearchEffort effort, ClockReading now) {
         this.accountDemand = accountDemand;
+        this.effort = effort;
         this.now = now;
     }
 
+    /**
+     * What is searched, and for which unit.
+     *
+     * @param unit unit to place
+     * @param kind kind of the unit; null if its searches answer for no other
+     * @param tier targets to choose from
+     * @param tierNumber position of the tier among those of the unit
+     */
+    record Scope(PlacementUnit unit, PlacementKind kind, LocalityTier tier, int tierNumber) {}
+
+    /** The tasks that may make room. */
+    private enum Candidates {
+        PREEMPTIBLE,
+        COMPLETING
+    }
+
+    private record FailureKey(PlacementKind kind, int tierNumber, Candidates candidates) {}
+
+    /** Forgets for which units there is no room, since resources were freed. */
+    void recordFreedResources() {
+        failedUnits.clear();
+    }
+
     /**
      * Returns a reservation of resources of tasks that are about to complete, which avoids a preemption; null if there
      * is none.
      *
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
-    Reservation findCompletions(PlacementUnit unit, LocalityTier tier, long waitedMillis) {
+    Reservation findCompletions(Scope scope, long waitedMillis) {
+        PlacementUnit unit = scope.unit();
         if (unit.priority() != 0 || waitedMillis > COMPLETION_WAIT_CHOICE_MILLIS) {
             return null;
         }
-        PreemptionPlanner.Plan best = firstCompletions(unit, tier);
-        if (best == null || best.cost() > completionWaitBudgetSeconds(unit)) {
+        PreemptionPlanner.Plan best = firstCompletions(scope, completionWaitBudgetSeconds(unit));
+        if (best == null) {
             return null;
         }
         long expiresNanos = now.nanosAfter(COMPLETION_WAIT_TIMEOUT_MILLIS - waitedMillis);
@@ -86,14 +112,16 @@
      *
      * @param claim whether the unit is a claim
      */
-    Reservation findPreemption(PlacementUnit unit, LocalityTier tier, boolean claim) {
+    Reservation findPreemption(Scope scope, boolean claim) {
+        PlacementUnit unit = scope.unit();
         if (unit.priority() != 0) {
             return null;
         }
         Predicate<TaskExecution> allowed = task -> task.job().terms().priority() > 0
                 || claim && !accountDemand.isWithinGuarantee(task.job().account());
-        PreemptionPlanner.Plan best = cheapestPlan(unit, tier, allowed, PreemptionPlanner.CostModel.LOST_WORK);
-        if (best == null || !claim && best.cost() > lossBudgetCoreSeconds(unit)) {
+        double budget = claim ? Double.MAX_VALUE : lossBudgetCoreSeconds(unit);
+        PreemptionPlanner.Plan best = cheapestPlan(scope, Candidates.PREEMPTIBLE, allowed, budget);
+        if (best == null) {
             return null;
         }
         String why = claim ? "claim" : "priority";
@@ -117,12 +145,12 @@
      *
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
-    Reservation findAdvanceReservation(PlacementUnit unit, LocalityTier tier, long waitedMillis) {
+    Reservation findAdvanceReservation(Scope scope, long waitedMillis) {
         if (waitedMillis < ADVANCE_RESERVATION_WAIT_MILLIS
-                || !unit.step().spec.mode().gang()) {
+                || !scope.unit().step().spec.mode().gang()) {
             return null;
         }
-        PreemptionPlanner.Plan best = firstCompletions(unit, tier);
+        PreemptionPlanner.Plan best = firstCompletions(scope, Double.MAX_VALUE);
         if (best == null) {
             return null;
         }
@@ -130,19 +158,33 @@
         return Reservation.withoutVictims(best.targets(), "set-aside", expiresNanos);
     }
 
-    /** Returns the plan whose last running task completes first, or null if there is none. */
-    private PreemptionPlanner.Plan firstCompletions(PlacementUnit unit, LocalityTier tier) {
+    /** Returns the plan whose last running task completes first; null if there is none within the budget. */
+    private PreemptionPlanner.Plan firstCompletions(Scope scope, double budgetSeconds) {
         Predicate<TaskExecution> allowed =
                 task -> task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
-        return cheapestPlan(unit, tier, allowed, PreemptionPlanner.CostModel.REMAINING_TIME);
+        return cheapestPlan(scope, Candidates.COMPLETING, allowed, budgetSeconds);
     }
 
+    /** Returns the cheapest plan, or null if there is none within the budget. */
     private PreemptionPlanner.Plan cheapestPlan(
-            PlacementUnit unit,
-            LocalityTier tier,
-            Predicate<TaskExecution> allowed,
-            PreemptionPlanner.CostModel costModel) {
+            Scope scope, Candidates candidates, Predicate<TaskExecution> allowed, double budget) {
+        PlacementUnit unit = scope.unit();
+        FailureKey key = new FailureKey(scope.kind(), scope.tierNumber(), candidates);
+        if (scope.kind() != null && failedUnits.answersFor(key, unit, budget)) {
+            return null;
+        }
         effort.searches++;
-        return PreemptionPlanner.findCheapest(unit, tier.groups(), allowed, costModel, now, effort);
+        PreemptionPlanner.CostModel costModel = candidates == Candidates.PREEMPTIBLE
+                ? PreemptionPlanner.CostModel.LOST_WORK
+                : PreemptionPlanner.CostModel.REMAINING_TIME;
+        PreemptionPlanner.Plan plan =
+                PreemptionPlanner.findCheapest(unit, scope.tier().groups(), allowed, costModel, now, effort);
+        if (plan != null && plan.cost() <= budget) {
+            return plan;
+        }
+        if (scope.kind() != null) {
+            failedUnits.add(key, unit, plan == null ? Double.POSITIVE_INFINITY : plan.cost());
+        }
+        return null;
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -12,11 +12,13 @@
 /**
  * Selection of targets for units. A selection takes time about linear in the number of targets.
  *
- * <p>Has no mutable state of its own. Not thread-safe; confined to the thread of the pool.
+ * <p>Created anew for each pass, in which the eligibility of targets does not change. Not thread-safe; confined to the
+ * thread of the pool.
  */
 final class Placement {
     private final Collection<TargetState> targets;
     private final PoolSettings settings;
+    private final Map<EligibleTargets.Key, EligibleTargets> eligible = new HashMap<>();
 
     Placement(Collection<TargetState> targets, PoolSettings settings) {
         this.targets = targets;
@@ -29,14 +31,21 @@
      * @param nowNanos current monotonic clock reading, in nanoseconds
      */
     boolean isEligible(PlacementUnit unit, TargetState target, long nowNanos) {
-        return isOpen(unit, target)
-                && target.info.incarnation() == target.incarnation
-                && target.excludedUntilNanos <= nowNanos;
+        return isOpen(unit, target) && isUsable(target, nowNanos);
+    }
+
+    /** Returns whether {@code target} has reported and is not excluded. */
+    private static boolean isUsable(TargetState target, long nowNanos) {
+        return target.info.incarnation() == target.incarnation && target.excludedUntilNanos <= nowNanos;
     }
 
     /** Returns whether {@code target} accepts tasks of {@code unit}, once it has reported and is not excluded. */
     private boolean isOpen(PlacementUnit unit, TargetState target) {
-        return isCompatible(unit.job(), unit.step().spec, target)
+        return unit.demand().fitsIn(target.capacity()) && isOpenToKind(unit, target);
+    }
+
+    private boolean isOpenToKind(PlacementUnit unit, TargetState target) {
+        return isOfKind(unit.job(), unit.step().spec, target)
                 && target.registered
                 && !target.info.draining()
                 && !settings.evacuatedDataCentres().contains(target.info.dataCentre());
@@ -55,12 +64,16 @@
 
     /** Returns whether {@code target}, if idle, could run a task of {@code step}. */
     static boolean isCompatible(Job job, Step step, TargetState target) {
+        return isOfKind(job, step, target) && step.chargedResources().fitsIn(target.capacity());
+    }
+
+    /** Returns whether {@code target} has the service of {@code job} and the label that {@code step} asks for. */
+    private static boolean isOfKind(Job job, Step step, TargetState target) {
         if (target.info == null || !target.info.service().equals(job.service())) {
             return false;
         }
         String label = step.constraints().label();
-        return (label.isEmpty() || target.info.labels().contains(label))
-                && step.chargedResources().fitsIn(target.capacity());
+        return label.isEmpty() || target.info.labels().contains(label);
     }
 
     /**
@@ -141,14 +154,33 @@
      */
     Map<String, List<TargetState>> eligibleTargetsByRack(PlacementUnit unit, long nowNanos) {
         Map<String, List<TargetState>> racks = new HashMap<>();
-        for (TargetState target : targets) {
-            if (isEligible(unit, target, nowNanos)) {
+        for (TargetState target : eligibleTargets(unit, nowNanos).all()) {
+            if (unit.demand().fitsIn(target.capacity())) {
                 racks.computeIfAbsent(target.rack(), rack -> new ArrayList<>()).add(target);
             }
         }
         return racks;
     }
 
+    /** Returns the targets that currently accept the service and label of {@code unit}, whatever its demand. */
+    private EligibleTargets eligibleTargets(PlacementUnit unit, long nowNanos) {
+        EligibleTargets.Key key = new EligibleTargets.Key(
+                unit.job().service(), unit.step().spec.constraints().label());
+        EligibleTargets known = eligible.get(key);
+        if (known == null) {
+            known = EligibleTargets.of(targets.stream()
+                    .filter(target -> isOpenToKind(unit, target) && isUsable(target, nowNanos))
+                    .toList());
+            eligible.put(key, known);
+        }
+        return known;
+    }
+
+    /** Returns whether the tasks of {@code unit} would fit on one rack if its eligible targets were idle. */
+    boolean fitsOnOneRack(PlacementUnit unit, long nowNanos) {
+        return fitsOnOneRack(unit, eligibleTargets(unit, nowNanos).racks());
+    }
+
     /**
      * Returns whether less than half of the capacity of the registered targets of {@code service} is in use. Targets
      * that have not reported do not count: what their registrations promise may not exist.
@@ -182,8 +214,8 @@
     }
 
     /** Returns whether all tasks of {@code unit} would fit on one of {@code racks} if its targets were idle. */
-    static boolean fitsOnOneRack(PlacementUnit unit, Map<String, List<TargetState>> racks) {
-        for (List<TargetState> rack : racks.values()) {
+    static boolean fitsOnOneRack(PlacementUnit unit, Collection<List<TargetState>> racks) {
+        for (List<TargetState> rack : racks) {
             int total = 0;
             for (TargetState target : rack) {
                 total += countSlots(unit, target, target.capacity());
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementKind.java
@@ -0,0 +1,41 @@
+package org.acaciaport.pool;
+
+/**
+ * The properties, other than demand and size, that decide where a unit fits and which running tasks may make room for
+ * it. Of two units of the same kind, the one that needs less fits wherever the other does.
+ *
+ * <p>Immutable.
+ *
+ * @param service name of the service
+ * @param label label that the target must have; empty for no restriction
+ * @param nearRack preferred rack; empty for no preference
+ * @param oneRack whether the tasks are to be on one rack
+ * @param leavesRack whether targets outside the preferred rack, or on several racks, are accepted
+ * @param takesHeld whether resources that a gang holds in vain are accepted
+ * @param urgent whether the unit is of the highest priority, so that running tasks may make room for it
+ * @param claim whether it may also take the room of others of the highest priority
+ */
+record PlacementKind(
+        String service,
+        String label,
+        String nearRack,
+        boolean oneRack,
+        boolean leavesRack,
+        boolean takesHeld,
+        boolean urgent,
+        boolean claim) {
+    /** Returns the kind of {@code unit}, whose job has no failed runs and which has no limit of spread. */
+    static PlacementKind of(PlacementUnit unit, UnitWaits unitWaits) {
+        Step.Constraints constraints = unit.step().spec.constraints();
+        boolean oneRack = unitWaits.prefersOneRack(unit);
+        return new PlacementKind(
+                unit.job().service(),
+                constraints.label(),
+                constraints.nearRack(),
+                oneRack,
+                oneRack ? unitWaits.isOverdue(unit) : unitWaits.mayLeaveRack(unit),
+                unitWaits.isLongInMostlyFreePool(unit),
+                unit.priority() == 0,
+                unitWaits.isClaim(unit));
+    }
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -34,12 +34,27 @@
     private final OccupiedResourceSearch occupiedResourceSearch;
     private final ClockReading now;
 
-    /** Demands for which there is no free room. */
+    private final SearchEffort effort = new SearchEffort();
+
+    /** Demands of single tasks for which there is no free room. */
     private final Set<DemandKey> unplaceable = new HashSet<>();
 
-    /** Demands for which no running tasks can make room. */
+    /** Demands of single tasks for which no running tasks can make room. */
     private final Set<DemandKey> unsearchable = new HashSet<>();
 
+    /** Units for which there is no free room. */
+    private final FailedUnits<PlacementKind> withoutRoom = new FailedUnits<>();
+
+    private SearchTurns searchTurns;
+
+    /** The step with the newest result of {@link #kind}. */
+    private StepExecution kindStep;
+
+    private PlacementKind kindOfStep;
+
+    /** Step with a unit that could not be placed since resources were last freed; null if there is none. */
+    private StepExecution failedStep;
+
     private int advanceReservations;
 
     PlacementPass(
@@ -55,7 +70,7 @@
         placement = new Placement(targets, settings);
         accountDemand = AccountDemand.of(jobs, settings);
         unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), targets, now);
-        occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, now);
+        occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, effort, now);
     }
 
     /**
@@ -67,8 +82,10 @@
      */
     record Context(Outbox outbox, TargetHealth targetHealth, TaskLifecycle taskLifecycle) {}
 
-    void run() {
+    /** Runs the pass and returns what it cost. */
+    SearchEffort run() {
         List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
+        searchTurns = SearchTurns.of(units, now);
         advanceReservations =
                 (int) units.stream().filter(PlacementPass::isReservedGang).count();
         for (PlacementUnit unit : units) {
@@ -79,6 +96,7 @@
             }
         }
         new UnitStarter(context, placement, now).startReserved(jobs);
+        return effort;
     }
 
     /** Returns whether the unit is a gang below the highest priority with reserved resources. */
@@ -87,39 +105,87 @@
     }
 
     private void place(PlacementUnit unit) {
-        DemandKey key = demandKey(unit);
-        boolean cacheable = isCacheable(unit);
-        boolean mayFit = cacheable ? !unplaceable.contains(key) : mayFit(unit);
-        boolean searches = isSearchDue(unit) && !(cacheable && unsearchable.contains(key));
-        if (!mayFit && !searches) {
+        if (unit.step() == failedStep) {
             return;
         }
-        List<LocalityTier> tiers = unitWaits.localityTiers(unit);
-        if (mayFit && unit.isLastAttempt() && placeOnProvenTargets(unit, tiers.get(0))) {
+        PlacementKind kind = kind(unit);
+        DemandKey key = kind == null || unit.size() > 1 ? null : new DemandKey(kind, unit.demand());
+        boolean mayFit = mayFit(unit, kind, key);
+        boolean searches = maySearch(unit, key);
+        if ((mayFit || searches) && place(unit, kind, mayFit, searches)) {
             return;
         }
-        for (LocalityTier tier : tiers) {
-            if (mayFit && placeInFreeCapacity(unit, tier, TargetState::projectedFree)
-                    || searches && (waitForCompletions(unit, tier) || preempt(unit, tier))) {
-                return;
-            }
+        failedStep = unit.step();
+        if (kind != null) {
+            withoutRoom.add(kind, unit);
         }
-        for (LocalityTier tier : tiers) {
-            if (mayFit && takeHeldCapacity(unit, tier) || searches && reserveInAdvance(unit, tier)) {
-                return;
-            }
-        }
-        if (cacheable) {
+        if (key != null) {
             unplaceable.add(key);
         }
         if (searches) {
             unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
-            if (cacheable) {
+            if (key != null) {
                 unsearchable.add(key);
             }
         }
     }
 
+    private boolean place(PlacementUnit unit, PlacementKind kind, boolean mayFit, boolean searches) {
+        effort.placements++;
+        List<LocalityTier> tiers = unitWaits.localityTiers(unit);
+        if (mayFit && unit.isLastAttempt() && placeOnProvenTargets(unit, tiers.get(0))) {
+            return true;
+        }
+        for (int i = 0; i < tiers.size(); i++) {
+            OccupiedResourceSearch.Scope scope = new OccupiedResourceSearch.Scope(unit, kind, tiers.get(i), i);
+            if (mayFit && placeInFreeCapacity(unit, tiers.get(i), TargetState::projectedFree)
+                    || searches && (waitForCompletions(scope) || preempt(scope))) {
+                return true;
+            }
+        }
+        for (int i = 0; i < tiers.size(); i++) {
+            OccupiedResourceSearch.Scope scope = new OccupiedResourceSearch.Scope(unit, kind, tiers.get(i), i);
+            if (mayFit && takeHeldCapacity(unit, tiers.get(i)) || searches && reserveInAdvance(scope)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the kind of {@code unit}; null if more than that decides where it may be placed. */
+    private PlacementKind kind(PlacementUnit unit) {
+        if (unit.step() != kindStep) {
+            boolean comparable = unit.step().spec.constraints().spreadLimit() <= 0
+                    && !context.targetHealth().hasFailed(unit.job().id());
+            kindStep = unit.step();
+            kindOfStep = comparable ? PlacementKind.of(unit, unitWaits) : null;
+        }
+        return kindOfStep;
+    }
+
+    /** Returns false if the unit does not fit into free resources. */
+    private boolean mayFit(PlacementUnit unit, PlacementKind kind, DemandKey key) {
+        return !(key != null && unplaceable.contains(key))
+                && !(kind != null && withoutRoom.answersFor(kind, unit))
+                && mayFit(unit);
+    }
+
+    /** Returns whether running tasks are to be searched for room in this pass. */
+    private boolean maySearch(PlacementUnit unit, DemandKey key) {
+        if (!isSearchDue(unit) || key != null && unsearchable.contains(key)) {
+            searchTurns.pass(unit.step());
+            return false;
+        }
+        return searchTurns.take(unit.step(), effort.searches);
+    }
+
+    /** Forgets what did not fit, since resources were freed. */
+    private void recordFreedResources() {
+        withoutRoom.clear();
+        occupiedResourceSearch.recordFreedResources();
+        failedStep = null;
+    }
+
     /**
      * Returns false if the unit certainly does not fit into free resources, regardless of its locality. Cheaper than a
      * choice of targets, and false for most gangs that wait.
@@ -138,18 +204,6 @@
         return false;
     }
 
-    private DemandKey demandKey(PlacementUnit unit) {
-        return DemandKey.of(
-                unit, unitWaits.mayLeaveRack(unit), unitWaits.isLongInMostlyFreePool(unit), unitWaits.isClaim(unit));
-    }
-
-    /** Returns whether nothing but its {@link DemandKey} decides where the unit may be placed. */
-    private boolean isCacheable(PlacementUnit unit) {
-        return unit.size() == 1
-                && unit.step().spec.constraints().spreadLimit() == 0
-                && !context.targetHealth().hasFailed(unit.job().id());
-    }
-
     /** Returns whether running tasks are to be searched for room now: only for gangs and the highest priority. */
     private boolean isSearchDue(PlacementUnit unit) {
         return (unit.priority() == 0 || unit.step().spec.mode().gang())
@@ -169,6 +223,7 @@
         unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
         for (LocalityTier tier : unitWaits.localityTiers(unit)) {
             if (placeInFreeCapacity(unit, tier, TargetState::freeAtOnce)) {
+                recordFreedResources();
                 return;
             }
         }
@@ -190,6 +245,7 @@
             return false;
         }
         held.release(unit.targets(), context.taskLifecycle());
+        recordFreedResources();
         return true;
     }
 
@@ -217,17 +273,20 @@
         return reserve(unit, Reservation.withoutVictims(best, "free", now.monotonicNanos()));
     }
 
-    private boolean waitForCompletions(PlacementUnit unit, LocalityTier tier) {
-        return reserve(unit, occupiedResourceSearch.findCompletions(unit, tier, unitWaits.millis(unit)));
+    private boolean waitForCompletions(OccupiedResourceSearch.Scope scope) {
+        long waitedMillis = unitWaits.millis(scope.unit());
+        return reserve(scope.unit(), occupiedResourceSearch.findCompletions(scope, waitedMillis));
     }
 
-    private boolean preempt(PlacementUnit unit, LocalityTier tier) {
-        return reserve(unit, occupiedResourceSearch.findPreemption(unit, tier, unitWaits.isClaim(unit)));
+    private boolean preempt(OccupiedResourceSearch.Scope scope) {
+        boolean claim = unitWaits.isClaim(scope.unit());
+        return reserve(scope.unit(), occupiedResourceSearch.findPreemption(scope, claim));
     }
 
-    private boolean reserveInAdvance(PlacementUnit unit, LocalityTier tier) {
+    private boolean reserveInAdvance(OccupiedResourceSearch.Scope scope) {
+        long waitedMillis = unitWaits.millis(scope.unit());
         if (advanceReservations >= MAX_ADVANCE_RESERVATIONS
-                || !reserve(unit, occupiedResourceSearch.findAdvanceReservation(unit, tier, unitWaits.millis(unit)))) {
+                || !reserve(scope.unit(), occupiedResourceSearch.findAdvanceReservation(scope, waitedMillis))) {
             return false;
         }
         advanceReservations++;
@@ -240,6 +299,7 @@
             return false;
         }
         stopVictims(unit, reservation);
+        unit.step().searchSkippedNanos = 0;
         unit.step().displacedCoreSeconds = reservation.displacedCoreSeconds();
         List<TargetState> chosen = reservation.targets();
         for (int i = 0; i < unit.size(); i++) {
@@ -278,6 +338,9 @@
             context.taskLifecycle().stop(task, now);
         }
         countPreemptions(reservation.victims());
+        if (!reservation.victims().isEmpty()) {
+            recordFreedResources();
+        }
     }
 
     private static void countPreemptions(List<TaskExecution> victims) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -26,6 +26,7 @@
     private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, this::findTask);
     private final PlacementPass.Context passContext = new PlacementPass.Context(outbox, targetHealth, taskLifecycle);
     private PoolSettings settings = PoolSettings.EMPTY;
+    private SearchEffort lastEffort = new SearchEffort();
 
     /** Replaces the operator-defined settings. */
     public void configure(PoolSettings settings) {
@@ -211,7 +212,12 @@
     /** Runs a scheduling pass: places waiting tasks and decides which runs to stop. */
     public void schedule(ClockReading now) {
         targets.values().forEach(target -> taskLifecycle.evictBeforeDeparture(target, now));
-        new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
+        lastEffort = new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
+    }
+
+    /** Returns what the newest scheduling pass cost. */
+    SearchEffort lastEffort() {
+        return lastEffort;
     }
 
     /** Returns and clears the records to persist, with the actions that are allowed once they are durable. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/SearchEffort.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SearchEffort.java
@@ -1,12 +1,15 @@
 package org.acaciaport.pool;
 
 /**
- * Counts what the searches of one pass cost.
+ * Counts what a pass costs.
  *
  * <p>Mutable and not thread-safe; confined to the thread of the pool.
  */
 final class SearchEffort {
-    /** Searches over all groups of targets of a tier, which were not answered by an earlier one. */
+    /** Units whose targets were examined one by one. */
+    int placements;
+
+    /** Searches among running tasks that no earlier one of the pass answered. */
     int searches;
 
     /** Evaluations of the gain of a candidate. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -31,6 +31,9 @@
     /** Monotonic clock reading of the next search among running tasks, in nanoseconds; the search is expensive. */
     long nextSearchNanos;
 
+    /** Monotonic clock reading at which a search that was due was skipped, in nanoseconds; 0 if none was. */
+    long searchSkippedNanos;
+
     /** Monotonic clock reading at which the step became ready to run, in nanoseconds; 0 until then. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -93,6 +93,13 @@
         return millis > MAX_AVOIDANCE_MILLIS || millis > MOSTLY_FREE_WAIT_MILLIS && isMostlyFree(unit);
     }
 
+    /** Returns whether the tasks are to be on one rack, and would fit on one that is idle. */
+    boolean prefersOneRack(PlacementUnit unit) {
+        return unit.step().spec.constraints().tight()
+                && unit.size() > 1
+                && placement.fitsOnOneRack(unit, now.monotonicNanos());
+    }
+
     /** Returns whether a task that prefers a rack accepts targets outside it; false if it prefers none. */
     boolean mayLeaveRack(PlacementUnit unit) {
         return !unit.step().spec.constraints().nearRack().isEmpty()
@@ -103,7 +110,7 @@
      * Returns whether the unit has waited too long to require the best locality. While there is room for it twice over,
      * the longer run that results takes nothing from others. A rack may never become free as a whole.
      */
-    private boolean isOverdue(PlacementUnit unit) {
+    boolean isOverdue(PlacementUnit unit) {
         return millis(unit) > MAX_LOCALITY_WAIT_MILLIS
                 || millis(unit) > CLAIM_LOCALITY_WAIT_MILLIS && isClaim(unit)
                 || isLongInMostlyFreePool(unit) && placement.fitsTwice(unit, now.monotonicNanos());
