Durations of simulated passes are processor time

Cause: wall times of passes depended on the other load of the machine and on the simulations that run at once: on the same build, the longest pass of the auctions with bursts of factor 5 took 80 and 190 ms in two runs.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolLoadMain.java
@@ -9,8 +9,7 @@
 
 /**
  * Simulates the deployments, with a steady load and with bursts, over several seeds and prints the results. Arguments:
- * number of seeds, first seed. Several simulations run at once, so the durations of passes are comparable only between
- * runs of this program on the same idle machine; with one seed they are those of a single thread.
+ * number of seeds, first seed. The durations of passes are processor time, and include the first passes of the JVM.
  */
 final class PoolLoadMain {
     private static final long LENGTH_MILLIS = 60_000;
