Answered searches skip the choice of targets; limit of searches lowered to 8

Cause: with 1,000 waiting gangs, units whose searches were answered by earlier ones still had their targets listed: 837 of them in one pass. 24 searches in a pass that all find victims took 26 to 72 ms. A unit whose preferred rack cannot host it accepts any target, but was answered by one that is bound to the rack.

Change: a unit whose searches are all answered is passed over and needs no turn. The kind of a unit has its preferred rack only if a target there accepts its demand. A pass begins at most 8 searches; the others keep their turns. The free resources of a target are projected with fewer objects.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -73,6 +73,38 @@
 
     private record FailureKey(PlacementKind kind, int tierNumber, Candidates candidates) {}
 
+    private static boolean mayWaitForCompletions(PlacementUnit unit, long waitedMillis) {
+        return unit.priority() == 0 && waitedMillis <= COMPLETION_WAIT_CHOICE_MILLIS;
+    }
+
+    private static boolean mayReserveInAdvance(PlacementUnit unit, long waitedMillis) {
+        return waitedMillis >= ADVANCE_RESERVATION_WAIT_MILLIS
+                && unit.step().spec.mode().gang();
+    }
+
+    /**
+     * Returns whether each search for {@code unit} that is possible now has its answer in an earlier one.
+     *
+     * @param waitedMillis time that the unit has waited, in milliseconds
+     * @param mayReserve whether advance reservations are possible
+     */
+    boolean isAnswered(PlacementUnit unit, PlacementKind kind, long waitedMillis, boolean mayReserve) {
+        boolean waits = mayWaitForCompletions(unit, waitedMillis);
+        boolean reserves = mayReserve && mayReserveInAdvance(unit, waitedMillis);
+        for (int tier = 0; tier < kind.tierCount(); tier++) {
+            FailureKey completing = new FailureKey(kind, tier, Candidates.COMPLETING);
+            FailureKey preemptible = new FailureKey(kind, tier, Candidates.PREEMPTIBLE);
+            boolean open = waits && !failedUnits.answersFor(completing, unit, completionWaitBudgetSeconds(unit))
+                    || unit.priority() == 0
+                            && !failedUnits.answersFor(preemptible, unit, lossBudgetCoreSeconds(unit, kind.claim()))
+                    || reserves && !failedUnits.answersFor(completing, unit, Double.MAX_VALUE);
+            if (open) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Forgets for which units there is no room, since resources were freed. */
     void recordFreedResources() {
         failedUnits.clear();
@@ -86,7 +118,7 @@
      */
     Reservation findCompletions(Scope scope, long waitedMillis) {
         PlacementUnit unit = scope.unit();
-        if (unit.priority() != 0 || waitedMillis > COMPLETION_WAIT_CHOICE_MILLIS) {
+        if (!mayWaitForCompletions(unit, waitedMillis)) {
             return null;
         }
         PreemptionPlanner.Plan best = firstCompletions(scope, completionWaitBudgetSeconds(unit));
@@ -119,8 +151,8 @@
         }
         Predicate<TaskExecution> allowed = task -> task.job().terms().priority() > 0
                 || claim && !accountDemand.isWithinGuarantee(task.job().account());
-        double budget = claim ? Double.MAX_VALUE : lossBudgetCoreSeconds(unit);
-        PreemptionPlanner.Plan best = cheapestPlan(scope, Candidates.PREEMPTIBLE, allowed, budget);
+        PreemptionPlanner.Plan best =
+                cheapestPlan(scope, Candidates.PREEMPTIBLE, allowed, lossBudgetCoreSeconds(unit, claim));
         if (best == null) {
             return null;
         }
@@ -128,8 +160,11 @@
         return new Reservation(best.targets(), best.victims(), why, best.cost(), now.monotonicNanos());
     }
 
-    /** Returns the maximum work lost by preemption for a unit beyond its guarantee, in core-seconds. */
-    private double lossBudgetCoreSeconds(PlacementUnit unit) {
+    /** Returns the maximum work lost by preemption for a unit, in core-seconds; not limited for a claim. */
+    private double lossBudgetCoreSeconds(PlacementUnit unit, boolean claim) {
+        if (claim) {
+            return Double.MAX_VALUE;
+        }
         double work =
                 unit.size() * unit.demand().coreEquivalents() * unit.step().spec.estimateSeconds();
         return switch (unit.step().deadlineStatus(now)) {
@@ -146,8 +181,7 @@
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
     Reservation findAdvanceReservation(Scope scope, long waitedMillis) {
-        if (waitedMillis < ADVANCE_RESERVATION_WAIT_MILLIS
-                || !scope.unit().step().spec.mode().gang()) {
+        if (!mayReserveInAdvance(scope.unit(), waitedMillis)) {
             return null;
         }
         PreemptionPlanner.Plan best = firstCompletions(scope, Double.MAX_VALUE);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -176,6 +176,16 @@
         return known;
     }
 
+    /** Returns whether a target on {@code rack} currently accepts tasks of {@code unit}. */
+    boolean acceptsOnRack(PlacementUnit unit, String rack, long nowNanos) {
+        for (TargetState target : eligibleTargets(unit, nowNanos).all()) {
+            if (target.rack().equals(rack) && unit.demand().fitsIn(target.capacity())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether the tasks of {@code unit} would fit on one rack if its eligible targets were idle. */
     boolean fitsOnOneRack(PlacementUnit unit, long nowNanos) {
         return fitsOnOneRack(unit, eligibleTargets(unit, nowNanos).racks());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementKind.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementKind.java
@@ -8,7 +8,7 @@
  *
  * @param service name of the service
  * @param label label that the target must have; empty for no restriction
- * @param nearRack preferred rack; empty for no preference
+ * @param nearRack preferred rack; empty for no preference, or if no target there accepts such a task
  * @param oneRack whether the tasks are to be on one rack
  * @param leavesRack whether targets outside the preferred rack, or on several racks, are accepted
  * @param takesHeld whether resources that a gang holds in vain are accepted
@@ -24,16 +24,21 @@
         boolean takesHeld,
         boolean urgent,
         boolean claim) {
+    /** Returns the number of tiers of targets that units of this kind accept. */
+    int tierCount() {
+        return leavesRack ? 2 : 1;
+    }
+
     /** Returns the kind of {@code unit}, whose job has no failed runs and which has no limit of spread. */
     static PlacementKind of(PlacementUnit unit, UnitWaits unitWaits) {
-        Step.Constraints constraints = unit.step().spec.constraints();
         boolean oneRack = unitWaits.prefersOneRack(unit);
+        String nearRack = oneRack ? "" : unitWaits.preferredRack(unit);
         return new PlacementKind(
                 unit.job().service(),
-                constraints.label(),
-                constraints.nearRack(),
+                unit.step().spec.constraints().label(),
+                nearRack,
                 oneRack,
-                oneRack ? unitWaits.isOverdue(unit) : unitWaits.mayLeaveRack(unit),
+                oneRack ? unitWaits.isOverdue(unit) : !nearRack.isEmpty() && unitWaits.mayLeaveRack(unit),
                 unitWaits.isLongInMostlyFreePool(unit),
                 unit.priority() == 0,
                 unitWaits.isClaim(unit));
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -111,7 +111,9 @@
         PlacementKind kind = kind(unit);
         DemandKey key = kind == null || unit.size() > 1 ? null : new DemandKey(kind, unit.demand());
         boolean mayFit = mayFit(unit, kind, key);
-        boolean searches = maySearch(unit, key);
+        boolean due = isSearchDue(unit) && !(key != null && unsearchable.contains(key));
+        boolean answered = due && isAnswered(unit, kind);
+        boolean searches = takeSearchTurn(unit, due && !answered);
         if ((mayFit || searches) && place(unit, kind, mayFit, searches)) {
             return;
         }
@@ -122,7 +124,7 @@
         if (key != null) {
             unplaceable.add(key);
         }
-        if (searches) {
+        if (searches || answered) {
             unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
             if (key != null) {
                 unsearchable.add(key);
@@ -170,9 +172,15 @@
                 && mayFit(unit);
     }
 
-    /** Returns whether running tasks are to be searched for room in this pass. */
-    private boolean maySearch(PlacementUnit unit, DemandKey key) {
-        if (!isSearchDue(unit) || key != null && unsearchable.contains(key)) {
+    /** Returns whether earlier searches of the pass show that running tasks cannot make room for the unit. */
+    private boolean isAnswered(PlacementUnit unit, PlacementKind kind) {
+        boolean mayReserve = advanceReservations < MAX_ADVANCE_RESERVATIONS;
+        return kind != null && occupiedResourceSearch.isAnswered(unit, kind, unitWaits.millis(unit), mayReserve);
+    }
+
+    /** Returns whether the unit may search now; gives its turn to others if it needs no search. */
+    private boolean takeSearchTurn(PlacementUnit unit, boolean needed) {
+        if (!needed) {
             searchTurns.pass(unit.step());
             return false;
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/SearchTurns.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SearchTurns.java
@@ -15,7 +15,7 @@
  */
 final class SearchTurns {
     /** Number of searches after which no further unit begins one in the same pass. */
-    static final int MAX_SEARCHES = 24;
+    static final int MAX_SEARCHES = 8;
 
     private final ClockReading now;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -48,9 +48,11 @@
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
     private Resources used = Resources.NONE;
-    private Resources stopping = Resources.NONE;
     private Resources reserved = Resources.NONE;
 
+    /** Resources of all tasks except those that are being stopped. */
+    private Resources committed = Resources.NONE;
+
     TargetState(String id) {
         this.id = id;
     }
@@ -66,7 +68,8 @@
 
     /** Returns the resources that will be free once all pending stops are done and all reserved runs have started. */
     Resources projectedFree() {
-        return freeNow().plus(stopping).minus(reserved);
+        Resources free = capacity().minus(committed);
+        return strayDemand == Resources.NONE ? free : free.minus(strayDemand);
     }
 
     /** Returns the resources that a unit could use at once: free now, and not reserved. */
@@ -105,13 +108,13 @@
 
     private void adjustUsage(TaskExecution task, int sign) {
         Resources demand = task.demand();
+        if (task.phase != Phase.STOPPING) {
+            committed = add(committed, demand, sign);
+        }
         if (task.phase == Phase.RESERVED) {
             reserved = add(reserved, demand, sign);
-            return;
-        }
-        used = add(used, demand, sign);
-        if (task.phase == Phase.STOPPING) {
-            stopping = add(stopping, demand, sign);
+        } else {
+            used = add(used, demand, sign);
         }
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -100,6 +100,12 @@
                 && placement.fitsOnOneRack(unit, now.monotonicNanos());
     }
 
+    /** Returns the preferred rack; empty if there is none, or no target there accepts the unit. */
+    String preferredRack(PlacementUnit unit) {
+        String rack = unit.step().spec.constraints().nearRack();
+        return rack.isEmpty() || !placement.acceptsOnRack(unit, rack, now.monotonicNanos()) ? "" : rack;
+    }
+
     /** Returns whether a task that prefers a rack accepts targets outside it; false if it prefers none. */
     boolean mayLeaveRack(PlacementUnit unit) {
         return !unit.step().spec.constraints().nearRack().isEmpty()
