--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -1,6 +1,5 @@
 package org.acaciaport.pool;
 
-import java.util.List;
 import java.util.function.Predicate;
 
 /**
@@ -48,25 +47,84 @@
     private final AccountDemand accountDemand;
     private final RunEstimates estimates;
     private final ClockReading now;
+    private final SearchEffort effort;
+    private final FailedUnits<FailureKey> failedUnits = new FailedUnits<>();
 
-    OccupiedResourceSearch(AccountDemand accountDemand, RunEstimates estimates, ClockReading now) {
+    OccupiedResourceSearch(AccountDemand accountDemand, RunEstimates estimates, SearchEffort effort, ClockReading now) {
         this.accountDemand = accountDemand;
         this.estimates = estimates;
+        this.effort = effort;
         this.now = now;
     }
 
+    /**
+     * What is searched, and for which unit.
+     *
+     * @param unit unit to place
+     * @param kind kind of the unit; null if its searches answer for no other
+     * @param tier targets to choose from
+     * @param tierNumber position of the tier among those of the unit
+     */
+    record Scope(PlacementUnit unit, PlacementKind kind, LocalityTier tier, int tierNumber) {}
+
+    /** The tasks that may make room. */
+    private enum Candidates {
+        PREEMPTIBLE,
+        COMPLETING
+    }
+
+    private record FailureKey(PlacementKind kind, int tierNumber, Candidates candidates) {}
+
+    private static boolean mayWaitForCompletions(PlacementUnit unit, long waitedMillis) {
+        return unit.priority() == 0 && waitedMillis <= COMPLETION_WAIT_CHOICE_MILLIS;
+    }
+
+    private static boolean mayReserveInAdvance(PlacementUnit unit, long waitedMillis) {
+        return waitedMillis >= ADVANCE_RESERVATION_WAIT_MILLIS
+                && unit.step().spec.mode().gang();
+    }
+
+    /**
+     * Returns whether each search for {@code unit} that is possible now has its answer in an earlier one.
+     *
+     * @param waitedMillis time that the unit has waited, in milliseconds
+     * @param mayReserve whether advance reservations are possible
+     */
+    boolean isAnswered(PlacementUnit unit, PlacementKind kind, long waitedMillis, boolean mayReserve) {
+        boolean waits = mayWaitForCompletions(unit, waitedMillis);
+        boolean reserves = mayReserve && mayReserveInAdvance(unit, waitedMillis);
+        for (int tier = 0; tier < kind.tierCount(); tier++) {
+            FailureKey completing = new FailureKey(kind, tier, Candidates.COMPLETING);
+            FailureKey preemptible = new FailureKey(kind, tier, Candidates.PREEMPTIBLE);
+            boolean open = waits && !failedUnits.answersFor(completing, unit, completionWaitBudgetSeconds(unit))
+                    || unit.priority() == 0
+                            && !failedUnits.answersFor(preemptible, unit, lossBudgetCoreSeconds(unit, kind.claim()))
+                    || reserves && !failedUnits.answersFor(completing, unit, Double.MAX_VALUE);
+            if (open) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Forgets for which units there is no room, since resources were freed. */
+    void recordFreedResources() {
+        failedUnits.clear();
+    }
+
     /**
      * Returns a reservation of resources of tasks that are about to complete, which avoids a preemption; null if there
      * is none.
      *
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
-    Reservation findCompletions(PlacementUnit unit, LocalityTier tier, long waitedMillis) {
-        if (unit.priority() != 0 || waitedMillis > COMPLETION_WAIT_CHOICE_MILLIS) {
+    Reservation findCompletions(Scope scope, long waitedMillis) {
+        PlacementUnit unit = scope.unit();
+        if (!mayWaitForCompletions(unit, waitedMillis)) {
             return null;
         }
-        PreemptionPlanner.Plan best = firstCompletions(unit, tier);
-        if (best == null || best.cost() > completionWaitBudgetSeconds(unit)) {
+        PreemptionPlanner.Plan best = firstCompletions(scope, completionWaitBudgetSeconds(unit));
+        if (best == null) {
             return null;
         }
         long expiresNanos = now.nanosAfter(COMPLETION_WAIT_TIMEOUT_MILLIS - waitedMillis);
@@ -88,22 +146,27 @@
      *
      * @param claim whether the unit is a claim
      */
-    Reservation findPreemption(PlacementUnit unit, LocalityTier tier, boolean claim) {
+    Reservation findPreemption(Scope scope, boolean claim) {
+        PlacementUnit unit = scope.unit();
         if (unit.priority() != 0) {
             return null;
         }
         Predicate<TaskExecution> allowed = task -> task.job().terms().priority() > 0
                 || claim && !accountDemand.isWithinGuarantee(task.job().account());
-        PreemptionPlanner.Plan best = cheapestPlan(unit, tier, allowed, PreemptionPlanner.CostModel.LOST_WORK);
-        if (best == null || !claim && best.cost() > lossBudgetCoreSeconds(unit)) {
+        PreemptionPlanner.Plan best =
+                cheapestPlan(scope, Candidates.PREEMPTIBLE, allowed, lossBudgetCoreSeconds(unit, claim));
+        if (best == null) {
             return null;
         }
         String why = claim ? "claim" : "priority";
         return new Reservation(best.targets(), best.victims(), why, best.cost(), now.monotonicNanos());
     }
 
-    /** Returns the maximum work lost by preemption for a unit beyond its guarantee, in core-seconds. */
-    private double lossBudgetCoreSeconds(PlacementUnit unit) {
+    /** Returns the maximum work lost by preemption for a unit, in core-seconds; not limited for a claim. */
+    private double lossBudgetCoreSeconds(PlacementUnit unit, boolean claim) {
+        if (claim) {
+            return Double.MAX_VALUE;
+        }
         double work = unit.size() * unit.demand().coreEquivalents() * estimates.seconds(unit.step());
         return switch (unit.step().deadlineStatus(now)) {
             case IN_TIME -> Math.max(MIN_LOSS_BUDGET_CORE_SECONDS, MAX_LOSS_FACTOR * work);
@@ -118,12 +181,11 @@
      *
      * @param waitedMillis time that the unit has waited, in milliseconds
      */
-    Reservation findAdvanceReservation(PlacementUnit unit, LocalityTier tier, long waitedMillis) {
-        if (waitedMillis < ADVANCE_RESERVATION_WAIT_MILLIS
-                || !unit.step().spec.mode().gang()) {
+    Reservation findAdvanceReservation(Scope scope, long waitedMillis) {
+        if (!mayReserveInAdvance(scope.unit(), waitedMillis)) {
             return null;
         }
-        PreemptionPlanner.Plan best = firstCompletions(unit, tier);
+        PreemptionPlanner.Plan best = firstCompletions(scope, Double.MAX_VALUE);
         if (best == null) {
             return null;
         }
@@ -131,25 +193,33 @@
         return Reservation.withoutVictims(best.targets(), "set-aside", expiresNanos);
     }
 
-    /** Returns the plan whose last running task completes first, or null if there is none. */
-    private PreemptionPlanner.Plan firstCompletions(PlacementUnit unit, LocalityTier tier) {
+    /** Returns the plan whose last running task completes first; null if there is none within the budget. */
+    private PreemptionPlanner.Plan firstCompletions(Scope scope, double budgetSeconds) {
         Predicate<TaskExecution> allowed =
                 task -> task.phase == Phase.RUNNING && !task.step.spec.mode().lasting();
-        return cheapestPlan(unit, tier, allowed, PreemptionPlanner.CostModel.REMAINING_TIME);
+        return cheapestPlan(scope, Candidates.COMPLETING, allowed, budgetSeconds);
     }
 
+    /** Returns the cheapest plan, or null if there is none within the budget. */
     private PreemptionPlanner.Plan cheapestPlan(
-            PlacementUnit unit,
-            LocalityTier tier,
-            Predicate<TaskExecution> allowed,
-            PreemptionPlanner.CostModel costModel) {
-        PreemptionPlanner.Plan best = null;
-        for (List<TargetState> group : tier.groups()) {
-            PreemptionPlanner.Plan plan = PreemptionPlanner.find(unit, group, allowed, costModel, now);
-            if (plan != null && (best == null || plan.cost() < best.cost())) {
-                best = plan;
-            }
+            Scope scope, Candidates candidates, Predicate<TaskExecution> allowed, double budget) {
+        PlacementUnit unit = scope.unit();
+        FailureKey key = new FailureKey(scope.kind(), scope.tierNumber(), candidates);
+        if (scope.kind() != null && failedUnits.answersFor(key, unit, budget)) {
+            return null;
+        }
+        effort.searches++;
+        PreemptionPlanner.CostModel costModel = candidates == Candidates.PREEMPTIBLE
+                ? PreemptionPlanner.CostModel.LOST_WORK
+                : PreemptionPlanner.CostModel.REMAINING_TIME;
+        PreemptionPlanner.Plan plan =
+                PreemptionPlanner.findCheapest(unit, scope.tier().groups(), allowed, costModel, now, effort);
+        if (plan != null && plan.cost() <= budget) {
+            return plan;
+        }
+        if (scope.kind() != null) {
+            failedUnits.add(key, unit, plan == null ? Double.POSITIVE_INFINITY : plan.cost());
         }
-        return best;
+        return null;
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
@@ -69,7 +69,8 @@
             }
         }
         for (LocalityTier tier : tiers) {
-            Reservation occupied = occupiedResourceSearch.findPreemption(unit, tier, claim);
+            Reservation occupied = occupiedResourceSearch.findPreemption(
+                    new OccupiedResourceSearch.Scope(unit, null, tier, tiers.indexOf(tier)), claim);
             List<TaskExecution> more = occupied == null ? null : choose(unit, candidates, occupied.victims());
             if (more != null) {
                 Set<TaskExecution> all = new LinkedHashSet<>(occupied.victims());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -28,9 +28,10 @@
     private final RunEstimates estimates = new RunEstimates();
     private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth, estimates);
     private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, estimates, jobs::get);
-    private final PlacementPass.Context passContext = new PlacementPass.Context(
-            outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
+    private final PlacementPass.Context passContext =
+            new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
     private PoolSettings settings = PoolSettings.EMPTY;
+    private SearchEffort lastEffort = new SearchEffort();
 
     private TargetState newTarget(String id) {
         return new TargetState(id, accountUsage);
@@ -226,7 +227,12 @@
     /** Runs a scheduling pass: places waiting tasks and decides which runs to stop. */
     public void schedule(ClockReading now) {
         targets.values().forEach(target -> taskLifecycle.evictBeforeDeparture(target, now));
-        new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
+        lastEffort = new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
+    }
+
+    /** Returns what the newest scheduling pass cost. */
+    SearchEffort lastEffort() {
+        return lastEffort;
     }
 
     /** Returns and clears the records to persist, with the actions that are allowed once they are durable. */
--- /dev/null
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SearchEffort.java
@@ -0,0 +1,17 @@
+package org.acaciaport.pool;
+
+/**
+ * Counts what a pass costs.
+ *
+ * <p>Mutable and not thread-safe; confined to the thread of the pool.
+ */
+final class SearchEffort {
+    /** Units whose targets were examined one by one. */
+    int placements;
+
+    /** Searches among running tasks that no earlier one of the pass answered. */
+    int searches;
+
+    /** Evaluations of the gain of a candidate. */
+    long evaluations;
+}
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -41,6 +41,9 @@
      */
     boolean limitHoldExpired;
 
+    /** Monotonic clock reading at which a search that was due was skipped, in nanoseconds; 0 if none was. */
+    long searchSkippedNanos;
+
     /** Monotonic clock reading at which the step became ready to run, in nanoseconds; 0 until then. */
     long readyNanos;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -53,6 +53,9 @@
     /** Whether {@code speed} is known well enough to tell this target from slower and faster ones. */
     boolean speedKnown;
 
+    /** Number of the target in the newest {@link SlotTable} that has it. */
+    int tableIndex;
+
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
     /** The stray runs of known jobs, which count against the limits of their accounts. */
@@ -60,9 +63,11 @@
 
     private final AccountUsage accountUsage;
     private Resources used = Resources.NONE;
-    private Resources stopping = Resources.NONE;
     private Resources reserved = Resources.NONE;
 
+    /** Resources of all tasks except those that are being stopped. */
+    private Resources committed = Resources.NONE;
+
     /**
      * Creates a target without tasks.
      *
@@ -84,7 +89,8 @@
 
     /** Returns the resources that will be free once all pending stops are done and all reserved runs have started. */
     Resources projectedFree() {
-        return freeNow().plus(stopping).minus(reserved);
+        Resources free = capacity().minus(committed);
+        return strayDemand == Resources.NONE ? free : free.minus(strayDemand);
     }
 
     /** Returns the resources that a unit could use at once: free now, and not reserved. */
@@ -139,13 +145,13 @@
             accountUsage.remove(task);
         }
         Resources demand = task.demand();
+        if (task.phase != Phase.STOPPING) {
+            committed = add(committed, demand, sign);
+        }
         if (task.phase == Phase.RESERVED) {
             reserved = add(reserved, demand, sign);
-            return;
-        }
-        used = add(used, demand, sign);
-        if (task.phase == Phase.STOPPING) {
-            stopping = add(stopping, demand, sign);
+        } else {
+            used = add(used, demand, sign);
         }
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -31,6 +32,7 @@
     private final Deployment deployment;
     private final RandomGenerator random;
     private final Gate gate;
+    private final LongConsumer passNanos;
     private final Pool pool = new Pool();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::millis).thenComparingLong(Event::number));
@@ -151,20 +153,46 @@
         }
     }
 
-    private PoolSimulation(Deployment deployment, RandomGenerator random, Gate gate) {
+    private PoolSimulation(Deployment deployment, RandomGenerator random, Gate gate, LongConsumer passNanos) {
         this.deployment = deployment;
         this.random = random;
         this.gate = gate;
+        this.passNanos = passNanos;
     }
 
     static Results simulate(Deployment deployment, long lengthMillis, List<Burst> bursts, RandomGenerator random) {
         return trace(deployment, lengthMillis, bursts, random, Gate.OPEN).results();
     }
 
+    /**
+     * Simulates {@code deployment} under load for {@code lengthMillis} and until most work has ended.
+     *
+     * @param passNanos receives the processor time of each scheduling pass, in nanoseconds
+     */
+    static Results simulate(
+            Deployment deployment,
+            long lengthMillis,
+            List<Burst> bursts,
+            RandomGenerator random,
+            LongConsumer passNanos) {
+        return trace(deployment, lengthMillis, bursts, random, Gate.OPEN, passNanos)
+                .results();
+    }
+
     /** Simulates a load whose requests {@code gate} may refuse. */
     static Trace trace(
             Deployment deployment, long lengthMillis, List<Burst> bursts, RandomGenerator random, Gate gate) {
-        PoolSimulation simulation = new PoolSimulation(deployment, random, gate);
+        return trace(deployment, lengthMillis, bursts, random, gate, nanos -> {});
+    }
+
+    private static Trace trace(
+            Deployment deployment,
+            long lengthMillis,
+            List<Burst> bursts,
+            RandomGenerator random,
+            Gate gate,
+            LongConsumer passNanos) {
+        PoolSimulation simulation = new PoolSimulation(deployment, random, gate, passNanos);
         simulation.registerTargets();
         for (int kind = 0; kind < deployment.kinds().size(); kind++) {
             simulation.scheduleArrivals(kind, lengthMillis, bursts);
@@ -256,7 +284,9 @@
             return;
         }
         schedule(millis + PASS_INTERVAL_MILLIS, () -> {
+            long startNanos = PassTimes.threadNanos();
             pool.schedule(now());
+            passNanos.accept(PassTimes.threadNanos() - startNanos);
             pool.takeStops().forEach(stop -> schedule(millis + STOP_LATENCY_MILLIS, () -> handleStop(stop)));
             Batch batch = pool.takeBatch();
             batch.records().forEach(this::recordCompletion);
