Parts of contention and uneven load fit together; tests of targets of unequal speed

The merged parts did not compile with each other: constructors in tests, and guarantees that are part of the terms of an account. Tests of placement by speed name the load that they answer.

--- a/acacia-node/src/main/java/org/acaciaport/node/AdmissionControl.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/AdmissionControl.java
@@ -8,6 +8,7 @@
 import org.acaciaport.admission.AdmissionPolicy;
 import org.acaciaport.admission.Decision;
 import org.acaciaport.admission.RetryTimes;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
@@ -112,7 +113,8 @@
         if (job.terms().priority() != 0 || latest == null) {
             return false;
         }
-        long guaranteed = latest.guaranteedAccelerators().getOrDefault(job.account(), 0L);
+        long guaranteed =
+                latest.accounts().getOrDefault(job.account(), AccountTerms.NONE).guaranteedAccelerators();
         long needed = job.largestStepAccelerators();
         return needed <= guaranteed && needed + replica.urgentAccelerators(job.account()) <= guaranteed;
     }
--- a/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
@@ -250,7 +250,11 @@
     void urgentJobsWithinTheGuaranteeOfTheirAccountAreNeverRefused() {
         ConfigurationView configuration =
                 new ConfigurationView(record -> new OperatorRecordDecoder.Published(new OperatorConfiguration(
-                        1, List.of(QUEUE), Map.of("key", "account"), Map.of("account", 16L), Set.of("s"))));
+                        1,
+                        List.of(QUEUE),
+                        Map.of("key", "account"),
+                        Map.of("account", AccountTerms.ofGuarantee(16)),
+                        Set.of("s"))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
         JobService guaranteed = fixture.newJobService(configuration, 60_000);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
@@ -67,7 +67,8 @@
         List<PlacementUnit> units = new ArrayList<>();
         for (int i = 0; i < 10 * SearchTurns.MAX_SEARCHES; i++) {
             Job job = fixture.job("gang" + i, "account", 0, PoolFixture.gang(2, 1, false));
-            StepExecution step = new JobExecution(job).occurrence(0).get(0);
+            StepExecution step =
+                    new JobExecution(job, new RunEstimates()).occurrence(0).get(0);
             units.add(new PlacementUnit(step, step.tasks));
         }
         Set<StepExecution> searched = new HashSet<>();
@@ -102,10 +103,12 @@
     @Test
     void freedResourcesEndEarlierAnswers() {
         FailedUnits<String> failed = new FailedUnits<>();
-        StepExecution step = new JobExecution(fixture.job("a", "x", 1, PoolFixture.gang(3, 2, false)))
+        StepExecution step = new JobExecution(
+                        fixture.job("a", "x", 1, PoolFixture.gang(3, 2, false)), new RunEstimates())
                 .occurrence(0)
                 .get(0);
-        StepExecution wider = new JobExecution(fixture.job("b", "x", 1, PoolFixture.gang(4, 3, false)))
+        StepExecution wider = new JobExecution(
+                        fixture.job("b", "x", 1, PoolFixture.gang(4, 3, false)), new RunEstimates())
                 .occurrence(0)
                 .get(0);
         failed.add("kind", new PlacementUnit(step, step.tasks));
@@ -120,7 +123,8 @@
     @Test
     void anExpensivePlanAnswersOnlyForSmallerBudgets() {
         FailedUnits<String> failed = new FailedUnits<>();
-        StepExecution step = new JobExecution(fixture.job("a", "x", 0, PoolFixture.gang(3, 2, false)))
+        StepExecution step = new JobExecution(
+                        fixture.job("a", "x", 0, PoolFixture.gang(3, 2, false)), new RunEstimates())
                 .occurrence(0)
                 .get(0);
         PlacementUnit unit = new PlacementUnit(step, step.tasks);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionPlannerTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionPlannerTest.java
@@ -31,7 +31,7 @@
             random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
             int count = 1 + random.nextInt(20);
             for (int i = 0; i < count; i++) {
-                TargetState target = new TargetState("t%02d".formatted(i));
+                TargetState target = new TargetState("t%02d".formatted(i), new AccountUsage());
                 Resources capacity =
                         new Resources(8_000L << random.nextInt(3), 16_000L << random.nextInt(3), 4 + random.nextInt(5));
                 target.info = new TargetInfo(
@@ -58,7 +58,7 @@
             Job.Terms terms = new Job.Terms(random.nextInt(3), 2, 3.0, 1_000);
             long accepted = NOW.wallClockMillis() - random.nextInt(20_000);
             Job job = new Job("j" + jobs++, "q", "s", "account", terms, "", List.of(step), Job.Schedule.NOW, accepted);
-            return new JobExecution(job).occurrence(0).get(0);
+            return new JobExecution(job, new RunEstimates()).occurrence(0).get(0);
         }
 
         private void addStep() {
