--- a/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
@@ -16,6 +16,7 @@
 import org.acaciaport.log.Append;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.log.ReadOutcome;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
@@ -20,18 +20,24 @@
     private static final double STOP_SECONDS = 0.25;
 
     private final PoolSettings settings;
+    private final RunEstimates estimates;
     private final ClockReading now;
     private final Map<String, ServiceForecast> forecasts = new LinkedHashMap<>();
 
-    private OutlookBuilder(PoolSettings settings, ClockReading now) {
+    private OutlookBuilder(PoolSettings settings, RunEstimates estimates, ClockReading now) {
         this.settings = settings;
+        this.estimates = estimates;
         this.now = now;
     }
 
     /** Returns the outlook; it lists only services in which work waits and more work would. */
     static Outlook build(
-            Collection<JobExecution> jobs, Collection<TargetState> targets, PoolSettings settings, ClockReading now) {
-        OutlookBuilder builder = new OutlookBuilder(settings, now);
+            Collection<JobExecution> jobs,
+            Collection<TargetState> targets,
+            PoolSettings settings,
+            RunEstimates estimates,
+            ClockReading now) {
+        OutlookBuilder builder = new OutlookBuilder(settings, estimates, now);
         for (TargetState target : targets) {
             builder.addCapacity(target);
         }
@@ -136,10 +142,10 @@
     }
 
     /** Returns how long a run of the step is expected to take, in seconds. */
-    private static double runSeconds(StepExecution step) {
+    private double runSeconds(StepExecution step) {
         return step.spec.mode().lasting()
                 ? ServiceForecast.HORIZON_MILLIS / MILLIS_PER_SECOND
-                : step.spec.estimateSeconds();
+                : estimates.seconds(step);
     }
 
     /** Returns when the newest run of the task is expected to end, in seconds from now. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
@@ -20,6 +20,7 @@
     private static final double[] SPEEDS = {0.6, 1.0, 1.6};
     private static final long TASK_MILLIS = 5_000;
     private static final long REPORT_INTERVAL_MILLIS = 500;
+    private static final int MEASURED_RUNS = 3;
     private static final Job.Terms URGENT = new Job.Terms(0, 2, 1.5, 250);
 
     private final PoolFixture fixture = new PoolFixture();
@@ -36,9 +37,15 @@
         }
     }
 
-    /** Runs a task on every target and reports its progress, until all have completed. */
+    /** Runs {@value #MEASURED_RUNS} tasks on every target, one after the other, and reports their progress. */
     private void measureTargets() {
-        fixture.submit(fixture.job("measure", "x", 1, PoolFixture.independentTasks(TARGETS, 8)));
+        for (int i = 0; i < MEASURED_RUNS; i++) {
+            runOnAllTargets("measure" + i);
+        }
+    }
+
+    private void runOnAllTargets(String id) {
+        fixture.submit(fixture.job(id, "x", 1, PoolFixture.independentTasks(TARGETS, 8)));
         Map<TaskId, TargetCommand.Start> tasks = new HashMap<>(fixture.running);
         assertThat(tasks).hasSize(TARGETS);
         long elapsed = 0;
