Speed tiers: one tier for each locality, ranges by service, bounded measuring

Now a unit has one tier for each locality, with the targets that probably have its speed first; for 300 ms only these. The kind of a unit includes its speed, so that failed placements count for later units again. A declared duration of 0 stays 0 until something is known.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/LocalityTier.java
@@ -29,9 +29,14 @@
         return new LocalityTier(groups, other, selective);
     }
 
-    /** Returns this tier as one without the targets that are too slow. */
-    LocalityTier forSpeed() {
-        return new LocalityTier(groups, order, true);
+    /** Returns this tier without targets that {@code limit} does not accept; selective if there are any. */
+    LocalityTier within(SpeedLimit limit) {
+        LocalityTier faster = filter(limit::accepts);
+        boolean fewer = false;
+        for (int i = 0; i < groups.size(); i++) {
+            fewer |= faster.groups.get(i).size() < groups.get(i).size();
+        }
+        return new LocalityTier(faster.groups, order, selective || fewer);
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementKind.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementKind.java
@@ -14,6 +14,7 @@
  * @param takesHeld whether resources that a gang holds in vain are accepted
  * @param urgent whether the unit is of the highest priority, so that running tasks may make room for it
  * @param claim whether it may also take the room of others of the highest priority
+ * @param speedClass class of the speed below which it accepts no targets; the lowest value if it accepts all
  */
 record PlacementKind(
         String service,
@@ -23,7 +24,11 @@
         boolean leavesRack,
         boolean takesHeld,
         boolean urgent,
-        boolean claim) {
+        boolean claim,
+        long speedClass) {
+    /** Ratio of speeds within which units are of the same kind. */
+    private static final double SPEED_CLASS_RATIO = 1.05;
+
     /** Returns the number of tiers of targets that units of this kind accept. */
     int tierCount() {
         return leavesRack ? 2 : 1;
@@ -41,6 +46,15 @@
                 oneRack ? unitWaits.isOverdue(unit) : !nearRack.isEmpty() && unitWaits.mayLeaveRack(unit),
                 unitWaits.isLongInMostlyFreePool(unit),
                 unit.priority() == 0,
-                unitWaits.isClaim(unit));
+                unitWaits.isClaim(unit),
+                speedClass(unitWaits.speedLimit(unit)));
+    }
+
+    private static long speedClass(SpeedLimit limit) {
+        if (limit.equals(SpeedLimit.NONE)) {
+            return Long.MIN_VALUE;
+        }
+        long speedClass = Math.round(Math.log(limit.speed()) / Math.log(SPEED_CLASS_RATIO));
+        return 2 * speedClass + (limit.probable() ? 1 : 0);
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -200,7 +200,6 @@
     private PlacementKind kind(PlacementUnit unit) {
         if (unit.step() != kindStep) {
             boolean comparable = unit.step().spec.constraints().spreadLimit() <= 0
-                    && speedTiers.requiredSpeed(unit) == 0
                     && !context.targetHealth().hasFailed(unit.job().id());
             kindStep = unit.step();
             kindOfStep = comparable ? PlacementKind.of(unit, unitWaits) : null;
@@ -303,6 +302,7 @@
     private boolean placeInFreeCapacity(
             PlacementUnit unit, LocalityTier tier, Function<TargetState, Resources> available) {
         List<TargetState> best = null;
+        long leastCost = Long.MAX_VALUE;
         long leastFree = Long.MAX_VALUE;
         for (List<TargetState> group : tier.groups()) {
             List<TargetState> chosen = Placement.selectTargets(unit, group, available, tier.order());
@@ -313,8 +313,10 @@
             for (TargetState target : group) {
                 free += available.apply(target).accelerators();
             }
-            if (free < leastFree) {
+            long cost = tier.order().groupCost().applyAsLong(chosen);
+            if (best == null || cost < leastCost || cost == leastCost && free < leastFree) {
                 best = chosen;
+                leastCost = cost;
                 leastFree = free;
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/RunEstimates.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/RunEstimates.java
@@ -16,6 +16,9 @@
     /** Deviation of a log speed up to which the speed of a target is known. */
     private static final double KNOWN_DEVIATION = 0.2;
 
+    /** Deviation of a log duration from which nothing is known of the duration. */
+    private static final double UNKNOWN_DEVIATION = 1.4;
+
     /** Smallest observed progress that is projected to the whole run, in percent. */
     private static final int MIN_PROGRESS_PERCENT = 15;
 
@@ -45,13 +48,19 @@
 
     /** Returns the expected duration of a task of {@code step} at nominal speed, in seconds. */
     double seconds(StepExecution step) {
-        return learning ? distribution(step).medianSeconds() : step.spec.estimateSeconds();
+        return learning ? seconds(distribution(step), step.spec) : step.spec.estimateSeconds();
     }
 
     /** Returns the expected duration of a task of step {@code number} of {@code job} at nominal speed, in seconds. */
     double seconds(Job job, int number) {
         Step step = job.steps().get(number);
-        return learning ? estimates.expected(work(job, step)).medianSeconds() : step.estimateSeconds();
+        return learning ? seconds(estimates.expected(work(job, step)), step) : step.estimateSeconds();
+    }
+
+    /** Returns the median, or the declared duration as it is while nothing is known of a step without one. */
+    private static double seconds(Distribution distribution, Step step) {
+        boolean unknown = step.estimateMillis() == 0 && distribution.logDeviation() >= UNKNOWN_DEVIATION;
+        return unknown ? 0 : distribution.medianSeconds();
     }
 
     private Distribution distribution(StepExecution step) {
@@ -119,7 +128,8 @@
 
     /** Records that the newest run of {@code task} has ended before it completed. */
     void recordInterrupted(TaskExecution task, ClockReading now) {
-        if (isMeasured(task) && task.firstPercent == 0) {
+        boolean jobEnded = task.step.job.state.isTerminal();
+        if (isMeasured(task) && task.firstPercent == 0 && !jobEnded) {
             estimates.recordCensored(
                     key(task.step),
                     work(task.job(), task.step.spec),
--- a/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
@@ -1,14 +1,14 @@
 package org.acaciaport.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
-import java.util.function.Predicate;
+import java.util.Map;
 
 /**
  * The choice of targets by speed, for pools whose targets differ in speed.
  *
- * <p>Answers a load in which urgent work would be late on slow targets although faster ones are free or hold work with
+ * <p>Serves a load in which urgent work would be late on slow targets although faster ones are free or hold work with
  * slack. A unit that can complete within its objective only on faster targets accepts no slower ones until no target
  * would be fast enough. Work with slack takes slow targets first, and a few of unknown speed before those, which
  * measures them. Created anew for each pass. Not thread-safe; confined to the thread of the pool.
@@ -20,6 +20,11 @@
     /** Factor by which a target must be faster than needed, for the error of the estimates. */
     private static final double MARGIN = 1.1;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    /** Time for which a unit accepts no targets whose speed is uncertain, in milliseconds. */
+    private static final long PROBABLE_SPEED_WAIT_MILLIS = 300;
+
     /** One in so many targets may be measured at a time, as measuring spreads work over targets that are idle. */
     private static final int MEASURED_DIVISOR = 8;
 
@@ -27,94 +32,134 @@
     private final Collection<TargetState> targets;
     private final ClockReading now;
     private final boolean active;
-    private final double slowest;
-    private final double fastest;
+
+    /** The range of speeds of each service, as far as a unit asked for it. */
+    private final Map<String, Range> ranges = new HashMap<>();
+
+    /** Number of units that may still be sent to targets of unknown speed; negative until it is known. */
+    private int measurable = -1;
 
     SpeedTiers(RunEstimates estimates, Collection<TargetState> targets, ClockReading now) {
         this.estimates = estimates;
         this.targets = targets;
         this.now = now;
         active = estimates.speedsDiffer();
-        double min = Double.MAX_VALUE;
-        double max = 0;
-        for (TargetState target : targets) {
-            if (target.registered) {
-                min = Math.min(min, target.speed);
-                max = Math.max(max, target.speed);
+    }
+
+    /** The lowest and highest speed of the targets that take new work. */
+    private record Range(double slowest, double fastest) {}
+
+    private Range rangeOf(PlacementUnit unit) {
+        return ranges.computeIfAbsent(unit.job().service(), service -> {
+            double slowest = Double.MAX_VALUE;
+            double fastest = 0;
+            for (TargetState target : targets) {
+                if (target.registered
+                        && !target.info.draining()
+                        && target.info.service().equals(service)) {
+                    slowest = Math.min(slowest, target.speed);
+                    fastest = Math.max(fastest, target.speed);
+                }
             }
-        }
-        slowest = min;
-        fastest = max;
+            return new Range(slowest, fastest);
+        });
     }
 
-    /** Returns whether targets differ in speed, so that the speed that a unit needs matters. */
-    boolean isActive() {
-        return active;
+    /** Returns whether the speed that {@code unit} needs decides which targets it accepts. */
+    boolean isSelective(PlacementUnit unit) {
+        if (!active || unit.step().spec.mode().lasting()) {
+            return false;
+        }
+        double speed = neededSpeed(unit);
+        Range range = rangeOf(unit);
+        return speed > range.slowest && speed <= range.fastest;
     }
 
     /**
-     * Returns the speed that the targets of {@code unit} need so that it completes within its objective; 0 if any speed
-     * will do or none would be fast enough.
+     * Returns which targets {@code unit} accepts: at first those that very probably have the speed that it needs, then
+     * those that are expected to have it, as far as it would fit there on idle targets.
+     *
+     * @param tiers tiers by locality
      */
-    double requiredSpeed(PlacementUnit unit) {
-        if (!active || unit.step().spec.mode().lasting()) {
-            return 0;
+    SpeedLimit limit(PlacementUnit unit, List<LocalityTier> tiers) {
+        if (!isSelective(unit)) {
+            return SpeedLimit.NONE;
         }
         double speed = neededSpeed(unit);
-        return speed <= slowest || speed > fastest ? 0 : speed;
+        SpeedLimit probable = new SpeedLimit(speed, true);
+        boolean isNew = now.millisSince(unit.step().readyNanos) < PROBABLE_SPEED_WAIT_MILLIS;
+        if (isNew && fitsOnIdle(unit, filter(tiers, probable))) {
+            return probable;
+        }
+        SpeedLimit expected = new SpeedLimit(speed, false);
+        return fitsOnIdle(unit, filter(tiers, expected)) ? expected : SpeedLimit.NONE;
     }
 
+    /** Returns the speed with which the unit completes within its objective if it starts now. */
     private double neededSpeed(PlacementUnit unit) {
         double seconds = estimates.seconds(unit.step());
-        double left = seconds + unit.step().slackMillis(now) / 1e3 - OVERHEAD_SECONDS;
+        double left = seconds + unit.step().slackMillis(now) / MILLIS_PER_SECOND - OVERHEAD_SECONDS;
         return left <= 0 ? Double.MAX_VALUE : MARGIN * seconds / left;
     }
 
     /**
-     * Returns the tiers without targets that are too slow for {@code unit}, in its order of preference: those whose
-     * targets are fast enough with high probability, then those whose expected speed suffices.
+     * Returns the tiers without targets that are too slow for {@code unit}, in its order of preference.
      *
      * @param tiers tiers by locality, best first
-     * @param patient whether the unit may wait for faster targets
+     * @param mayWait whether the unit may wait for faster targets
      */
-    List<LocalityTier> apply(PlacementUnit unit, List<LocalityTier> tiers, boolean patient) {
+    List<LocalityTier> apply(PlacementUnit unit, List<LocalityTier> tiers, boolean mayWait) {
         if (!active || unit.step().spec.mode().lasting()) {
             return tiers;
         }
         double speed = neededSpeed(unit);
-        if (unit.priority() == 0) {
-            estimates.recordUrgentSpeed(Math.min(speed, fastest));
+        Range range = rangeOf(unit);
+        recordUrgentSpeed(unit, Math.min(speed, range.fastest));
+        if (speed <= range.slowest || speed > range.fastest && unit.priority() > 0) {
+            return inOrder(tiers, orderWithSlack());
         }
-        if (speed <= slowest || speed > fastest && unit.priority() > 0) {
-            TargetOrder order = TargetOrder.slowerFirst(estimates.urgentSpeed());
-            return inOrder(tiers, mayMeasureMore() ? order.measuringFirst() : order);
+        SpeedLimit limit = mayWait ? limit(unit, tiers) : SpeedLimit.NONE;
+        return limit.equals(SpeedLimit.NONE)
+                ? inOrder(tiers, TargetOrder.FASTEST_FIRST)
+                : inOrder(filter(tiers, limit), TargetOrder.probablyAtLeast(speed));
+    }
+
+    /** Records the speed that a step of the highest priority needs when it is first placed. */
+    private void recordUrgentSpeed(PlacementUnit unit, double speed) {
+        if (unit.priority() == 0 && !unit.step().speedRecorded) {
+            unit.step().speedRecorded = true;
+            estimates.recordUrgentSpeed(speed);
         }
-        if (speed > fastest || !patient) {
-            return inOrder(tiers, TargetOrder.FASTEST_FIRST);
+    }
+
+    /**
+     * Returns the order for work that any target completes in time. A part of it goes to targets of unknown speed, as
+     * long as few of these hold work.
+     */
+    private TargetOrder orderWithSlack() {
+        if (measurable < 0) {
+            measurable = Math.max(0, countMeasurable());
         }
-        List<LocalityTier> probable = filter(tiers, target -> target.probableSpeed >= speed);
-        List<LocalityTier> expected = filter(tiers, target -> target.speed >= speed);
-        if (!fitsOnIdle(unit, expected)) {
-            return inOrder(tiers, TargetOrder.FASTEST_FIRST);
+        TargetOrder order = TargetOrder.slowerFirst(estimates.urgentSpeed());
+        if (measurable == 0) {
+            return order;
         }
-        List<LocalityTier> result = new ArrayList<>(probable);
-        result.addAll(inOrder(expected, TargetOrder.FASTEST_FIRST));
-        return result;
+        measurable--;
+        return order.measuringFirst();
     }
 
-    /** Returns whether few enough targets are being measured that work with slack may be spread over further ones. */
-    private boolean mayMeasureMore() {
+    private int countMeasurable() {
         int measuring = 0;
         int registered = 0;
         for (TargetState target : targets) {
             registered += target.registered ? 1 : 0;
             measuring += !target.speedKnown && !target.tasks.isEmpty() ? 1 : 0;
         }
-        return measuring * MEASURED_DIVISOR < registered;
+        return registered / MEASURED_DIVISOR - measuring;
     }
 
-    private static List<LocalityTier> filter(List<LocalityTier> tiers, Predicate<TargetState> usable) {
-        return tiers.stream().map(tier -> tier.filter(usable).forSpeed()).toList();
+    private static List<LocalityTier> filter(List<LocalityTier> tiers, SpeedLimit limit) {
+        return tiers.stream().map(tier -> tier.within(limit)).toList();
     }
 
     private static List<LocalityTier> inOrder(List<LocalityTier> tiers, TargetOrder order) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -26,6 +26,9 @@
     /** Whether a straggler of this step was handled already; done only once, as the estimate may be wrong. */
     boolean stragglerHandled;
 
+    /** Whether the speed that this step needs has been recorded. */
+    boolean speedRecorded;
+
     /** Number of preemptions of this step; each makes the next one more expensive. */
     int preemptionCount;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -91,8 +91,21 @@
 
     private List<LocalityTier> tiersOf(PlacementUnit unit, Map<String, List<TargetState>> racks) {
         List<LocalityTier> tiers = LocalityTier.of(unit, racks, isOverdue(unit), millis(unit));
-        boolean patient = !isLongInMostlyFreePool(unit) && !(isClaim(unit) && millis(unit) > CLAIM_SPEED_WAIT_MILLIS);
-        return speedTiers.apply(unit, tiers, patient);
+        return speedTiers.apply(unit, tiers, mayWaitForFasterTargets(unit));
+    }
+
+    private boolean mayWaitForFasterTargets(PlacementUnit unit) {
+        boolean claimIsDue = isClaim(unit) && millis(unit) > CLAIM_SPEED_WAIT_MILLIS;
+        return !claimIsDue && !isLongInMostlyFreePool(unit);
+    }
+
+    /** Returns which targets the unit, whose job has no failed runs, accepts by their speed. */
+    SpeedLimit speedLimit(PlacementUnit unit) {
+        if (!speedTiers.isSelective(unit) || !mayWaitForFasterTargets(unit)) {
+            return SpeedLimit.NONE;
+        }
+        Map<String, List<TargetState>> racks = placement.eligibleTargetsByRack(unit, now.monotonicNanos());
+        return speedTiers.limit(unit, LocalityTier.of(unit, racks, isOverdue(unit), millis(unit)));
     }
 
     /** Returns whether the unit has waited for others long enough to accept a target on which its job failed. */
