Gangs on targets that leave go on elsewhere without waiting for a lease

Example from the log: four of five members end as broken at 7.64 s, the fifth target refuses connections, and the gang waits until the lease of that target has ended at 13.6 s.

Change: a member ends as broken only because another one ended for a cause of its own. If all others are reported as broken for a run whose start was confirmed, the last one has ended. A gang member on a draining target whose run cannot complete before the departure is stopped at once, so that the gang restarts while it can still be in time.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -23,6 +23,9 @@
     /** Number of the newest failed run of a gang, so that a failure reported by several members counts once. */
     int lastFailedRun;
 
+    /** Ends of the newest run of a gang. */
+    final GangEnds gangEnds = new GangEnds();
+
     /** Whether a straggler of this step was handled already; done only once, as the estimate may be wrong. */
     boolean stragglerHandled;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -25,6 +25,12 @@
     /** Time before the departure of a target at which its tasks are evicted, in seconds; long enough to stop a run. */
     private static final double EVICTION_LEAD_SECONDS = 0.8;
 
+    /**
+     * Multiple of the least time until a departure that a run without checkpoints must need beyond that time to be
+     * stopped at once; targets often stay longer than they must.
+     */
+    private static final double EVICTION_MARGIN_FACTOR = 1.25;
+
     private final Outbox outbox;
     private final TargetHealth targetHealth;
     private final RunEstimates estimates;
@@ -71,6 +77,21 @@
                 requeue(task, now);
             }
         }
+        if (task.step.spec.mode().gang()) {
+            recordGangEnd(task.step, end, now);
+        }
+    }
+
+    /** Takes the last member of a broken gang off its target, which may have left without reporting the end. */
+    private void recordGangEnd(StepExecution step, TargetReport.Ended end, ClockReading now) {
+        step.gangEnds.record(end.run(), end.reason());
+        TaskExecution last = step.gangEnds.unreportedEnd(step);
+        if (last != null) {
+            LOG.infof(
+                    "end: request=%s task=%s run=%s target=%s how=inferred reason=all others are broken",
+                    last.id.job(), last.id, last.lastRun, last.target.id);
+            requeue(last, now);
+        }
     }
 
     /** Saves a checkpoint of the task; the checkpoint of one gang member applies to the whole gang. */
@@ -259,20 +280,17 @@
     }
 
     /**
-     * Stops the tasks with checkpoints on a draining target that would not complete before its departure. They resume
-     * from their checkpoints on another target instead of being lost.
+     * Stops the tasks on a draining target that would not complete before its departure, so that they go on elsewhere
+     * instead of waiting for the lease of a target that has left. Those with checkpoints are stopped shortly before the
+     * departure, gangs without them as soon as it is clear that the work of all members will be lost.
      */
     void evictBeforeDeparture(TargetState target, ClockReading now) {
         if (target.info == null || !target.info.draining() || target.info.departureNanos() == 0) {
             return;
         }
         double secondsToDeparture = -now.secondsSince(target.info.departureNanos());
-        if (secondsToDeparture > EVICTION_LEAD_SECONDS) {
-            return;
-        }
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
-            boolean checkpoints = task.step.spec.mode().checkpoint();
-            if (task.phase != Phase.RUNNING || !checkpoints || task.remainingSeconds(now) < secondsToDeparture) {
+            if (task.phase != Phase.RUNNING || !isLostAtDeparture(task, secondsToDeparture, now)) {
                 continue;
             }
             LOG.infof(
@@ -282,6 +300,17 @@
         }
     }
 
+    private static boolean isLostAtDeparture(TaskExecution task, double secondsToDeparture, ClockReading now) {
+        double remaining = task.remainingSeconds(now);
+        if (task.step.spec.mode().checkpoint()) {
+            return secondsToDeparture <= EVICTION_LEAD_SECONDS && remaining >= secondsToDeparture;
+        }
+        boolean breaksGang = task.step.tasks.size() > 1 && task.step.spec.mode().gang();
+        return breaksGang
+                && secondsToDeparture > 0
+                && remaining > EVICTION_MARGIN_FACTOR * secondsToDeparture + EVICTION_LEAD_SECONDS;
+    }
+
     /** Removes the task from its target, if it has one, and sets its phase to {@code phase}. */
     private void detach(TaskExecution task, Phase phase) {
         if (task.target != null) {
