The pool saves and restores what it has learned, and parts of it can be switched off

A new leader's pool knew no durations and speeds, and nothing could be switched off: learning had a switch that nothing used, speed placement and limits had none.

Pool.use sets which parts are in use (all by default). Without limits, the pool works with the operators' settings less the limits, so that all checks agree. Without learning, targets count as equally fast and declared durations are taken. Speed placement needs learning, from which speeds come. Pool.estimateSummary tells how good the estimates are.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountTerms.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountTerms.java
@@ -34,6 +34,11 @@
         return new AccountTerms(0, 0, limit);
     }
 
+    /** Returns these terms without the limit. */
+    AccountTerms withoutLimit() {
+        return new AccountTerms(guaranteedAccelerators, weight, Resources.NONE);
+    }
+
     /** Returns whether any resource is limited. */
     public boolean hasLimit() {
         return !limit.equals(Resources.NONE);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.acaciaport.admission.Outlook;
+import org.acaciaport.estimate.EstimatesSnapshot;
 import org.jboss.logging.Logger;
 
 /**
@@ -30,7 +31,14 @@
     private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, estimates, jobs::get);
     private final PlacementPass.Context passContext =
             new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
+    private PoolFeatures features = PoolFeatures.ALL;
+
+    /** The settings as the operators define them. */
+    private PoolSettings configured = PoolSettings.EMPTY;
+
+    /** The settings in force: those of the operators, without limits if these are not in use. */
     private PoolSettings settings = PoolSettings.EMPTY;
+
     private SearchEffort lastEffort = new SearchEffort();
 
     private TargetState newTarget(String id) {
@@ -39,7 +47,51 @@
 
     /** Replaces the operator-defined settings. */
     public void configure(PoolSettings settings) {
-        this.settings = settings;
+        configured = settings;
+        applySettings();
+    }
+
+    /**
+     * Sets which optional parts are in use; all of them until the first call. What has been learned is kept while it is
+     * not in use, and objectives of the jobs that the pool has stay as they are.
+     */
+    public void use(PoolFeatures features, ClockReading now) {
+        if (features.equals(this.features)) {
+            return;
+        }
+        LOG.infof("pool: features=%s", features);
+        this.features = features;
+        estimates.setLearning(features.learnedRunTimes());
+        estimates.setSpeedPlacement(features.speedPlacement());
+        targets.values().forEach(target -> estimates.resetSpeed(target, now));
+        applySettings();
+    }
+
+    private void applySettings() {
+        settings = features.accountLimits() ? configured : configured.withoutLimits();
+    }
+
+    /** Returns what has been learned of durations and speeds, for the log. */
+    public EstimatesSnapshot estimatesSnapshot() {
+        return estimates.snapshot();
+    }
+
+    /**
+     * Replaces what has been learned of durations and speeds by {@code snapshot}; never fails. To be called before jobs
+     * are added, as their objectives go by it. A target gets the speed of the snapshot once it reports the incarnation
+     * for which that was learned.
+     *
+     * @return number of lines that were dropped because they are missing, malformed or out of range
+     */
+    public int restoreEstimates(EstimatesSnapshot snapshot, ClockReading now) {
+        int dropped = estimates.restore(snapshot);
+        targets.values().forEach(target -> estimates.resetSpeed(target, now));
+        return dropped;
+    }
+
+    /** Returns how good the estimates are. */
+    public EstimateSummary estimateSummary() {
+        return EstimateSummary.of(estimates.accuracy(), targets.values());
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PoolSettings.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PoolSettings.java
@@ -1,5 +1,6 @@
 package org.acaciaport.pool;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,6 +24,13 @@
         services = Set.copyOf(services);
     }
 
+    /** Returns these settings without the limits of accounts. */
+    PoolSettings withoutLimits() {
+        Map<String, AccountTerms> unlimited = new HashMap<>();
+        accounts.forEach((account, terms) -> unlimited.put(account, terms.withoutLimit()));
+        return new PoolSettings(unlimited, evacuatedDataCentres, services);
+    }
+
     /** Returns the terms of {@code account}. */
     AccountTerms terms(String account) {
         return accounts.getOrDefault(account, AccountTerms.NONE);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/RunEstimates.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/RunEstimates.java
@@ -1,7 +1,9 @@
 package org.acaciaport.pool;
 
 import org.acaciaport.estimate.Distribution;
+import org.acaciaport.estimate.EstimateAccuracy;
 import org.acaciaport.estimate.Estimates;
+import org.acaciaport.estimate.EstimatesSnapshot;
 import org.acaciaport.estimate.TargetSpeeds;
 import org.acaciaport.estimate.Work;
 
@@ -37,12 +39,37 @@
     private double urgentSpeed;
 
     private boolean learning = true;
+    private boolean speedPlacement = true;
 
-    /** Switches learning on or off. */
+    /** Switches learning on or off; {@link #resetSpeed} must then be called for each target. */
     void setLearning(boolean learning) {
         this.learning = learning;
     }
 
+    /** Switches the choice of targets by speed on or off. */
+    void setSpeedPlacement(boolean speedPlacement) {
+        this.speedPlacement = speedPlacement;
+    }
+
+    /** Returns what has been learned so far, for the log. */
+    EstimatesSnapshot snapshot() {
+        return estimates.snapshot();
+    }
+
+    /**
+     * Replaces what has been learned; {@link #resetSpeed} must then be called for each target.
+     *
+     * @return number of lines that were dropped because they are missing, malformed or out of range
+     */
+    int restore(EstimatesSnapshot snapshot) {
+        return estimates.restore(snapshot);
+    }
+
+    /** Returns how far declared and learned durations were from actual ones. */
+    EstimateAccuracy accuracy() {
+        return estimates.accuracy();
+    }
+
     /** Returns the expected duration of a task of {@code step} at nominal speed, in seconds. */
     double seconds(StepExecution step) {
         return learning ? distribution(step).medianSeconds() : step.spec.estimateSeconds();
@@ -73,9 +100,9 @@
         return urgentSpeed;
     }
 
-    /** Returns whether targets are known to differ in speed. */
-    boolean speedsDiffer() {
-        return learning && estimates.speedsDiffer();
+    /** Returns whether targets are known to differ in speed, and are to be chosen by it. */
+    boolean mayChooseBySpeed() {
+        return learning && speedPlacement && estimates.speedsDiffer();
     }
 
     /** Records the progress of the newest run of {@code task}. */
@@ -149,11 +176,15 @@
         target.speedKnown = speed.logDeviation() <= KNOWN_DEVIATION;
     }
 
-    /** Sets the speed of a target that reports another incarnation. */
+    /** Sets the speed of a target after a change of its incarnation, of the estimates or of their use. */
     void resetSpeed(TargetState target, ClockReading now) {
-        if (learning) {
+        if (learning && target.incarnation != 0) {
             updateSpeed(target, now);
+            return;
         }
+        target.speed = 1;
+        target.probableSpeed = 0;
+        target.speedKnown = false;
     }
 
     /** Records a step without further runs as an observation of its queue and account. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
@@ -34,7 +34,7 @@
         this.estimates = estimates;
         this.targets = targets;
         this.now = now;
-        active = estimates.speedsDiffer();
+        active = estimates.mayChooseBySpeed();
         double min = Double.MAX_VALUE;
         double max = 0;
         for (TargetState target : targets) {
@@ -47,7 +47,7 @@
         fastest = max;
     }
 
-    /** Returns whether targets differ in speed, so that the speed that a unit needs matters. */
+    /** Returns whether targets are chosen by speed: the part is in use, and they differ. */
     boolean isActive() {
         return active;
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
@@ -110,6 +111,16 @@
      */
     record Results(Map<String, KindResult> kinds, double valueFraction, double wastedCoreSeconds) {}
 
+    /**
+     * How a pool differs from one without settings.
+     *
+     * @param limit limit of each account; {@link Resources#NONE} for none
+     * @param prepare is given the pool before it has any target
+     */
+    record Setup(Resources limit, Consumer<Pool> prepare) {
+        static final Setup DEFAULT = new Setup(Resources.NONE, pool -> {});
+    }
+
     /** Decides whether a request is accepted. */
     interface Gate {
         /** Accepts each request. */
@@ -175,14 +186,25 @@
             List<Burst> bursts,
             RandomGenerator random,
             LongConsumer passNanos) {
-        return trace(deployment, lengthMillis, bursts, random, Gate.OPEN, passNanos)
+        return trace(deployment, lengthMillis, bursts, random, Gate.OPEN, passNanos, Setup.DEFAULT)
                 .results();
     }
 
     /** Simulates a load whose requests {@code gate} may refuse. */
     static Trace trace(
             Deployment deployment, long lengthMillis, List<Burst> bursts, RandomGenerator random, Gate gate) {
-        return trace(deployment, lengthMillis, bursts, random, gate, nanos -> {});
+        return trace(deployment, lengthMillis, bursts, random, gate, nanos -> {}, Setup.DEFAULT);
+    }
+
+    /** Simulates a load on a pool with {@code setup}. */
+    static Trace trace(
+            Deployment deployment,
+            long lengthMillis,
+            List<Burst> bursts,
+            RandomGenerator random,
+            Gate gate,
+            Setup setup) {
+        return trace(deployment, lengthMillis, bursts, random, gate, nanos -> {}, setup);
     }
 
     private static Trace trace(
@@ -191,9 +213,11 @@
             List<Burst> bursts,
             RandomGenerator random,
             Gate gate,
-            LongConsumer passNanos) {
+            LongConsumer passNanos,
+            Setup setup) {
         PoolSimulation simulation = new PoolSimulation(deployment, random, gate, passNanos);
-        simulation.registerTargets();
+        setup.prepare.accept(simulation.pool);
+        simulation.registerTargets(setup.limit);
         for (int kind = 0; kind < deployment.kinds().size(); kind++) {
             simulation.scheduleArrivals(kind, lengthMillis, bursts);
         }
@@ -216,12 +240,12 @@
         return new ClockReading((millis + 1) * 1_000_000, millis);
     }
 
-    private void registerTargets() {
+    private void registerTargets(Resources limit) {
         Map<String, AccountTerms> accounts = new HashMap<>();
         long totalAccelerators = deployment.targets * deployment.target.accelerators();
         for (int i = 0; i < deployment.accounts; i++) {
             long share = (long) (totalAccelerators * deployment.guaranteedFraction / deployment.accounts);
-            accounts.put("account" + i, AccountTerms.ofGuarantee(share));
+            accounts.put("account" + i, new AccountTerms(share, 0, limit));
         }
         pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
         for (int i = 0; i < deployment.targets; i++) {
