Learned estimates have a record in the log that followers keep encoded

A new leader forgot durations and speeds. Replicas keep the newest record, encoded and at most 64 KiB; a malformed one gives the prior. If the log rejects the record although it fits, LeaderLogWriter leaves it out: otherwise this node's terms would end one after the other, as no job can be set aside for that key.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -8,10 +8,12 @@
 import java.util.stream.Stream;
 import org.acaciaport.admission.Outlook;
 import org.acaciaport.encoding.MessagePackCheck;
+import org.acaciaport.estimate.EstimatesSnapshot;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.acaciaport.wire.Codecs;
@@ -29,8 +31,12 @@
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
     static final String OUTLOOK_KEY = "outlook";
+    static final String ESTIMATES_KEY = "estimates";
     static final String LEASE_PREFIX = "lease/";
 
+    /** Largest size of encoded estimates, in bytes. */
+    static final int MAX_ESTIMATES_BYTES = 64 * 1_024;
+
     /** Ends the id of the job in the key of a task; no id contains it. */
     private static final char TASK_SEPARATOR = '/';
 
@@ -78,6 +84,7 @@
     static boolean isOfLeader(String key) {
         return key.equals(LEADER_KEY)
                 || key.equals(OUTLOOK_KEY)
+                || key.equals(ESTIMATES_KEY)
                 || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
     }
 
@@ -128,6 +135,29 @@
         }
     }
 
+    /** Encodes estimates under their own key, which earlier builds skip. */
+    static KeyedRecord encode(EstimatesSnapshot estimates) {
+        return record(ESTIMATES_KEY, estimates);
+    }
+
+    /**
+     * Decodes estimates.
+     *
+     * @throws IOException if the value is not estimates of the version that this build knows
+     */
+    static EstimatesSnapshot decodeEstimates(KeyedRecord record) throws IOException {
+        EstimatesSnapshot estimates = decode(record, EstimatesSnapshot.class);
+        if (estimates.version() != EstimatesSnapshot.VERSION) {
+            throw new IOException("the version is " + estimates.version());
+        }
+        return estimates;
+    }
+
+    /** Returns whether a term goes on without the record with this key if the log never takes it. */
+    static boolean isOptional(String key) {
+        return key.equals(ESTIMATES_KEY);
+    }
+
     private static KeyedRecord record(String key, Object value) {
         try {
             return new KeyedRecord(key, Codecs.messagePack().writeValueAsBytes(value));
@@ -167,5 +197,6 @@
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
         decodeOutlook(encode(OutlookRecord.of(Outlook.NO_WAIT)));
         decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
+        decodeEstimates(encode(new Pool().estimatesSnapshot()));
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderLogWriter.java
@@ -39,7 +39,7 @@
 
     /** The result of writing records. */
     sealed interface Result {
-        /** All records are durable. */
+        /** All records are durable, except for optional ones that the log does not take. */
         record Durable() implements Result {}
 
         /** A later term has begun, or the thread is interrupted; some of the first records may be durable. */
@@ -118,8 +118,17 @@
         return new Result.Ended();
     }
 
-    /** Finds the record that the log does not take, and appends the ones before it. */
+    /**
+     * Finds the record that the log does not take, and appends the ones before it; also those after it if it is
+     * optional.
+     */
     private Result appendHalves(List<KeyedRecord> records, String reason) {
+        if (records.size() == 1 && JobRecords.isOptional(records.get(0).key())) {
+            LOG.warnf(
+                    "lead: epoch=%s key=%s outcome=left-out reason=%s",
+                    epoch, records.get(0).key(), reason);
+            return new Result.Durable();
+        }
         if (records.size() <= 1) {
             return new Result.Rejected(records.isEmpty() ? "" : records.get(0).key(), reason);
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -111,6 +111,8 @@
             applyLeader(JobRecords.decode(record, LeaderRecord.class));
         } else if (key.equals(JobRecords.OUTLOOK_KEY) && !isTombstone(record)) {
             applyOutlook(JobRecords.decodeOutlook(record));
+        } else if (key.equals(JobRecords.ESTIMATES_KEY)) {
+            applyEstimates(record);
         }
     }
 
@@ -138,6 +140,19 @@
         }
     }
 
+    /** Keeps the newest estimates as they are; only a leader decodes them. */
+    private void applyEstimates(KeyedRecord record) throws IOException {
+        if (record.value().length > JobRecords.MAX_ESTIMATES_BYTES) {
+            throw new IOException("the estimates have " + record.value().length + " bytes");
+        }
+        contents.estimates = isTombstone(record) ? null : record;
+    }
+
+    /** Returns the newest record of what a leader has learned, if there is one. */
+    synchronized Optional<KeyedRecord> estimates() {
+        return Optional.ofNullable(shown().estimates);
+    }
+
     /**
      * Returns what this node knows of the wait. The age counts from before the outlook was written, or from the latest
      * sign of the leader if there was no wait, and is at least that of the replica.
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.acaciaport.admission.Outlook;
+import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.JobProgress;
 
@@ -28,6 +29,9 @@
     /** The latest outlook of that leader; null if there is none. */
     ReceivedOutlook outlook;
 
+    /** The newest record of what a leader has learned, not decoded; null if there is none. */
+    KeyedRecord estimates;
+
     /** Offset of the next record of the log. */
     long nextOffset;
 
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderLogWriterTest.java
@@ -64,6 +64,20 @@
         assertThat(records()).isEqualTo(batch.subList(0, 700));
     }
 
+    /** Guards against terms that end, one after the other, since the log does not take a record they can do without. */
+    @Test
+    void anOptionalRecordThatTheLogRejectsIsLeftOut() {
+        assertThat(writer.fenceEarlierTerms(Clocks.now())).isTrue();
+        log.rejectedKey = JobRecords.ESTIMATES_KEY;
+        KeyedRecord before = new KeyedRecord("a", new byte[] {1});
+        KeyedRecord optional = new KeyedRecord(JobRecords.ESTIMATES_KEY, new byte[] {1});
+        KeyedRecord after = new KeyedRecord("b", new byte[] {1});
+        assertThat(writer.append(List.of(before, optional, after))).isEqualTo(new LeaderLogWriter.Result.Durable());
+        assertThat(writer.append(List.of(optional))).isEqualTo(new LeaderLogWriter.Result.Durable());
+        assertThat(writer.append(List.of(before))).isEqualTo(new LeaderLogWriter.Result.Durable());
+        assertThat(records()).containsExactly(before, after, before).inOrder();
+    }
+
     /**
      * Guards against work that runs twice (TWICE): a leader must not act longer than a successor assumes, which counts
      * from when it received the records.
