A term restores and writes estimates, and follows the switches

Of the settings in deploy/scheduling.toml only `admission` had an effect. A term now passes the others to its pool before it adds jobs, and whenever the file changes. JobService refuses for a limit (429) only while `account-limits` is on.

Tests: OverLimitSubmissionTest switches limits on, which its fixture has off, and has a new case with them off; no assertion has changed. TermTest has a term that writes what it learned from a run, one that leads despite a malformed record, and one that follows a change of the settings.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
@@ -48,6 +49,7 @@
     private final ConfigurationView configurationView;
     private final long maxConfigurationAgeMillis;
     private final MetricRegistry metrics;
+    private final Supplier<SchedulingSettings> scheduling;
     private final AdmissionControl admission;
 
     JobService(Term.Dependencies dependencies, TopicConsumer jobConsumer, long maxConfigurationAgeMillis) {
@@ -59,6 +61,7 @@
         this.jobConsumer = jobConsumer;
         this.maxConfigurationAgeMillis = maxConfigurationAgeMillis;
         this.metrics = dependencies.metrics();
+        scheduling = dependencies.scheduling();
         admission = new AdmissionControl(dependencies);
     }
 
@@ -197,7 +200,9 @@
         if (existing != null) {
             return new Answer.Accepted();
         }
-        String excess = AccountLimitCheck.findExcess(configurationView.latest(), access.account(), steps);
+        String excess = scheduling.get().accountLimits()
+                ? AccountLimitCheck.findExcess(configurationView.latest(), access.account(), steps)
+                : "";
         if (!excess.isEmpty()) {
             return refuseOverLimit(access, id, excess, deadline);
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -1,13 +1,16 @@
 package org.acaciaport.node;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.Supplier;
 import org.acaciaport.failure.Failures;
 import org.acaciaport.log.AppendLimits;
+import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
@@ -76,6 +79,9 @@
     private final TermWriter writer;
     private final JobIntake jobIntake;
     private final LateJobs lateJobs;
+    private final Supplier<SchedulingSettings> scheduling;
+    private final EstimatesPersistence estimatesPersistence;
+    private final EstimateMetrics estimateMetrics;
 
     private volatile boolean ended;
     private long lastPurgeNanos;
@@ -99,6 +105,11 @@
         ClockReading now = Clocks.now();
         lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
+        scheduling = dependencies.scheduling();
+        estimatesPersistence =
+                new EstimatesPersistence(pool::estimatesSnapshot, pool::restoreEstimates, dependencies.limits(), now);
+        estimateMetrics = new EstimateMetrics(dependencies.metrics(), now);
+        OutlookPublisher outlookPublisher = new OutlookPublisher(pool::outlook, scheduling, now);
         writer = new TermWriter(
                 self,
                 logWriter,
@@ -106,7 +117,11 @@
                 this::end,
                 replica::setAside,
                 load,
-                new OutlookPublisher(pool::outlook, dependencies.scheduling(), now)::records);
+                at -> {
+                    List<KeyedRecord> records = new ArrayList<>(outlookPublisher.records(at));
+                    records.addAll(estimatesPersistence.records(at));
+                    return records;
+                });
         lateJobs = new LateJobs(replica, dependencies.metrics());
         jobIntake = new JobIntake(pool, writer);
         sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
@@ -158,7 +173,10 @@
 
     /** Rebuilds the pool from the replica and subscribes to later records. */
     private void restore() {
-        jobIntake.restore(replica.attach(this), Clocks.now());
+        ClockReading now = Clocks.now();
+        pool.use(scheduling.get().poolFeatures(), now);
+        estimatesPersistence.restore(replica.estimates(), now);
+        jobIntake.restore(replica.attach(this), now);
         LOG.infof(
                 "lead: epoch=%s outcome=leading occupied=%s",
                 epoch, pool.occupiedTargets().size());
@@ -176,6 +194,7 @@
             return;
         }
         ClockReading now = Clocks.now();
+        pool.use(scheduling.get().poolFeatures(), now);
         boolean current = replicaAsOf != null && Clocks.ageMillis(replicaAsOf) < MAX_REPLICA_AGE_MILLIS;
         writer.takeDurable().forEach(batch -> releaseBatch(batch, current));
         if (!writer.isResigning() && current) {
@@ -197,6 +216,7 @@
         sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, now));
         load.recordIteration(startNanos);
         load.reportIfDue(pool, Clocks.now());
+        estimateMetrics.reportIfDue(pool, Clocks.now());
     }
 
     /** Returns whether the log has taken records of this term all the while but could not be read. */
@@ -326,6 +346,7 @@
     private void close() {
         registrationConsumer.stop();
         replica.detach();
+        estimateMetrics.close();
         configuration.setListener(() -> {});
         sessions.close();
         executor.shutdownNow();
--- a/acacia-node/src/test/java/org/acaciaport/node/OverLimitSubmissionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/OverLimitSubmissionTest.java
@@ -12,6 +12,7 @@
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** Tests the refusal of jobs that can never start under the limits of their account. */
@@ -28,6 +29,19 @@
         LogAccessFixture.loadClasses();
     }
 
+    @BeforeEach
+    void useLimits() {
+        fixture.scheduling = new SchedulingSettings(false, false, false, true);
+    }
+
+    /** Guards against refusals for a limit that is switched off. */
+    @Test
+    void withoutLimitsInUseAGangBeyondTheLimitIsAccepted() {
+        fixture.scheduling = SchedulingSettings.OFF;
+        JobService jobService = fixture.newJobService(LIMITED);
+        assertThat(submit(jobService, "a", step(3, 1, 3, GANG))).isInstanceOf(JobService.Answer.Accepted.class);
+    }
+
     private static Step step(int count, long cpuMillis, long accelerators, Step.Mode mode) {
         Resources demand = new Resources(cpuMillis, 100, accelerators);
         return new Step(count, demand, 1_000, List.of(), Step.Constraints.NONE, mode);
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -21,6 +21,8 @@
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.Pool;
+import org.acaciaport.pool.PoolFeatures;
 import org.acaciaport.pool.Resources;
 import org.acaciaport.pool.Step;
 import org.acaciaport.pool.TargetInfo;
@@ -50,6 +52,9 @@
     /** Longest lease of a target with a slow clock, in milliseconds. */
     private static final long LEASE_MILLIS = 6_300;
 
+    /** Duration of a run, in milliseconds. */
+    private static final long RUN_MILLIS = 1_000;
+
     /** Time that a record takes to the log and back, in milliseconds. */
     private static final long TOLERANCE_MILLIS = 500;
 
@@ -61,7 +66,8 @@
     private final Replica replica = new Replica();
     private final TopicConsumer jobConsumer =
             new TopicConsumer(TOPICS.jobs(), leaderLog, new TopicConsumer.PollSettings(0, 5), replica);
-    private SchedulingSettings scheduling = SchedulingSettings.OFF;
+    private volatile SchedulingSettings scheduling = SchedulingSettings.OFF;
+    private final MetricRegistry metrics = new MetricRegistry();
     private Term term;
     private Thread thread;
 
@@ -90,7 +96,7 @@
                 MemoryLog.LIMITS,
                 failoverLog,
                 new OneTarget(),
-                new MetricRegistry(),
+                metrics,
                 () -> scheduling);
         EarlierLeases earlierLeases = EarlierLeases.of(replica, 5);
         term = new Term(new LeaderRecord("node", 1, false), 5, logWriter, earlierLeases, dependencies);
@@ -108,6 +114,52 @@
         return new Job(id, "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
     }
 
+    private boolean showsEstimates() {
+        return metrics.getGauges().keySet().stream().anyMatch(name -> name.startsWith(EstimateMetrics.PREFIX));
+    }
+
+    /** Guards against learning that is lost with its leader, and against metrics of a node that no longer leads. */
+    @Test
+    void aTermWritesWhatItHasLearnedAndShowsItUntilItEnds() throws InterruptedException {
+        scheduling = new SchedulingSettings(true, true, false, false);
+        append(JobRecords.encode(newJob("a", 1)));
+        lead();
+        Conditions.await(() -> target.isRunning(new TaskId("a", 0, 0, 0)));
+        Clocks.sleep(RUN_MILLIS);
+        target.complete(new TaskId("a", 0, 0, 0));
+        Clocks.sleep(EstimatesPersistence.INTERVAL_MILLIS);
+        Conditions.await(() -> replica.estimates().isPresent());
+        assertThat(showsEstimates()).isTrue();
+        assertThat(metrics.getGauges()).containsKey("estimates.queue.queue.learned-median");
+        thread.interrupt();
+        thread.join();
+        assertThat(showsEstimates()).isFalse();
+    }
+
+    /** Guards against a leader that ends each of its terms because of a record that it could do without. */
+    @Test
+    void aTermLeadsAlthoughTheLearnedEstimatesAreMalformed() {
+        append(new KeyedRecord(JobRecords.ESTIMATES_KEY, new byte[] {1, 2, 3}), JobRecords.encode(newJob("a", 1)));
+        try (LogCapture capture = LogCapture.of(EstimatesPersistence.class)) {
+            lead();
+            Conditions.await(() -> target.started.size() == 1);
+            assertThat(capture.messagesContaining("outcome=prior")).hasSize(1);
+        }
+    }
+
+    /** Guards against a switch that has no effect until the next term. */
+    @Test
+    void aTermFollowsTheSettings() {
+        try (LogCapture capture = LogCapture.of(Pool.class)) {
+            lead();
+            Conditions.await(() ->
+                    capture.messagesContaining(PoolFeatures.NONE.toString()).size() == 1);
+            scheduling = new SchedulingSettings(true, true, true, true);
+            Conditions.await(() ->
+                    capture.messagesContaining(PoolFeatures.ALL.toString()).size() == 1);
+        }
+    }
+
     private static long deadline() {
         return Clocks.deadlineAfter(5_000);
     }
