--- a/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SpeedTiers.java
@@ -43,7 +43,7 @@
         this.estimates = estimates;
         this.targets = targets;
         this.now = now;
-        active = estimates.speedsDiffer();
+        active = estimates.mayChooseBySpeed();
     }
 
     /** The lowest and highest speed of the targets that take new work. */
