Turns to search are per class of units and lapse unless used; claims always search

Cause: the 8 steps whose search was skipped first kept the searches of a pass for themselves even if they did not search. Steps at the limit of their account and gangs that wait for the only advance reservation kept their place without ever asking, so that nothing else could stop work, claims included. The limit counted planner calls, of which one unit makes several, and claims queued behind all other searches.

Change: a step that does not ask for its turn in a pass loses its place. Claims to accelerators always search, since the guarantees bound their number; other claims (4 units per pass), work of priority 0 (5) and lower priorities (2) have turns of their own. A unit with a turn makes all its searches. A unit for which no search is possible takes no turn, also if its kind is not comparable. The method pass is now yieldTurn.

Tests: before the change, unitsHeldBackByALimitDoNotBlockAClaim, gangsThatCannotReserveInAdvanceDoNotBlockUrgentWork and aClaimSearchesInItsFirstPass failed with no stop where 1 was expected. skippedSearchesGoFirstInLaterPasses counts units instead of searches and still requires all steps to be searched in 10 passes; thePassOverACrowdedPoolIsBounded keeps its limit of 14 searches.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -85,14 +85,22 @@
     }
 
     /**
-     * Returns whether each search for {@code unit} that is possible now has its answer in an earlier one.
+     * Returns whether each search for {@code unit} that is possible now has its answer in an earlier one, or none is
+     * possible.
      *
+     * @param kind kind of the unit; null if other units do not answer for it
      * @param waitedMillis time that the unit has waited, in milliseconds
      * @param mayReserve whether advance reservations are possible
      */
     boolean isAnswered(PlacementUnit unit, PlacementKind kind, long waitedMillis, boolean mayReserve) {
         boolean waits = mayWaitForCompletions(unit, waitedMillis);
         boolean reserves = mayReserve && mayReserveInAdvance(unit, waitedMillis);
+        if (unit.priority() > 0 && !reserves) {
+            return true;
+        }
+        if (kind == null) {
+            return false;
+        }
         for (int tier = 0; tier < kind.tierCount(); tier++) {
             FailureKey completing = new FailureKey(kind, tier, Candidates.COMPLETING);
             FailureKey preemptible = new FailureKey(kind, tier, Candidates.PREEMPTIBLE);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -104,7 +104,7 @@
         List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
         context.limitMonitor().beginPass();
         limits.cancelExcessReservations(units, context.taskLifecycle());
-        searchTurns = SearchTurns.of(units, now);
+        searchTurns = SearchTurns.of(units, unitWaits::isClaim, now);
         advanceReservations =
                 (int) units.stream().filter(PlacementPass::isReservedGang).count();
         for (PlacementUnit unit : units) {
@@ -114,6 +114,7 @@
                 reviewReservation(unit);
             }
         }
+        searchTurns.endPass();
         new UnitStarter(context, placement, limits, now).startReserved(jobs);
         context.limitMonitor().endPass(settings.accounts(), context.accountUsage(), now);
         return effort;
@@ -218,16 +219,16 @@
     /** Returns whether earlier searches of the pass show that running tasks cannot make room for the unit. */
     private boolean isAnswered(PlacementUnit unit, PlacementKind kind) {
         boolean mayReserve = advanceReservations < MAX_ADVANCE_RESERVATIONS;
-        return kind != null && occupiedResourceSearch.isAnswered(unit, kind, unitWaits.millis(unit), mayReserve);
+        return occupiedResourceSearch.isAnswered(unit, kind, unitWaits.millis(unit), mayReserve);
     }
 
     /** Returns whether the unit may search now; gives its turn to others if it needs no search. */
     private boolean takeSearchTurn(PlacementUnit unit, boolean needed) {
         if (!needed) {
-            searchTurns.pass(unit.step());
+            searchTurns.yieldTurn(unit);
             return false;
         }
-        return searchTurns.take(unit.step(), effort.searches);
+        return searchTurns.take(unit);
     }
 
     /** Forgets what did not fit, since resources were freed. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -15,8 +16,11 @@
     private static final int ACCOUNTS = 10;
     private static final int WAITING = 1_000;
 
-    /** Searches that a unit may add once it has begun: completions, preemption and reservation, in two tiers. */
-    private static final int MAX_SEARCHES_OF_UNIT = 6;
+    /** Number of searches in one pass at most, where no unit accepts more than one tier of targets. */
+    private static final int MAX_SEARCHES = 14;
+
+    /** Number of urgent units that search in one pass at most. */
+    private static final int MAX_URGENT = SearchTurns.UnitClass.URGENT.maxUnits;
 
     private static final int PASSES = 30;
 
@@ -35,6 +39,12 @@
         assertThat(fixture.running).hasSize(8 * TARGETS);
     }
 
+    private void addTargets(int count) {
+        for (int i = 0; i < count; i++) {
+            fixture.addTarget("t%02d".formatted(i), "r1");
+        }
+    }
+
     private void submitGangs(int count, String prefix) {
         for (int i = 0; i < count; i++) {
             int size = 2 + i * 7 % 12;
@@ -55,38 +65,138 @@
         for (int pass = 0; pass < PASSES; pass++) {
             fixture.advance(20);
             SearchEffort effort = fixture.pool.lastEffort();
-            assertThat(effort.searches).isAtMost(SearchTurns.MAX_SEARCHES + MAX_SEARCHES_OF_UNIT);
+            assertThat(effort.searches).isAtMost(MAX_SEARCHES);
             assertThat(effort.evaluations).isAtMost(2L * effort.searches * 8 * TARGETS);
             assertThat(effort.placements).isAtMost(WAITING / 4);
         }
     }
 
-    /** Guards against steps whose searches are skipped again and again because others come first in each pass. */
-    @Test
-    void skippedSearchesGoFirstInLaterPasses() {
+    private List<PlacementUnit> units(int count, int priority, long accelerators) {
         List<PlacementUnit> units = new ArrayList<>();
-        for (int i = 0; i < 10 * SearchTurns.MAX_SEARCHES; i++) {
-            Job job = fixture.job("gang" + i, "account", 0, PoolFixture.gang(2, 1, false));
+        for (int i = 0; i < count; i++) {
+            Job job = fixture.job("gang" + i, "account", priority, PoolFixture.gang(2, accelerators, false));
             StepExecution step =
                     new JobExecution(job, new RunEstimates()).occurrence(0).get(0);
             units.add(new PlacementUnit(step, step.tasks));
         }
-        Set<StepExecution> searched = new HashSet<>();
+        return units;
+    }
+
+    /** Returns the units that get a turn in a pass in which all of {@code asking} ask for one. */
+    private static List<PlacementUnit> takeTurns(List<PlacementUnit> asking, boolean claims, int pass) {
+        SearchTurns turns =
+                SearchTurns.of(asking, unit -> claims, new ClockReading(pass * 1_000_000_000L, pass * 1_000));
+        List<PlacementUnit> granted = asking.stream().filter(turns::take).toList();
+        turns.endPass();
+        return granted;
+    }
+
+    /** Guards against steps whose searches are skipped again and again because others come first in each pass. */
+    @Test
+    void skippedSearchesGoFirstInLaterPasses() {
+        List<PlacementUnit> units = units(10 * MAX_URGENT, 0, 1);
+        Set<PlacementUnit> searched = new HashSet<>();
         for (int pass = 1; pass <= 10; pass++) {
-            ClockReading now = new ClockReading(pass * 1_000_000_000L, pass * 1_000);
-            SearchTurns turns = SearchTurns.of(units, now);
-            int searches = 0;
-            for (PlacementUnit unit : units) {
-                if (turns.take(unit.step(), searches)) {
-                    searches++;
-                    searched.add(unit.step());
-                }
-            }
-            assertThat(searches).isEqualTo(SearchTurns.MAX_SEARCHES);
+            List<PlacementUnit> granted = takeTurns(units, false, pass);
+            assertThat(granted).hasSize(MAX_URGENT);
+            searched.addAll(granted);
         }
         assertThat(searched).hasSize(units.size());
     }
 
+    /** Guards against a step that is overtaken again and again by steps that arrive later and come first in order. */
+    @Test
+    void aSkippedStepIsNotOvertakenByLaterOnes() {
+        List<PlacementUnit> units = new ArrayList<>(units(2 * MAX_URGENT, 0, 1));
+        PlacementUnit last = units.get(units.size() - 1);
+        assertThat(takeTurns(units, false, 1)).doesNotContain(last);
+        units.addAll(0, units(10 * MAX_URGENT, 0, 1));
+        assertThat(takeTurns(units, false, 2)).contains(last);
+    }
+
+    /** Guards against steps that were skipped and search no more, but keep others from searching in later passes. */
+    @Test
+    void stepsThatDoNotAskLoseTheirPlace() {
+        List<PlacementUnit> units = units(3 * MAX_URGENT, 0, 1);
+        takeTurns(units, false, 1);
+        List<PlacementUnit> others = units(MAX_URGENT, 0, 1);
+        List<PlacementUnit> all = new ArrayList<>(units);
+        all.addAll(others);
+        SearchTurns turns = SearchTurns.of(all, unit -> false, new ClockReading(2_000_000_000L, 2_000));
+        turns.endPass();
+        turns = SearchTurns.of(all, unit -> false, new ClockReading(3_000_000_000L, 3_000));
+        for (PlacementUnit other : others) {
+            assertThat(turns.take(other)).isTrue();
+        }
+    }
+
+    /** Guards against work that waits for its searches behind those of other priorities, or of other kinds of work. */
+    @Test
+    void eachClassOfUnitsHasItsOwnTurns() {
+        List<PlacementUnit> units = new ArrayList<>(units(100, 1, 1));
+        units.addAll(units(100, 0, 1));
+        takeTurns(units, false, 1);
+        assertThat(takeTurns(units, false, 2)).hasSize(MAX_URGENT + SearchTurns.UnitClass.OTHER.maxUnits);
+        assertThat(takeTurns(units(100, 0, 1), true, 1)).hasSize(100);
+        assertThat(takeTurns(units(100, 0, 0), true, 1))
+                .hasSize(SearchTurns.UnitClass.CLAIM_WITHOUT_ACCELERATORS.maxUnits);
+    }
+
+    /** Guards against turns of units that their account's limit holds back, which keep all others from searching. */
+    @Test
+    void unitsHeldBackByALimitDoNotBlockAClaim() {
+        addTargets(20);
+        fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(17, 8)));
+        fixture.submit(fixture.job("running", "limited", 0, PoolFixture.independentTasks(3, 8)));
+        for (int i = 0; i < 20; i++) {
+            String id = "gang%02d".formatted(i);
+            fixture.pool.submit(fixture.job(id, "limited", 0, PoolFixture.gang(40 - i, 1, false)));
+        }
+        fixture.advance(50);
+        Map<String, AccountTerms> accounts =
+                Map.of("limited", AccountTerms.ofLimit(new Resources(0, 0, 40)), "owner", AccountTerms.ofGuarantee(8));
+        fixture.pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
+        fixture.advance(50);
+        assertThat(fixture.stops).isEmpty();
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
+        assertThat(fixture.stops).hasSize(1);
+    }
+
+    /** Guards against turns of gangs that wait for the only advance reservation, which keep urgent work waiting. */
+    @Test
+    void gangsThatCannotReserveInAdvanceDoNotBlockUrgentWork() {
+        addTargets(20);
+        fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(19, 8)));
+        fixture.submit(fixture.job("victim", "x", 2, PoolFixture.independentTasks(1, 8)));
+        for (int i = 0; i < 12; i++) {
+            fixture.pool.submit(fixture.job("patient%02d".formatted(i), "x", 1, PoolFixture.gang(2, 8, false)));
+        }
+        fixture.pass(2_950);
+        fixture.pool.submit(fixture.job("first", "x", 0, PoolFixture.gang(15, 8, false)));
+        for (int i = 0; i < 12; i++) {
+            fixture.pool.submit(fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(14 - i, 8, false)));
+        }
+        fixture.pass(1_000);
+        assertThat(fixture.stops).isEmpty();
+        fixture.pool.submit(fixture.job("last", "x", 0, PoolFixture.gang(1, 8, false)));
+        fixture.pass(250);
+        assertThat(fixture.stops).hasSize(1);
+    }
+
+    /** Guards against a claim that queues behind the searches of work beyond the guarantees. */
+    @Test
+    void aClaimSearchesInItsFirstPass() {
+        addTargets(20);
+        fixture.setGuarantee("owner", 8);
+        fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(20, 8)));
+        for (int i = 0; i < 20; i++) {
+            fixture.pool.submit(fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(20 - i, 4, false)));
+        }
+        fixture.advance(50);
+        fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
+        assertThat(fixture.stops).hasSize(1);
+    }
+
     /** Guards against a small unit that is refused because a larger one did not fit. */
     @Test
     void aLargeGangDoesNotAnswerForASmallOne() {
