Test of the work of a pass, and of units that search, on uneven targets

Cause: where targets differ in speed, failed searches rule out no other units, and a unit accepts more tiers, so the limit of 8 planner calls let few units search in a pass. No test covered this.

Change: 1,000 gangs wait on 250 targets of measured, unequal speeds; the test bounds planner calls (24), evaluations and placements of a pass, and requires that at least 5 units search in each pass.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
@@ -22,15 +22,43 @@
     /** Number of urgent units that search in one pass at most. */
     private static final int MAX_URGENT = SearchTurns.UnitClass.URGENT.maxUnits;
 
+    /** The same for units that need fast targets: completions and preemption, each in two tiers by speed. */
+    private static final int MAX_UNEVEN_SEARCHES = 4 * MAX_URGENT + 2 * SearchTurns.UnitClass.OTHER.maxUnits;
+
     private static final int PASSES = 30;
 
+    /** Durations of the same task on targets of 1.6, 1.0 and 0.6 times the nominal speed, in milliseconds. */
+    private static final int[] TASK_MILLIS = {3_125, 5_000, 8_333};
+
+    private static final int MEASURED_RUNS = 3;
+
     private final PoolFixture fixture = new PoolFixture();
 
-    /** Fills 2,000 accelerators with long work of the highest and of lower priorities, beyond all guarantees. */
-    private void fillPool() {
+    private void addRacks() {
         for (int i = 0; i < TARGETS; i++) {
             fixture.addTarget("t%03d".formatted(i), "r" + i / RACK_SIZE);
         }
+    }
+
+    /** Runs tasks on all targets until their speeds are known: every third one is fast, every third one slow. */
+    private void measureTargets() {
+        for (int i = 0; i < MEASURED_RUNS; i++) {
+            fixture.submit(fixture.job("measure" + i, "account", 1, PoolFixture.independentTasks(TARGETS, 8)));
+            int elapsed = 0;
+            for (int speed = 0; speed < TASK_MILLIS.length; speed++) {
+                fixture.advance(TASK_MILLIS[speed] - elapsed);
+                elapsed = TASK_MILLIS[speed];
+                for (TargetCommand.Start start : List.copyOf(fixture.running.values())) {
+                    if (Integer.parseInt(start.target().substring(1)) % TASK_MILLIS.length == speed) {
+                        fixture.endRun(start.task(), TargetReport.EndReason.DONE);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Fills 2,000 accelerators with long work of the highest and of lower priorities, beyond all guarantees. */
+    private void fillPool() {
         for (int i = 0; i < TARGETS; i++) {
             fixture.pool.submit(
                     fixture.job("busy" + i, "account" + i % ACCOUNTS, i % 2, PoolFixture.independentTasks(8, 1)));
@@ -60,6 +88,7 @@
     /** Guards against a pass whose cost grows with the product of waiting units and running tasks. */
     @Test
     void thePassOverACrowdedPoolIsBounded() {
+        addRacks();
         fillPool();
         submitGangs(WAITING, "gang");
         for (int pass = 0; pass < PASSES; pass++) {
@@ -71,6 +100,39 @@
         }
     }
 
+    /**
+     * Guards against a pass that takes long where targets differ in speed, as no search rules out other units there,
+     * and against one in which few units search, as each of them makes several searches.
+     */
+    @Test
+    void thePassOverACrowdedPoolOfUnevenTargetsIsBounded() {
+        addRacks();
+        measureTargets();
+        fillPool();
+        for (int i = 0; i < WAITING; i++) {
+            Job.Terms terms = new Job.Terms(i % 2, 2, 1.5, 250);
+            Step gang = PoolFixture.gang(2 + i * 7 % 12, 1 + i * 5 % 8, i % 3 != 0);
+            fixture.pool.submit(new Job(
+                    "gang%04d".formatted(i),
+                    "queue",
+                    PoolFixture.SERVICE,
+                    "account" + i % ACCOUNTS,
+                    terms,
+                    "payload",
+                    List.of(gang),
+                    Job.Schedule.NOW,
+                    fixture.now().wallClockMillis()));
+        }
+        for (int pass = 0; pass < PASSES; pass++) {
+            fixture.advance(20);
+            SearchEffort effort = fixture.pool.lastEffort();
+            assertThat(effort.searches).isAtMost(MAX_UNEVEN_SEARCHES);
+            assertThat(effort.evaluations).isAtMost(2L * effort.searches * 8 * TARGETS);
+            assertThat(effort.placements).isAtLeast(MAX_URGENT);
+            assertThat(effort.placements).isAtMost(WAITING / 4);
+        }
+    }
+
     private List<PlacementUnit> units(int count, int priority, long accelerators) {
         List<PlacementUnit> units = new ArrayList<>();
         for (int i = 0; i < count; i++) {
