Names: FailedUnits rules units out; two sets called unsearchable told apart

Cause: "answers for" did not say that a failure excludes later units, and unsearchable meant demands in PlacementPass, but accounts in AccountLimits.

Change: answersFor is now rulesOut, isAnswered isRuledOut, and the set of PlacementPass searchedInVain. No change of behaviour.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/FailedUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/FailedUnits.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 
 /**
- * The units that could not be placed in a pass, each of which answers for later units that need at least as much.
+ * The units that could not be placed in a pass, each of which rules out later units that need at least as much.
  *
  * <p>Valid until resources are freed. Mutable and not thread-safe; confined to the thread of the pool.
  *
- * @param <K> type of the key that units must share, so that one may answer for another
+ * @param <K> type of the key that units must share, so that one may rule out another
  */
 final class FailedUnits<K> {
     private final Map<K, List<Failure>> failures = new HashMap<>();
@@ -23,7 +23,7 @@
      * @param cost cost of the cheapest way to make room, which was too high; infinite if there is none
      */
     private record Failure(Resources demand, int size, double cost) {
-        boolean answersFor(PlacementUnit unit, double budget) {
+        boolean rulesOut(PlacementUnit unit, double budget) {
             return (cost == Double.POSITIVE_INFINITY || cost > budget)
                     && size <= unit.size()
                     && demand.fitsIn(unit.demand());
@@ -41,14 +41,14 @@
     }
 
     /** Returns whether an earlier failure shows that there is no room for {@code unit}. */
-    boolean answersFor(K key, PlacementUnit unit) {
-        return answersFor(key, unit, Double.MAX_VALUE);
+    boolean rulesOut(K key, PlacementUnit unit) {
+        return rulesOut(key, unit, Double.MAX_VALUE);
     }
 
     /** Returns whether an earlier failure shows that there is no room for {@code unit} at a cost within the budget. */
-    boolean answersFor(K key, PlacementUnit unit, double budget) {
+    boolean rulesOut(K key, PlacementUnit unit, double budget) {
         for (Failure failure : failures.getOrDefault(key, List.of())) {
-            if (failure.answersFor(unit, budget)) {
+            if (failure.rulesOut(unit, budget)) {
                 return true;
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OccupiedResourceSearch.java
@@ -61,7 +61,7 @@
      * What is searched, and for which unit.
      *
      * @param unit unit to place
-     * @param kind kind of the unit; null if its searches answer for no other
+     * @param kind kind of the unit; null if its searches rule out no other
      * @param tier targets to choose from
      * @param tierNumber position of the tier among those of the unit
      */
@@ -85,14 +85,13 @@
     }
 
     /**
-     * Returns whether each search for {@code unit} that is possible now has its answer in an earlier one, or none is
-     * possible.
+     * Returns whether no search for {@code unit} is possible now, or earlier ones show that each of them would fail.
      *
-     * @param kind kind of the unit; null if other units do not answer for it
+     * @param kind kind of the unit; null if other units are not comparable with it
      * @param waitedMillis time that the unit has waited, in milliseconds
      * @param mayReserve whether advance reservations are possible
      */
-    boolean isAnswered(PlacementUnit unit, PlacementKind kind, long waitedMillis, boolean mayReserve) {
+    boolean isRuledOut(PlacementUnit unit, PlacementKind kind, long waitedMillis, boolean mayReserve) {
         boolean waits = mayWaitForCompletions(unit, waitedMillis);
         boolean reserves = mayReserve && mayReserveInAdvance(unit, waitedMillis);
         if (unit.priority() > 0 && !reserves) {
@@ -104,10 +103,10 @@
         for (int tier = 0; tier < kind.tierCount(); tier++) {
             FailureKey completing = new FailureKey(kind, tier, Candidates.COMPLETING);
             FailureKey preemptible = new FailureKey(kind, tier, Candidates.PREEMPTIBLE);
-            boolean open = waits && !failedUnits.answersFor(completing, unit, completionWaitBudgetSeconds(unit))
+            boolean open = waits && !failedUnits.rulesOut(completing, unit, completionWaitBudgetSeconds(unit))
                     || unit.priority() == 0
-                            && !failedUnits.answersFor(preemptible, unit, lossBudgetCoreSeconds(unit, kind.claim()))
-                    || reserves && !failedUnits.answersFor(completing, unit, Double.MAX_VALUE);
+                            && !failedUnits.rulesOut(preemptible, unit, lossBudgetCoreSeconds(unit, kind.claim()))
+                    || reserves && !failedUnits.rulesOut(completing, unit, Double.MAX_VALUE);
             if (open) {
                 return false;
             }
@@ -213,7 +212,7 @@
             Scope scope, Candidates candidates, Predicate<TaskExecution> allowed, double budget) {
         PlacementUnit unit = scope.unit();
         FailureKey key = new FailureKey(scope.kind(), scope.tierNumber(), candidates);
-        if (scope.kind() != null && failedUnits.answersFor(key, unit, budget)) {
+        if (scope.kind() != null && failedUnits.rulesOut(key, unit, budget)) {
             return null;
         }
         effort.searches++;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -44,7 +44,7 @@
     private final Set<DemandKey> unplaceable = new HashSet<>();
 
     /** Demands of single tasks for which no running tasks can make room. */
-    private final Set<DemandKey> unsearchable = new HashSet<>();
+    private final Set<DemandKey> searchedInVain = new HashSet<>();
 
     /** Units for which there is no free room. */
     private final FailedUnits<PlacementKind> withoutRoom = new FailedUnits<>();
@@ -154,9 +154,9 @@
         PlacementKind kind = kind(unit);
         DemandKey key = kind == null || unit.size() > 1 ? null : new DemandKey(kind, unit.demand());
         boolean mayFit = mayFit(unit, kind, key);
-        boolean due = isSearchDue(unit) && !(key != null && unsearchable.contains(key));
-        boolean answered = due && isAnswered(unit, kind);
-        boolean searches = takeSearchTurn(unit, due && !answered);
+        boolean due = isSearchDue(unit) && !(key != null && searchedInVain.contains(key));
+        boolean ruledOut = due && isRuledOut(unit, kind);
+        boolean searches = takeSearchTurn(unit, due && !ruledOut);
         if ((mayFit || searches) && place(unit, kind, mayFit, searches)) {
             return;
         }
@@ -167,10 +167,10 @@
         if (key != null) {
             unplaceable.add(key);
         }
-        if (searches || answered) {
+        if (searches || ruledOut) {
             unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
             if (key != null) {
-                unsearchable.add(key);
+                searchedInVain.add(key);
             }
         }
     }
@@ -212,14 +212,14 @@
     /** Returns false if the unit does not fit into free resources. */
     private boolean mayFit(PlacementUnit unit, PlacementKind kind, DemandKey key) {
         return !(key != null && unplaceable.contains(key))
-                && !(kind != null && withoutRoom.answersFor(kind, unit))
+                && !(kind != null && withoutRoom.rulesOut(kind, unit))
                 && mayFit(unit);
     }
 
     /** Returns whether earlier searches of the pass show that running tasks cannot make room for the unit. */
-    private boolean isAnswered(PlacementUnit unit, PlacementKind kind) {
+    private boolean isRuledOut(PlacementUnit unit, PlacementKind kind) {
         boolean mayReserve = advanceReservations < MAX_ADVANCE_RESERVATIONS;
-        return occupiedResourceSearch.isAnswered(unit, kind, unitWaits.millis(unit), mayReserve);
+        return occupiedResourceSearch.isRuledOut(unit, kind, unitWaits.millis(unit), mayReserve);
     }
 
     /** Returns whether the unit may search now; gives its turn to others if it needs no search. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/SearchEffort.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/SearchEffort.java
@@ -9,7 +9,7 @@
     /** Units whose targets were examined one by one. */
     int placements;
 
-    /** Searches among running tasks that no earlier one of the pass answered. */
+    /** Searches among running tasks that earlier searches of the pass did not rule out. */
     int searches;
 
     /** Evaluations of the gain of a candidate. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
@@ -261,7 +261,7 @@
 
     /** Guards against a small unit that is refused because a larger one did not fit. */
     @Test
-    void aLargeGangDoesNotAnswerForASmallOne() {
+    void aLargeGangDoesNotRuleOutASmallOne() {
         fixture.addTarget("t1", "r1");
         fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(1, 4)));
         fixture.pool.submit(fixture.job("a-large", "x", 1, PoolFixture.gang(3, 2, false)));
@@ -273,7 +273,7 @@
 
     /** Guards against a unit that waits although a unit before it has freed resources in the same pass. */
     @Test
-    void freedResourcesEndEarlierAnswers() {
+    void freedResourcesAdmitRuledOutUnits() {
         FailedUnits<String> failed = new FailedUnits<>();
         StepExecution step = new JobExecution(
                         fixture.job("a", "x", 1, PoolFixture.gang(3, 2, false)), new RunEstimates())
@@ -285,15 +285,15 @@
                 .get(0);
         failed.add("kind", new PlacementUnit(step, step.tasks));
         PlacementUnit later = new PlacementUnit(wider, wider.tasks);
-        assertThat(failed.answersFor("kind", later)).isTrue();
-        assertThat(failed.answersFor("other kind", later)).isFalse();
+        assertThat(failed.rulesOut("kind", later)).isTrue();
+        assertThat(failed.rulesOut("other kind", later)).isFalse();
         failed.clear();
-        assertThat(failed.answersFor("kind", later)).isFalse();
+        assertThat(failed.rulesOut("kind", later)).isFalse();
     }
 
-    /** Guards against a unit that is refused although it may spend more than the unit that answers for it. */
+    /** Guards against a unit that is refused although it may spend more than the unit that rules it out. */
     @Test
-    void anExpensivePlanAnswersOnlyForSmallerBudgets() {
+    void anExpensivePlanRulesOutOnlySmallerBudgets() {
         FailedUnits<String> failed = new FailedUnits<>();
         StepExecution step = new JobExecution(
                         fixture.job("a", "x", 0, PoolFixture.gang(3, 2, false)), new RunEstimates())
@@ -301,7 +301,7 @@
                 .get(0);
         PlacementUnit unit = new PlacementUnit(step, step.tasks);
         failed.add("kind", unit, 100);
-        assertThat(failed.answersFor("kind", unit, 99)).isTrue();
-        assertThat(failed.answersFor("kind", unit, 100)).isFalse();
+        assertThat(failed.rulesOut("kind", unit, 99)).isTrue();
+        assertThat(failed.rulesOut("kind", unit, 100)).isFalse();
     }
 }
