PlacementPass split: search decisions and the making of reservations

Change: SearchDecisions decides for which units a pass searches among running tasks; UnitReserver makes reservations and stops victims. No change of behaviour, except that the log lines "place:" and "stop:" come from the logger of UnitReserver.

anUrgentGangKeepsItsAdvanceReservation listened to the logger of PlacementPass, which writes nothing any more, so it would have passed without looking at anything. It now listens to the whole package and requires at least one line beside the limit of 5.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Function;
-import org.jboss.logging.Logger;
 
 /**
  * A single scheduling pass, which places waiting units in scheduling order and starts those whose resources are free.
@@ -14,17 +13,9 @@
  * pass. Not thread-safe; confined to the thread of the pool.
  */
 final class PlacementPass {
-    private static final Logger LOG = Logger.getLogger(PlacementPass.class);
-
     /** Age from which a reservation gives way to resources that are free at once, in milliseconds. */
     private static final long MIN_RESERVATION_MILLIS = 500;
 
-    /** Interval between searches for running tasks that could make room for the same step, in milliseconds. */
-    private static final long SEARCH_INTERVAL_MILLIS = 100;
-
-    /** Maximum number of advance reservations at the same time. */
-    private static final int MAX_ADVANCE_RESERVATIONS = 1;
-
     private final Context context;
     private final Collection<JobExecution> jobs;
     private final Collection<TargetState> targets;
@@ -35,6 +26,7 @@
     private final OccupiedResourceSearch occupiedResourceSearch;
     private final AccountLimits limits;
     private final OwnWorkSearch ownWorkSearch;
+    private final UnitReserver unitReserver;
     private final PoolSettings settings;
     private final ClockReading now;
 
@@ -43,13 +35,10 @@
     /** Demands of single tasks for which there is no free room. */
     private final Set<DemandKey> unplaceable = new HashSet<>();
 
-    /** Demands of single tasks for which no running tasks can make room. */
-    private final Set<DemandKey> searchedInVain = new HashSet<>();
-
     /** Units for which there is no free room. */
     private final FailedUnits<PlacementKind> withoutRoom = new FailedUnits<>();
 
-    private SearchTurns searchTurns;
+    private SearchDecisions searchDecisions;
 
     /** The step with the newest result of {@link #kind}. */
     private StepExecution kindStep;
@@ -59,8 +48,6 @@
     /** Step with a unit that could not be placed since resources were last freed; null if there is none. */
     private StepExecution failedStep;
 
-    private int advanceReservations;
-
     PlacementPass(
             Context context,
             Collection<JobExecution> jobs,
@@ -78,6 +65,7 @@
         unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), speedTiers, targets, now);
         occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, context.estimates(), effort, now);
         limits = new AccountLimits(context.accountUsage(), settings.accounts(), context.limitMonitor(), now);
+        unitReserver = new UnitReserver(context.taskLifecycle(), context.estimates(), unitWaits, now);
         ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, now);
     }
 
@@ -104,9 +92,7 @@
         List<PlacementUnit> units = new WaitingUnits(accountDemand, now).collect(jobs);
         context.limitMonitor().beginPass();
         limits.cancelExcessReservations(units, context.taskLifecycle());
-        searchTurns = SearchTurns.of(units, unitWaits::isClaim, now);
-        advanceReservations =
-                (int) units.stream().filter(PlacementPass::isReservedGang).count();
+        searchDecisions = new SearchDecisions(units, unitWaits, occupiedResourceSearch, now);
         for (PlacementUnit unit : units) {
             if (unit.isIn(Phase.WAITING)) {
                 placeWithinLimit(unit);
@@ -114,17 +100,12 @@
                 reviewReservation(unit);
             }
         }
-        searchTurns.endPass();
+        searchDecisions.endPass();
         new UnitStarter(context, placement, limits, now).startReserved(jobs);
         context.limitMonitor().endPass(settings.accounts(), context.accountUsage(), now);
         return effort;
     }
 
-    /** Returns whether the unit is a gang below the highest priority with reserved resources. */
-    private static boolean isReservedGang(PlacementUnit unit) {
-        return unit.priority() > 0 && unit.step().spec.mode().gang() && unit.isIn(Phase.RESERVED);
-    }
-
     /** Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. */
     private void placeWithinLimit(PlacementUnit unit) {
         if (limits.admits(unit)) {
@@ -136,13 +117,13 @@
 
     /** Stops work of lower priorities of the unit's own account to bring the unit within the account's limit. */
     private boolean displaceOwnWork(PlacementUnit unit) {
-        if (!limits.mayDisplaceOwnWork(unit) || !isSearchDue(unit)) {
+        if (!limits.mayDisplaceOwnWork(unit) || !searchDecisions.isDue(unit)) {
             return false;
         }
         if (reserve(unit, ownWorkSearch.find(unit, unitWaits.localityTiers(unit), unitWaits.isClaim(unit)))) {
             return true;
         }
-        unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
+        searchDecisions.postpone(unit);
         limits.recordSearchFailed(unit);
         return false;
     }
@@ -154,9 +135,8 @@
         PlacementKind kind = kind(unit);
         DemandKey key = kind == null || unit.size() > 1 ? null : new DemandKey(kind, unit.demand());
         boolean mayFit = mayFit(unit, kind, key);
-        boolean due = isSearchDue(unit) && !(key != null && searchedInVain.contains(key));
-        boolean ruledOut = due && isRuledOut(unit, kind);
-        boolean searches = takeSearchTurn(unit, due && !ruledOut);
+        SearchDecisions.Decision decision = searchDecisions.decide(unit, kind, key);
+        boolean searches = decision == SearchDecisions.Decision.SEARCH;
         if ((mayFit || searches) && place(unit, kind, mayFit, searches)) {
             return;
         }
@@ -167,11 +147,8 @@
         if (key != null) {
             unplaceable.add(key);
         }
-        if (searches || ruledOut) {
-            unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
-            if (key != null) {
-                searchedInVain.add(key);
-            }
+        if (decision != SearchDecisions.Decision.NOT_NOW) {
+            searchDecisions.recordFailure(unit, key);
         }
     }
 
@@ -216,21 +193,6 @@
                 && mayFit(unit);
     }
 
-    /** Returns whether earlier searches of the pass show that running tasks cannot make room for the unit. */
-    private boolean isRuledOut(PlacementUnit unit, PlacementKind kind) {
-        boolean mayReserve = advanceReservations < MAX_ADVANCE_RESERVATIONS;
-        return occupiedResourceSearch.isRuledOut(unit, kind, unitWaits.millis(unit), mayReserve);
-    }
-
-    /** Returns whether the unit may search now; gives its turn to others if it needs no search. */
-    private boolean takeSearchTurn(PlacementUnit unit, boolean needed) {
-        if (!needed) {
-            searchTurns.yieldTurn(unit);
-            return false;
-        }
-        return searchTurns.take(unit);
-    }
-
     /** Forgets what did not fit, since resources were freed. */
     private void recordFreedResources() {
         withoutRoom.clear();
@@ -256,12 +218,6 @@
         return false;
     }
 
-    /** Returns whether running tasks are to be searched for room now: only for gangs and the highest priority. */
-    private boolean isSearchDue(PlacementUnit unit) {
-        return (unit.priority() == 0 || unit.step().spec.mode().gang())
-                && now.monotonicNanos() - unit.step().nextSearchNanos >= 0;
-    }
-
     /**
      * Moves a unit whose reserved resources are still in use to resources that are free at once. The runs that it waits
      * for may take much longer than predicted or may not end at all.
@@ -337,11 +293,11 @@
 
     private boolean reserveInAdvance(OccupiedResourceSearch.Scope scope) {
         long waitedMillis = unitWaits.millis(scope.unit());
-        if (advanceReservations >= MAX_ADVANCE_RESERVATIONS
+        if (!searchDecisions.mayReserveInAdvance()
                 || !reserve(scope.unit(), occupiedResourceSearch.findAdvanceReservation(scope, waitedMillis))) {
             return false;
         }
-        advanceReservations++;
+        searchDecisions.recordAdvanceReservation();
         return true;
     }
 
@@ -350,65 +306,10 @@
         if (reservation == null) {
             return false;
         }
-        stopVictims(unit, reservation);
-        unit.step().searchSkippedNanos = 0;
-        unit.step().displacedCoreSeconds = reservation.displacedCoreSeconds();
-        List<TargetState> chosen = reservation.targets();
-        for (int i = 0; i < unit.size(); i++) {
-            TaskExecution task = unit.tasks().get(i);
-            task.reservedNanos = now.monotonicNanos();
-            task.reservationExpiresNanos = reservation.expiresNanos();
-            chosen.get(i).put(task, Phase.RESERVED);
-        }
-        LOG.infof(
-                "place: request=%s step=%s tasks=%s cores=%.1f account=%s target=%s speed=%.2f seconds=%.1f slack_ms=%s"
-                        + " why=%s waited_ms=%s",
-                unit.job().id(),
-                unit.step().number,
-                unit.size(),
-                unit.demand().coreEquivalents(),
-                unit.job().account(),
-                chosen.get(0).id,
-                slowestSpeed(chosen),
-                context.estimates().seconds(unit.step()) / slowestSpeed(chosen),
-                unit.step().slackMillis(now),
-                reservation.why(),
-                unitWaits.millis(unit));
-        return true;
-    }
-
-    private static double slowestSpeed(List<TargetState> targets) {
-        return targets.stream().mapToDouble(target -> target.speed).min().orElse(1);
-    }
-
-    private void stopVictims(PlacementUnit unit, Reservation reservation) {
-        for (TaskExecution task : reservation.victims()) {
-            if (task.phase == Phase.RESERVED) {
-                context.taskLifecycle().cancelReservation(task);
-                continue;
-            }
-            LOG.infof(
-                    "stop: request=%s task=%s run=%s target=%s why=%s for=%s",
-                    task.id.job(),
-                    task.id,
-                    task.lastRun,
-                    task.target.id,
-                    reservation.why(),
-                    unit.job().id());
-            context.taskLifecycle().stop(task, now);
-        }
-        countPreemptions(reservation.victims());
+        unitReserver.reserve(unit, reservation);
         if (!reservation.victims().isEmpty()) {
             recordFreedResources();
         }
-    }
-
-    private static void countPreemptions(List<TaskExecution> victims) {
-        Set<StepExecution> steps = new HashSet<>();
-        for (TaskExecution task : victims) {
-            if (task.phase == Phase.STOPPING && steps.add(task.step)) {
-                task.step.preemptionCount++;
-            }
-        }
+        return true;
     }
 }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PreemptionTest.java
@@ -165,13 +165,14 @@
         fixture.submit(fixture.job("urgent", "y", 0, PoolFixture.gang(1, 8, false)));
         List<String> lines = new ArrayList<>();
         Handler handler = recordingHandler(lines);
-        Logger logger = Logger.getLogger(PlacementPass.class.getName());
+        Logger logger = Logger.getLogger(PlacementPass.class.getPackageName());
         logger.addHandler(handler);
         for (int i = 0; i < 250; i++) {
             fixture.advance(20);
         }
         logger.removeHandler(handler);
         assertThat(fixture.stops).isEmpty();
+        assertThat(lines).isNotEmpty();
         assertThat(lines.size()).isAtMost(5);
     }
 
