A claim at its account's limit does not wait for stops on silent targets

Stopping runs do not count as committed, so a claim whose own victim was on a silent target fitted its limit and no other own work was stopped until the lease of that target had ended. A stop older than 500 ms, and a stray run on a target without a report for 1 s, now count when own victims are chosen, and victims on targets that answer go first.

ClaimAtLimitTest failed before: aClaimDoesNotWaitForAStopOnASilentTarget and aClaimDoesNotCountOnAnEarlierStopOnASilentTarget with 0 starts (expected 1; the claim had 2,900 ms and 500 ms), victimsOnTargetsThatAnswerGoFirst with a stop on the silent target.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
@@ -34,6 +34,7 @@
     private final AccountUsage usage;
     private final Map<String, AccountTerms> accounts;
     private final LimitMonitor monitor;
+    private final OverdueStops overdueStops;
     private final ClockReading now;
 
     /** Accounts with a unit that later units below the highest priority may not overtake. */
@@ -42,10 +43,16 @@
     /** Accounts for which no running tasks could make room in this pass. */
     private final Set<String> unsearchable = new HashSet<>();
 
-    AccountLimits(AccountUsage usage, Map<String, AccountTerms> accounts, LimitMonitor monitor, ClockReading now) {
+    AccountLimits(
+            AccountUsage usage,
+            Map<String, AccountTerms> accounts,
+            LimitMonitor monitor,
+            OverdueStops overdueStops,
+            ClockReading now) {
         this.usage = usage;
         this.accounts = accounts;
         this.monitor = monitor;
+        this.overdueStops = overdueStops;
         this.now = now;
     }
 
@@ -57,7 +64,7 @@
         }
         String account = unit.job().account();
         if (unit.priority() == 0 && !unit.step().limitHoldExpired) {
-            return fitsAfter(unit, Resources.NONE);
+            return terms.isWithinLimit(usage.committed(account).plus(unit.fullDemand()));
         }
         return (unit.priority() == 0 || !closed.contains(account))
                 && terms.isWithinLimit(usage.occupied(account).plus(unit.fullDemand()));
@@ -88,14 +95,25 @@
         }
     }
 
-    /** Returns whether {@code unit} would be admitted if tasks of its account below the highest priority ended. */
+    /**
+     * Returns whether {@code unit} would fit the limit if tasks of its account below the highest priority ended, but
+     * does not otherwise, or only once overdue stops are done.
+     */
     boolean mayDisplaceOwnWork(PlacementUnit unit) {
+        AccountTerms terms = terms(unit);
+        if (unit.priority() != 0 || !terms.hasLimit()) {
+            return false;
+        }
         String account = unit.job().account();
-        Resources kept = usage.committed(account).minus(usage.yielding(account));
-        return unit.priority() == 0
-                && !fitsAfter(unit, Resources.NONE)
+        Resources kept = remaining(account).minus(usage.yielding(account));
+        return !fitsAfter(unit, Resources.NONE)
                 && !unsearchable.contains(account)
-                && terms(unit).isWithinLimit(kept.plus(unit.fullDemand()));
+                && terms.isWithinLimit(kept.plus(unit.fullDemand()));
+    }
+
+    /** Returns the resources in use once the pending stops are done, except those that are overdue. */
+    private Resources remaining(String account) {
+        return usage.committed(account).plus(overdueStops.of(account));
     }
 
     /** Records that no tasks of the account of {@code unit} can make room in this pass. */
@@ -103,9 +121,12 @@
         unsearchable.add(unit.job().account());
     }
 
-    /** Returns whether {@code unit} fits the limit once {@code ended} of its account have ended. */
+    /**
+     * Returns whether {@code unit} fits the limit once {@code ended} of its account have ended, without regard to stops
+     * that are overdue.
+     */
     boolean fitsAfter(PlacementUnit unit, Resources ended) {
-        Resources remaining = usage.committed(unit.job().account()).minus(ended);
+        Resources remaining = remaining(unit.job().account()).minus(ended);
         return terms(unit).isWithinLimit(remaining.plus(unit.fullDemand()));
     }
 
@@ -113,7 +134,7 @@
     double excessFreed(PlacementUnit unit, Resources freed) {
         Resources limit = terms(unit).limit();
         Resources lacking =
-                usage.committed(unit.job().account()).plus(unit.fullDemand()).minus(limit);
+                remaining(unit.job().account()).plus(unit.fullDemand()).minus(limit);
         double sum = MIN_GAIN;
         sum += part(freed.cpuMillis(), lacking.cpuMillis(), limit.cpuMillis());
         sum += part(freed.memoryMb(), lacking.memoryMb(), limit.memoryMb());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
@@ -12,7 +12,7 @@
 
 /**
  * A search for tasks whose stop brings a unit of the highest priority within the limit of its client account: the
- * cheapest ones of that account at lower priorities.
+ * cheapest ones of that account at lower priorities, on targets that answer if these suffice.
  *
  * <p>Only decides and changes no state. A gang is a victim only as a whole. Not optimal: takes victims by lost work per
  * freed resource, then drops those that turn out to be redundant. Created anew for each pass. Not thread-safe; confined
@@ -28,21 +28,28 @@
     private final AccountLimits limits;
     private final OccupiedResourceSearch occupiedResourceSearch;
     private final Collection<TargetState> targets;
+    private final OverdueStops overdueStops;
     private final ClockReading now;
 
     OwnWorkSearch(
             AccountLimits limits,
             OccupiedResourceSearch occupiedResourceSearch,
             Collection<TargetState> targets,
+            OverdueStops overdueStops,
             ClockReading now) {
         this.limits = limits;
         this.occupiedResourceSearch = occupiedResourceSearch;
         this.targets = targets;
+        this.overdueStops = overdueStops;
         this.now = now;
     }
 
-    /** A gang or a single task. */
-    private record Victim(List<TaskExecution> tasks, double lostCoreSeconds, double costPerGain) {}
+    /**
+     * A gang or a single task.
+     *
+     * @param answering whether all its targets answer, so that it ends soon after a stop
+     */
+    private record Victim(List<TaskExecution> tasks, boolean answering, double lostCoreSeconds, double costPerGain) {}
 
     /**
      * Returns a reservation that stops tasks of the account, and possibly others that occupy the room of the unit; null
@@ -113,7 +120,9 @@
             return null;
         }
         List<Victim> byCost = new ArrayList<>(chosen);
-        byCost.sort(Comparator.comparingDouble(Victim::lostCoreSeconds).reversed());
+        byCost.sort(Comparator.comparing(Victim::answering)
+                .thenComparing(
+                        Comparator.comparingDouble(Victim::lostCoreSeconds).reversed()));
         for (Victim victim : byCost) {
             Resources without = ended.minus(fullDemand(victim));
             if (limits.fitsAfter(unit, without)) {
@@ -124,7 +133,7 @@
         return chosen.stream().flatMap(victim -> victim.tasks().stream()).toList();
     }
 
-    /** Returns the tasks of the account below the highest priority, cheapest first. */
+    /** Returns the tasks of the account below the highest priority: on targets that answer first, then by cost. */
     private List<Victim> candidates(PlacementUnit unit) {
         List<Victim> candidates = new ArrayList<>();
         Set<StepExecution> gangs = new HashSet<>();
@@ -141,7 +150,8 @@
                 }
             }
         }
-        candidates.sort(Comparator.comparingDouble(Victim::costPerGain));
+        candidates.sort(
+                Comparator.comparing((Victim victim) -> !victim.answering()).thenComparingDouble(Victim::costPerGain));
         return candidates;
     }
 
@@ -154,7 +164,8 @@
     private Victim victim(PlacementUnit unit, List<TaskExecution> tasks) {
         double lost = tasks.stream().mapToDouble(this::lostCoreSeconds).sum();
         Resources freed = Resources.sumOf(tasks.get(0).step.spec.demand(), tasks.size());
-        return new Victim(tasks, lost, lost / limits.excessFreed(unit, freed));
+        boolean answering = tasks.stream().allMatch(task -> overdueStops.isAnswering(task.target));
+        return new Victim(tasks, answering, lost, lost / limits.excessFreed(unit, freed));
     }
 
     private double lostCoreSeconds(TaskExecution task) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -77,8 +77,10 @@
         speedTiers = new SpeedTiers(context.estimates(), targets, now);
         unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), speedTiers, targets, now);
         occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, context.estimates(), effort, now);
-        limits = new AccountLimits(context.accountUsage(), settings.accounts(), context.limitMonitor(), now);
-        ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, now);
+        OverdueStops overdueStops = new OverdueStops(targets, now);
+        limits = new AccountLimits(
+                context.accountUsage(), settings.accounts(), context.limitMonitor(), overdueStops, now);
+        ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, overdueStops, now);
     }
 
     /**
@@ -124,11 +126,17 @@
         return unit.priority() > 0 && unit.step().spec.mode().gang() && unit.isIn(Phase.RESERVED);
     }
 
-    /** Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. */
+    /**
+     * Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. Own
+     * work also yields to a unit that is admitted only because stops count as done that are overdue.
+     */
     private void placeWithinLimit(PlacementUnit unit) {
+        if (displaceOwnWork(unit)) {
+            return;
+        }
         if (limits.admits(unit)) {
             place(unit);
-        } else if (!displaceOwnWork(unit)) {
+        } else {
             limits.holdBack(unit);
         }
     }
@@ -141,7 +149,9 @@
         if (reserve(unit, ownWorkSearch.find(unit, unitWaits.localityTiers(unit), unitWaits.isClaim(unit)))) {
             return true;
         }
-        unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
+        if (!limits.admits(unit)) {
+            unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
+        }
         limits.recordSearchFailed(unit);
         return false;
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -114,6 +114,7 @@
             task.incarnation = persisted.incarnation();
             task.confirmedNanos = now.monotonicNanos();
             task.lastProgressNanos = now.monotonicNanos();
+            task.stoppingSinceNanos = now.monotonicNanos();
             target.put(task, execution.state.isTerminal() ? Phase.STOPPING : Phase.RUNNING);
         }
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -43,6 +43,7 @@
 
     /** Handles a report of {@code target}; one of another incarnation means a restart. */
     void handle(TargetState target, TargetReport report, ClockReading now) {
+        target.lastReportNanos = now.monotonicNanos();
         adoptRuns(target, report);
         handleRestart(target, report.incarnation(), now);
         long lastNumber = 0;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 /**
  * The state of one target and of the tasks placed on it.
@@ -23,6 +24,9 @@
     /** Last incarnation that the target reported; 0 before the first report. */
     long incarnation;
 
+    /** Monotonic clock reading when the newest report was handled, in nanoseconds; 0 before the first. */
+    long lastReportNanos;
+
     /** Resources used by stray runs: reported runs that are not the newest run of their task on this target. */
     Resources strayDemand = Resources.NONE;
 
@@ -111,6 +115,11 @@
         accountUsage.addStray(job.account(), demand);
     }
 
+    /** Passes the account and the demand of each stray run of a known job to {@code consumer}. */
+    void forEachStrayRun(BiConsumer<String, Resources> consumer) {
+        strayRuns.forEach(run -> consumer.accept(run.account(), run.demand()));
+    }
+
     /** Records that the target has no stray runs. */
     void clearStrayRuns() {
         strayRuns.forEach(run -> accountUsage.removeStray(run.account(), run.demand()));
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -52,6 +52,9 @@
     /** Monotonic clock reading at the newest stop command, in nanoseconds. */
     long stopSentNanos;
 
+    /** Monotonic clock reading at the first stop command for the newest run, in nanoseconds. */
+    long stoppingSinceNanos;
+
     /** Number of runs that were stopped because they stalled. */
     int stallCount;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -208,6 +208,9 @@
     /** Sends a stop command for the newest run of the task. */
     void stop(TaskExecution task, ClockReading now) {
         task.stopSentNanos = now.monotonicNanos();
+        if (task.phase != Phase.STOPPING) {
+            task.stoppingSinceNanos = now.monotonicNanos();
+        }
         task.target.put(task, Phase.STOPPING);
         outbox.addStop(task.target.id, task.incarnation, task.id, task.lastRun);
     }
--- /dev/null
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -0,0 +1,76 @@
+package org.acaciaport.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests how work of the highest priority starts although its account is at its limit. */
+final class ClaimAtLimitTest {
+    /** Time from a stop command until the run has ended on a target that answers, in milliseconds. */
+    private static final int STOP_MILLIS = 250;
+
+    private final LimitFixture limits = new LimitFixture();
+    private final PoolFixture fixture = limits.pool;
+
+    /** Passes time in which all targets except {@code silent} report and end the runs that they are told to stop. */
+    private void passWithSilentTarget(String silent, int elapsedMillis) {
+        for (int elapsed = 0; elapsed < elapsedMillis; elapsed += STOP_MILLIS) {
+            List<TargetCommand.Stop> pending = List.copyOf(fixture.stops);
+            fixture.pass(STOP_MILLIS);
+            for (TargetCommand.Stop stop : pending) {
+                if (!stop.target().equals(silent)) {
+                    fixture.endRun(stop.task(), TargetReport.EndReason.STOPPED);
+                }
+            }
+            for (int i = 0; i < 4; i++) {
+                if (!silent.equals("t" + i)) {
+                    fixture.report("t" + i);
+                }
+            }
+        }
+    }
+
+    /** Guards against a claim that waits for the lease of a silent target while other own work could be stopped. */
+    @Test
+    void aClaimDoesNotWaitForAStopOnASilentTarget() {
+        limits.setTerms("a", 8, 24);
+        limits.addTargets(4);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(3, 8)));
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+        passWithSilentTarget(fixture.stops.get(0).target(), LimitFixture.MAX_CLAIM_MILLIS);
+        assertThat(fixture.startsOf("claim")).hasSize(1);
+        assertThat(fixture.stops).hasSize(2);
+    }
+
+    /** Guards against a claim that arrives while a stop on a silent target is pending and counts on its end. */
+    @Test
+    void aClaimDoesNotCountOnAnEarlierStopOnASilentTarget() {
+        limits.setTerms("a", 8, 24);
+        limits.addTargets(4);
+        fixture.submit(fixture.job("gone", "a", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(2, 8)));
+        String silent = fixture.startsOf("gone").get(0).target();
+        fixture.pool.cancel("gone", fixture.now());
+        passWithSilentTarget(silent, 1_000);
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(1, 8)));
+        passWithSilentTarget(silent, 500);
+        assertThat(fixture.startsOf("claim")).hasSize(1);
+    }
+
+    /** Guards against victims on a target that does not answer, although others would end at once. */
+    @Test
+    void victimsOnTargetsThatAnswerGoFirst() {
+        limits.setTerms("a", 8, 16);
+        limits.addTargets(4);
+        fixture.submit(fixture.job("dear", "a", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.pass(2_000);
+        fixture.submit(fixture.job("cheap", "a", 2, PoolFixture.independentTasks(1, 8)));
+        String silent = fixture.startsOf("cheap").get(0).target();
+        passWithSilentTarget(silent, 1_500);
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+        assertThat(fixture.stops.get(0).task().job()).isEqualTo("dear");
+    }
+}
