A claim at its limit stops no urgent work of others only for a faster target

The search for own work passed on that the unit is a claim also for tiers that only leave out slow targets, and chose free targets without regard to the order of the tier. Both now go as in the other searches.

UnevenTargetsTest.aClaimAtItsLimitStopsOnlyItsOwnAccountsWorkForAFasterTarget failed before: the stopped job was "busy" of another account at priority 0, expected "own". The order of the tier has no test of its own.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
@@ -56,7 +56,7 @@
      * if there is none.
      *
      * @param tiers targets that the unit accepts
-     * @param claim whether the unit is a claim
+     * @param claim whether the unit is a claim, which does not count in tiers that only leave out slow targets
      */
     Reservation find(PlacementUnit unit, List<LocalityTier> tiers, boolean claim) {
         List<Victim> candidates = candidates(unit);
@@ -69,7 +69,10 @@
         for (LocalityTier tier : tiers) {
             for (List<TargetState> group : tier.groups()) {
                 List<TargetState> chosen = Placement.selectTargets(
-                        unit, group, target -> target.projectedFree().plus(freed.getOrDefault(target, Resources.NONE)));
+                        unit,
+                        group,
+                        target -> target.projectedFree().plus(freed.getOrDefault(target, Resources.NONE)),
+                        tier.order());
                 if (chosen != null) {
                     return reservation(chosen, own, "limit");
                 }
@@ -77,7 +80,8 @@
         }
         for (LocalityTier tier : tiers) {
             Reservation occupied = occupiedResourceSearch.findPreemption(
-                    new OccupiedResourceSearch.Scope(unit, null, tier, tiers.indexOf(tier)), claim);
+                    new OccupiedResourceSearch.Scope(unit, null, tier, tiers.indexOf(tier)),
+                    claim && !tier.selective());
             List<TaskExecution> more = occupied == null ? null : choose(unit, candidates, occupied.victims());
             if (more != null) {
                 Set<TaskExecution> all = new LinkedHashSet<>(occupied.victims());
--- a/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
@@ -145,6 +145,29 @@
         assertThat(targetsOf("claim")).hasSize(1);
     }
 
+    /** Guards against a claim at its account's limit that stops urgent work of others only for a faster target. */
+    @Test
+    void aClaimAtItsLimitStopsOnlyItsOwnAccountsWorkForAFasterTarget() {
+        measureTargets();
+        fixture.submit(fixture.job("busy", "y", 0, PoolFixture.independentTasks(TARGETS, 8)));
+        TargetCommand.Start slow = fixture.running.values().stream()
+                .filter(start -> speeds.get(start.target()) == 0.6)
+                .findFirst()
+                .orElseThrow();
+        fixture.endRun(slow.task(), TargetReport.EndReason.DONE);
+        fixture.submit(fixture.job("own", "x", 2, PoolFixture.independentTasks(1, 8)));
+        assertThat(targetsOf("own")).containsExactly(slow.target());
+        AccountTerms terms = new AccountTerms(8, 0, new Resources(0, 0, 8));
+        fixture.pool.configure(new PoolSettings(Map.of("x", terms), Set.of(), Set.of(PoolFixture.SERVICE)));
+        fixture.submit(urgent("claim", PoolFixture.gang(1, 8, false)));
+        for (int elapsed = 0; elapsed < LimitFixture.MAX_CLAIM_MILLIS; elapsed += 100) {
+            fixture.stops.forEach(stop -> assertThat(stop.task().job()).isEqualTo("own"));
+            fixture.completeStops();
+            fixture.advance(100);
+        }
+        assertThat(targetsOf("claim")).containsExactly(slow.target());
+    }
+
     /** Guards against decisions that change on equally fast targets. */
     @Test
     void equallyFastTargetsAreFilledAsBefore() {
