A failed search for own work answers only for units that need as much

One unit without room kept all later units of its account from being searched in each pass, also smaller ones. Failed searches are now kept by account, kind and demand (FailedUnits), and by step for units without a kind.

ClaimAtLimitTest.aUnitWithoutRoomDoesNotBlockASmallerOneOfItsAccount failed before: 0 stops in five passes, expected 4.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
@@ -40,8 +40,8 @@
     /** Accounts with a unit that later units below the highest priority may not overtake. */
     private final Set<String> closed = new HashSet<>();
 
-    /** Accounts for which no running tasks could make room in this pass. */
-    private final Set<String> unsearchable = new HashSet<>();
+    /** Units for which no running tasks of their accounts could make room in this pass. */
+    private final FailedUnits<SearchKey> unsearchable = new FailedUnits<>();
 
     AccountLimits(
             AccountUsage usage,
@@ -56,6 +56,19 @@
         this.now = now;
     }
 
+    /**
+     * What units must share so that the failed search of one answers for another.
+     *
+     * @param account account of the units
+     * @param kind kind of the units; null if they are comparable only within a step
+     * @param step step of the units; null unless {@code kind} is
+     */
+    private record SearchKey(String account, PlacementKind kind, StepExecution step) {
+        static SearchKey of(PlacementUnit unit, PlacementKind kind) {
+            return new SearchKey(unit.job().account(), kind, kind == null ? unit.step() : null);
+        }
+    }
+
     /** Returns whether resources may be reserved for {@code unit}. */
     boolean admits(PlacementUnit unit) {
         AccountTerms terms = terms(unit);
@@ -106,9 +119,7 @@
         }
         String account = unit.job().account();
         Resources kept = remaining(account).minus(usage.yielding(account));
-        return !fitsAfter(unit, Resources.NONE)
-                && !unsearchable.contains(account)
-                && terms.isWithinLimit(kept.plus(unit.fullDemand()));
+        return !fitsAfter(unit, Resources.NONE) && terms.isWithinLimit(kept.plus(unit.fullDemand()));
     }
 
     /** Returns the resources in use once the pending stops are done, except those that are overdue. */
@@ -116,9 +127,18 @@
         return usage.committed(account).plus(overdueStops.of(account));
     }
 
-    /** Records that no tasks of the account of {@code unit} can make room in this pass. */
-    void recordSearchFailed(PlacementUnit unit) {
-        unsearchable.add(unit.job().account());
+    /**
+     * Returns whether an earlier search in this pass shows that no tasks of its account can make room for {@code unit}.
+     *
+     * @param kind kind of the unit; null if its searches answer for no other step
+     */
+    boolean isSearchAnswered(PlacementUnit unit, PlacementKind kind) {
+        return unsearchable.answersFor(SearchKey.of(unit, kind), unit);
+    }
+
+    /** Records that no tasks of the account of {@code unit} can make room for it in this pass. */
+    void recordSearchFailed(PlacementUnit unit, PlacementKind kind) {
+        unsearchable.add(SearchKey.of(unit, kind), unit);
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -143,7 +143,7 @@
 
     /** Stops work of lower priorities of the unit's own account to bring the unit within the account's limit. */
     private boolean displaceOwnWork(PlacementUnit unit) {
-        if (!limits.mayDisplaceOwnWork(unit) || !isSearchDue(unit)) {
+        if (!limits.mayDisplaceOwnWork(unit) || !isSearchDue(unit) || limits.isSearchAnswered(unit, kind(unit))) {
             return false;
         }
         if (reserve(unit, ownWorkSearch.find(unit, unitWaits.localityTiers(unit), unitWaits.isClaim(unit)))) {
@@ -152,7 +152,7 @@
         if (!limits.admits(unit)) {
             unit.step().nextSearchNanos = now.nanosAfter(SEARCH_INTERVAL_MILLIS);
         }
-        limits.recordSearchFailed(unit);
+        limits.recordSearchFailed(unit, kind(unit));
         return false;
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -10,6 +10,8 @@
     /** Time from a stop command until the run has ended on a target that answers, in milliseconds. */
     private static final int STOP_MILLIS = 250;
 
+    private static final int PASS_INTERVAL_MILLIS = 50;
+
     private final LimitFixture limits = new LimitFixture();
     private final PoolFixture fixture = limits.pool;
 
@@ -73,4 +75,20 @@
         assertThat(fixture.stops).hasSize(1);
         assertThat(fixture.stops.get(0).task().job()).isEqualTo("dear");
     }
+
+    /** Guards against a large unit for which there is no room and which keeps small ones from being searched. */
+    @Test
+    void aUnitWithoutRoomDoesNotBlockASmallerOneOfItsAccount() {
+        limits.setTerms("a", 16, 16);
+        limits.addTargets(3);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(16, 1)));
+        fixture.pool.submit(fixture.job("a-large", "a", 0, PoolFixture.gang(1, 9, false)));
+        fixture.pool.submit(fixture.job("b-small", "a", 0, PoolFixture.gang(1, 4, false)));
+        for (int i = 0; i < 5; i++) {
+            fixture.advance(2 * PASS_INTERVAL_MILLIS);
+        }
+        assertThat(fixture.stops).hasSize(4);
+        fixture.completeStops();
+        assertThat(limits.runningOf("b-small")).isEqualTo(1);
+    }
 }
