Reserved units of accounts with a limit start in scheduling order

They started in the order of their jobs, so own work of lower priority that was reserved earlier took what a claim could have started in, and the claim waited for further stops. Without limits the order of starts is unchanged.

ClaimAtLimitTest.aClaimStartsBeforeOwnWorkThatWasReservedEarlier failed before: 0 tasks of the claim run, expected 1.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
@@ -83,6 +83,11 @@
                 && terms.isWithinLimit(usage.occupied(account).plus(unit.fullDemand()));
     }
 
+    /** Returns whether the account of {@code unit} has a limit. */
+    boolean apply(PlacementUnit unit) {
+        return terms(unit).hasLimit();
+    }
+
     /** Returns whether a start of {@code unit} keeps its account within the limit. */
     boolean mayStart(PlacementUnit unit) {
         AccountTerms terms = terms(unit);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -116,7 +116,7 @@
                 reviewReservation(unit);
             }
         }
-        new UnitStarter(context, placement, limits, now).startReserved(jobs);
+        new UnitStarter(context, placement, limits, now).startReserved(units, jobs);
         context.limitMonitor().endPass(settings.accounts(), context.accountUsage(), now);
         return effort;
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -21,8 +21,18 @@
         this.now = now;
     }
 
-    /** Starts every unit whose reserved resources are all free and whose account stays within its limit. */
-    void startReserved(Collection<JobExecution> jobs) {
+    /**
+     * Starts every unit whose reserved resources are all free and whose account stays within its limit. Units of
+     * accounts with a limit go first, since what one of them starts may keep out another.
+     *
+     * @param units units that were waiting or reserved when the pass began, in scheduling order
+     */
+    void startReserved(List<PlacementUnit> units, Collection<JobExecution> jobs) {
+        for (PlacementUnit unit : units) {
+            if (limits.apply(unit) && unit.isIn(Phase.RESERVED)) {
+                start(unit);
+            }
+        }
         for (JobExecution job : jobs) {
             if (job.state.isTerminal()) {
                 continue;
--- a/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -91,4 +91,24 @@
         fixture.completeStops();
         assertThat(limits.runningOf("b-small")).isEqualTo(1);
     }
+
+    /** Guards against own work of lower priority that was reserved earlier and takes what a claim could start in. */
+    @Test
+    void aClaimStartsBeforeOwnWorkThatWasReservedEarlier() {
+        limits.setTerms("a", 8, 20);
+        limits.addTargets(3);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.submit(fixture.job("other", "b", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.submit(fixture.job("gone", "a", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.pool.cancel("gone", fixture.now());
+        fixture.pool.cancel("other", fixture.now());
+        fixture.submit(fixture.job("low", "a", 2, PoolFixture.independentTasks(1, 4)));
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(1, 4)));
+        assertThat(fixture.pool.backlog().reserved()).isEqualTo(2);
+        fixture.endRun(PoolFixture.taskId("other", 0), TargetReport.EndReason.STOPPED);
+        assertThat(limits.runningOf("claim")).isEqualTo(1);
+        assertThat(limits.runningOf("low")).isEqualTo(0);
+        fixture.endRun(PoolFixture.taskId("gone", 0), TargetReport.EndReason.STOPPED);
+        assertThat(limits.runningOf("low")).isEqualTo(1);
+    }
 }
