Single tasks of a step do not hold resources one after the other

The start of one task reset the mark that its step has held free resources for long enough, so each sibling held some for another second while it waited for a stop on a silent target. The mark now stays until the last task starts.

ClaimAtLimitTest.theStartOfOneTaskDoesNotLetItsSiblingsHoldResourcesAgain failed before: 1 reserved task, expected 0.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -37,7 +37,8 @@
 
     /**
      * Whether a unit of this step has waited too long for its account's stopped runs to end, so that it reserves
-     * resources only once it could start.
+     * resources only once it could start. Reset when the last of its units starts, so that single tasks do not hold
+     * resources one after the other.
      */
     boolean limitHoldExpired;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -80,7 +80,7 @@
             }
             return;
         }
-        unit.step().limitHoldExpired = false;
+        unit.step().limitHoldExpired &= hasFurtherUnits(unit);
         double slowest = Double.MAX_VALUE;
         int run = 0;
         for (TaskExecution task : unit.tasks()) {
@@ -99,6 +99,13 @@
         }
     }
 
+    /** Returns whether other units of the step of {@code unit} have no run yet. */
+    private static boolean hasFurtherUnits(PlacementUnit unit) {
+        return unit.step().tasks.stream()
+                .anyMatch(task ->
+                        !unit.tasks().contains(task) && (task.phase == Phase.WAITING || task.phase == Phase.RESERVED));
+    }
+
     /** Cancels an expired reservation of a unit of the highest priority, so that the next pass chooses anew. */
     private void cancelExpiredReservation(PlacementUnit unit) {
         if (unit.priority() != 0 || now.monotonicNanos() - unit.tasks().get(0).reservationExpiresNanos < 0) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -111,4 +111,24 @@
         fixture.endRun(PoolFixture.taskId("gone", 0), TargetReport.EndReason.STOPPED);
         assertThat(limits.runningOf("low")).isEqualTo(1);
     }
+
+    /** Guards against free resources that each single task of a step holds anew for stops on a silent target. */
+    @Test
+    void theStartOfOneTaskDoesNotLetItsSiblingsHoldResourcesAgain() {
+        limits.setTerms("a", 8, 8);
+        limits.addTargets(3);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(2, 4)));
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(2, 4)));
+        assertThat(fixture.stops).hasSize(2);
+        fixture.pass(2_000);
+        assertThat(fixture.pool.backlog().reserved()).isEqualTo(0);
+        fixture.endRun(fixture.stops.get(0).task(), TargetReport.EndReason.STOPPED);
+        assertThat(limits.runningOf("claim")).isEqualTo(1);
+        for (int i = 0; i < 10; i++) {
+            fixture.advance(2 * PASS_INTERVAL_MILLIS);
+            assertThat(fixture.pool.backlog().reserved()).isEqualTo(0);
+        }
+        fixture.endRun(fixture.stops.get(1).task(), TargetReport.EndReason.STOPPED);
+        assertThat(limits.runningOf("claim")).isEqualTo(2);
+    }
 }
