A start is sent again only if the pool still wants it

The session now asks the leader's thread first. The resend checks its age again, so that no start is sent after the lease under which it was first sent may have expired.

UnwantedRunTest.aStartBeyondALoweredLimitIsNotSentAgain failed before: the target had started [a.0.0.0], expected none. The recorders of the other session tests resend at once, as the session did.

--- a/acacia-node/src/main/java/org/acaciaport/node/SessionEvents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/SessionEvents.java
@@ -18,6 +18,12 @@
      */
     void notStarted(TargetCommand.Start start, String reason, long exclusionMillis);
 
+    /**
+     * Called before a start that certainly has not happened is sent again. The implementation calls {@code resend} on
+     * a thread that may block if the start is still wanted, and otherwise handles it as one that has not happened.
+     */
+    void startAbsent(TargetCommand.Start start, Runnable resend);
+
     /**
      * Called when the target did not answer.
      *
--- a/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
@@ -101,12 +101,26 @@
     /** Sends a start again that has certainly not started a run, unless it is too old. */
     private void handleAbsent(UnansweredStarts.UnansweredStart each) {
         if (isWithinResendLimit(each.sentNanos())) {
-            send(each.start(), each.sentNanos());
+            resendIfWanted(each.start(), each.sentNanos());
         } else {
             events.notStarted(each.start(), "no answer", TargetSession.EXCLUSION_MILLIS);
         }
     }
 
+    /** Sends a start again if the pool still wants it: the limit of its account may have been lowered meanwhile. */
+    private void resendIfWanted(TargetCommand.Start start, long firstNanos) {
+        events.startAbsent(start, () -> resolveLaterIfFailed(start, firstNanos, () -> resend(start, firstNanos)));
+    }
+
+    /** Sends a start again, unless so much time has passed that the lease under which it was sent may have expired. */
+    private void resend(TargetCommand.Start start, long firstNanos) {
+        if (isWithinResendLimit(firstNanos)) {
+            send(start, firstNanos);
+        } else {
+            events.notStarted(start, "no answer", TargetSession.EXCLUSION_MILLIS);
+        }
+    }
+
     private static boolean isWithinResendLimit(long firstNanos) {
         return System.nanoTime() - firstNanos < RESEND_LIMIT_MILLIS * Clocks.NANOS_PER_MILLI;
     }
@@ -160,7 +174,7 @@
         switch (refused.reason()) {
             case FENCE -> {
                 if (request.fence() < link.fence() && isWithinResendLimit(firstNanos)) {
-                    send(start, firstNanos);
+                    resendIfWanted(start, firstNanos);
                     return;
                 }
                 events.notStarted(start, "fence", 0);
@@ -170,7 +184,7 @@
             }
             case LATE -> {
                 if (isWithinResendLimit(firstNanos)) {
-                    send(start, firstNanos);
+                    resendIfWanted(start, firstNanos);
                 } else {
                     events.notStarted(start, "late", TargetSession.EXCLUSION_MILLIS);
                 }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -282,6 +282,17 @@
         events.post(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
     }
 
+    @Override
+    public void startAbsent(TargetCommand.Start start, Runnable resend) {
+        events.post(() -> {
+            if (pool.isWanted(start)) {
+                executor.execute(resend);
+            } else {
+                pool.handleStartFailure(start, "not wanted", 0, Clocks.now());
+            }
+        });
+    }
+
     @Override
     public void unresponsive(String target, long exclusionMillis) {
         events.post(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
@@ -196,6 +196,11 @@
             throw new AssertionError(reason);
         }
 
+        @Override
+        public void startAbsent(TargetCommand.Start start, Runnable resend) {
+            resend.run();
+        }
+
         @Override
         public void unresponsive(String target, long exclusionMillis) {
             unresponsive.add(target);
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -235,6 +235,11 @@
             throw new AssertionError(reason);
         }
 
+        @Override
+        public void startAbsent(TargetCommand.Start start, Runnable resend) {
+            resend.run();
+        }
+
         @Override
         public void unresponsive(String target, long exclusionMillis) {
             assertThat(exclusionMillis).isGreaterThan(0);
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Pool;
@@ -122,6 +123,29 @@
         assertThat(target.started).isEmpty();
     }
 
+    /** Guards against a start that is sent again although the limit of its account was lowered below it meanwhile. */
+    @Test
+    void aStartBeyondALoweredLimitIsNotSentAgain() {
+        Batch batch = placeTask();
+        target.startsToThrow = 1;
+        setLimit(new Resources(500, 0, 0));
+        release(batch);
+        Conditions.await(this::isWaiting);
+        assertThat(target.started).isEmpty();
+    }
+
+    private void setLimit(Resources limit) {
+        synchronized (pool) {
+            pool.configure(new PoolSettings(Map.of("account", AccountTerms.ofLimit(limit)), Set.of(), Set.of(SERVICE)));
+        }
+    }
+
+    private boolean isWaiting() {
+        synchronized (pool) {
+            return pool.backlog().running() == 0;
+        }
+    }
+
     /**
      * Passes the events of the session to the pool as {@link Term} does. Stops that the pool issues after a report are
      * not sent, so that only the session can repeat one.
@@ -152,6 +176,20 @@
             }
         }
 
+        @Override
+        public void startAbsent(TargetCommand.Start start, Runnable resend) {
+            boolean wanted;
+            synchronized (pool) {
+                wanted = pool.isWanted(start);
+                if (!wanted) {
+                    pool.handleStartFailure(start, "not wanted", 0, Clocks.now());
+                }
+            }
+            if (wanted) {
+                resend.run();
+            }
+        }
+
         @Override
         public void unresponsive(String id, long exclusionMillis) {
             synchronized (pool) {
