--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountLimits.java
@@ -34,21 +34,41 @@
     private final AccountUsage usage;
     private final Map<String, AccountTerms> accounts;
     private final LimitMonitor monitor;
+    private final OverdueStops overdueStops;
     private final ClockReading now;
 
     /** Accounts with a unit that later units below the highest priority may not overtake. */
     private final Set<String> closed = new HashSet<>();
 
-    /** Accounts for which no running tasks could make room in this pass. */
-    private final Set<String> unsearchable = new HashSet<>();
+    /** Units for which no running tasks of their accounts could make room in this pass. */
+    private final FailedUnits<SearchKey> unsearchable = new FailedUnits<>();
 
-    AccountLimits(AccountUsage usage, Map<String, AccountTerms> accounts, LimitMonitor monitor, ClockReading now) {
+    AccountLimits(
+            AccountUsage usage,
+            Map<String, AccountTerms> accounts,
+            LimitMonitor monitor,
+            OverdueStops overdueStops,
+            ClockReading now) {
         this.usage = usage;
         this.accounts = accounts;
         this.monitor = monitor;
+        this.overdueStops = overdueStops;
         this.now = now;
     }
 
+    /**
+     * What units must share so that the failed search of one answers for another.
+     *
+     * @param account account of the units
+     * @param kind kind of the units; null if they are comparable only within a step
+     * @param step step of the units; null unless {@code kind} is
+     */
+    private record SearchKey(String account, PlacementKind kind, StepExecution step) {
+        static SearchKey of(PlacementUnit unit, PlacementKind kind) {
+            return new SearchKey(unit.job().account(), kind, kind == null ? unit.step() : null);
+        }
+    }
+
     /** Returns whether resources may be reserved for {@code unit}. */
     boolean admits(PlacementUnit unit) {
         AccountTerms terms = terms(unit);
@@ -57,12 +77,17 @@
         }
         String account = unit.job().account();
         if (unit.priority() == 0 && !unit.step().limitHoldExpired) {
-            return fitsAfter(unit, Resources.NONE);
+            return terms.isWithinLimit(usage.committed(account).plus(unit.fullDemand()));
         }
         return (unit.priority() == 0 || !closed.contains(account))
                 && terms.isWithinLimit(usage.occupied(account).plus(unit.fullDemand()));
     }
 
+    /** Returns whether the account of {@code unit} has a limit. */
+    boolean apply(PlacementUnit unit) {
+        return terms(unit).hasLimit();
+    }
+
     /** Returns whether a start of {@code unit} keeps its account within the limit. */
     boolean mayStart(PlacementUnit unit) {
         AccountTerms terms = terms(unit);
@@ -88,24 +113,45 @@
         }
     }
 
-    /** Returns whether {@code unit} would be admitted if tasks of its account below the highest priority ended. */
+    /**
+     * Returns whether {@code unit} would fit the limit if tasks of its account below the highest priority ended, but
+     * does not otherwise, or only once overdue stops are done.
+     */
     boolean mayDisplaceOwnWork(PlacementUnit unit) {
+        AccountTerms terms = terms(unit);
+        if (unit.priority() != 0 || !terms.hasLimit()) {
+            return false;
+        }
         String account = unit.job().account();
-        Resources kept = usage.committed(account).minus(usage.yielding(account));
-        return unit.priority() == 0
-                && !fitsAfter(unit, Resources.NONE)
-                && !unsearchable.contains(account)
-                && terms(unit).isWithinLimit(kept.plus(unit.fullDemand()));
+        Resources kept = remaining(account).minus(usage.yielding(account));
+        return !fitsAfter(unit, Resources.NONE) && terms.isWithinLimit(kept.plus(unit.fullDemand()));
+    }
+
+    /** Returns the resources in use once the pending stops are done, except those that are overdue. */
+    private Resources remaining(String account) {
+        return usage.committed(account).plus(overdueStops.of(account));
     }
 
-    /** Records that no tasks of the account of {@code unit} can make room in this pass. */
-    void recordSearchFailed(PlacementUnit unit) {
-        unsearchable.add(unit.job().account());
+    /**
+     * Returns whether an earlier search in this pass shows that no tasks of its account can make room for {@code unit}.
+     *
+     * @param kind kind of the unit; null if its searches answer for no other step
+     */
+    boolean isSearchAnswered(PlacementUnit unit, PlacementKind kind) {
+        return unsearchable.rulesOut(SearchKey.of(unit, kind), unit);
     }
 
-    /** Returns whether {@code unit} fits the limit once {@code ended} of its account have ended. */
+    /** Records that no tasks of the account of {@code unit} can make room for it in this pass. */
+    void recordSearchFailed(PlacementUnit unit, PlacementKind kind) {
+        unsearchable.add(SearchKey.of(unit, kind), unit);
+    }
+
+    /**
+     * Returns whether {@code unit} fits the limit once {@code ended} of its account have ended, without regard to stops
+     * that are overdue.
+     */
     boolean fitsAfter(PlacementUnit unit, Resources ended) {
-        Resources remaining = usage.committed(unit.job().account()).minus(ended);
+        Resources remaining = remaining(unit.job().account()).minus(ended);
         return terms(unit).isWithinLimit(remaining.plus(unit.fullDemand()));
     }
 
@@ -113,7 +159,7 @@
     double excessFreed(PlacementUnit unit, Resources freed) {
         Resources limit = terms(unit).limit();
         Resources lacking =
-                usage.committed(unit.job().account()).plus(unit.fullDemand()).minus(limit);
+                remaining(unit.job().account()).plus(unit.fullDemand()).minus(limit);
         double sum = MIN_GAIN;
         sum += part(freed.cpuMillis(), lacking.cpuMillis(), limit.cpuMillis());
         sum += part(freed.memoryMb(), lacking.memoryMb(), limit.memoryMb());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -64,9 +64,11 @@
         speedTiers = new SpeedTiers(context.estimates(), targets, now);
         unitWaits = new UnitWaits(placement, accountDemand, context.targetHealth(), speedTiers, targets, now);
         occupiedResourceSearch = new OccupiedResourceSearch(accountDemand, context.estimates(), effort, now);
-        limits = new AccountLimits(context.accountUsage(), settings.accounts(), context.limitMonitor(), now);
+        OverdueStops overdueStops = new OverdueStops(targets, now);
+        limits = new AccountLimits(
+                context.accountUsage(), settings.accounts(), context.limitMonitor(), overdueStops, now);
         unitReserver = new UnitReserver(context.taskLifecycle(), context.estimates(), unitWaits, now);
-        ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, now);
+        ownWorkSearch = new OwnWorkSearch(limits, occupiedResourceSearch, targets, overdueStops, now);
     }
 
     /**
@@ -101,30 +103,40 @@
             }
         }
         searchDecisions.endPass();
-        new UnitStarter(context, placement, limits, now).startReserved(jobs);
+        new UnitStarter(context, placement, limits, now).startReserved(units, jobs);
         context.limitMonitor().endPass(settings.accounts(), context.accountUsage(), now);
         return effort;
     }
 
-    /** Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. */
+    /**
+     * Places a unit that its account's limit admits, and lets others wait unless their own account's work yields. Own
+     * work also yields to a unit that is admitted only because stops count as done that are overdue.
+     */
     private void placeWithinLimit(PlacementUnit unit) {
+        if (displaceOwnWork(unit)) {
+            return;
+        }
         if (limits.admits(unit)) {
             place(unit);
-        } else if (!displaceOwnWork(unit)) {
+        } else {
             limits.holdBack(unit);
         }
     }
 
     /** Stops work of lower priorities of the unit's own account to bring the unit within the account's limit. */
     private boolean displaceOwnWork(PlacementUnit unit) {
-        if (!limits.mayDisplaceOwnWork(unit) || !searchDecisions.isDue(unit)) {
+        if (!limits.mayDisplaceOwnWork(unit)
+                || !searchDecisions.isDue(unit)
+                || limits.isSearchAnswered(unit, kind(unit))) {
             return false;
         }
         if (reserve(unit, ownWorkSearch.find(unit, unitWaits.localityTiers(unit), unitWaits.isClaim(unit)))) {
             return true;
         }
-        searchDecisions.postpone(unit);
-        limits.recordSearchFailed(unit);
+        if (!limits.admits(unit)) {
+            searchDecisions.postpone(unit);
+        }
+        limits.recordSearchFailed(unit, kind(unit));
         return false;
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -21,8 +21,18 @@
         this.now = now;
     }
 
-    /** Starts every unit whose reserved resources are all free and whose account stays within its limit. */
-    void startReserved(Collection<JobExecution> jobs) {
+    /**
+     * Starts every unit whose reserved resources are all free and whose account stays within its limit. Units of
+     * accounts with a limit go first, since what one of them starts may keep out another.
+     *
+     * @param units units that were waiting or reserved when the pass began, in scheduling order
+     */
+    void startReserved(List<PlacementUnit> units, Collection<JobExecution> jobs) {
+        for (PlacementUnit unit : units) {
+            if (limits.apply(unit) && unit.isIn(Phase.RESERVED)) {
+                start(unit);
+            }
+        }
         for (JobExecution job : jobs) {
             if (job.state.isTerminal()) {
                 continue;
@@ -70,7 +80,7 @@
             }
             return;
         }
-        unit.step().limitHoldExpired = false;
+        unit.step().limitHoldExpired &= hasFurtherUnits(unit);
         double slowest = Double.MAX_VALUE;
         int run = 0;
         for (TaskExecution task : unit.tasks()) {
@@ -89,6 +99,13 @@
         }
     }
 
+    /** Returns whether other units of the step of {@code unit} have no run yet. */
+    private static boolean hasFurtherUnits(PlacementUnit unit) {
+        return unit.step().tasks.stream()
+                .anyMatch(task ->
+                        !unit.tasks().contains(task) && (task.phase == Phase.WAITING || task.phase == Phase.RESERVED));
+    }
+
     /** Cancels an expired reservation of a unit of the highest priority, so that the next pass chooses anew. */
     private void cancelExpiredReservation(PlacementUnit unit) {
         if (unit.priority() != 0 || now.monotonicNanos() - unit.tasks().get(0).reservationExpiresNanos < 0) {
