Own work is stopped at the same costs as in other preemptions

OwnWorkSearch had a cost of a stop of its own, without the delay it causes and the work displaced for the victim, and a record that repeated Victim. It now uses VictimCost and Victim of the preemption planner. No test changed; no run has compared the victims before and after.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OwnWorkSearch.java
@@ -19,11 +19,7 @@
  * to the thread of the pool.
  */
 final class OwnWorkSearch {
-    /** Run time lost at most when a task with checkpoints is stopped, in seconds: the time between two checkpoints. */
-    private static final double MAX_CHECKPOINTED_LOSS_SECONDS = 0.5;
-
-    /** Part of the cost of any run, in seconds, so that a run that has only just started is not stopped for free. */
-    private static final double MIN_LOSS_SECONDS = 0.1;
+    private static final Comparator<Victim> SILENT_FIRST = Comparator.comparing(victim -> victim.answering);
 
     private final AccountLimits limits;
     private final OccupiedResourceSearch occupiedResourceSearch;
@@ -44,13 +40,6 @@
         this.now = now;
     }
 
-    /**
-     * A gang or a single task.
-     *
-     * @param answering whether all its targets answer, so that it ends soon after a stop
-     */
-    private record Victim(List<TaskExecution> tasks, boolean answering, double lostCoreSeconds, double costPerGain) {}
-
     /**
      * Returns a reservation that stops tasks of the account, and possibly others that occupy the room of the unit; null
      * if there is none.
@@ -60,12 +49,12 @@
      */
     Reservation find(PlacementUnit unit, List<LocalityTier> tiers, boolean claim) {
         List<Victim> candidates = candidates(unit);
-        List<TaskExecution> own = choose(unit, candidates, List.of());
+        List<Victim> own = choose(unit, candidates, List.of());
         if (own == null) {
             return null;
         }
         Map<TargetState, Resources> freed = new HashMap<>();
-        own.forEach(task -> freed.merge(task.target, task.demand(), Resources::plus));
+        tasksOf(own).forEach(task -> freed.merge(task.target, task.demand(), Resources::plus));
         for (LocalityTier tier : tiers) {
             for (List<TargetState> group : tier.groups()) {
                 List<TargetState> chosen = Placement.selectTargets(
@@ -74,7 +63,7 @@
                         target -> target.projectedFree().plus(freed.getOrDefault(target, Resources.NONE)),
                         tier.order());
                 if (chosen != null) {
-                    return reservation(chosen, own, "limit");
+                    return new Reservation(chosen, tasksOf(own), "limit", costOf(own), now.monotonicNanos());
                 }
             }
         }
@@ -82,26 +71,35 @@
             Reservation occupied = occupiedResourceSearch.findPreemption(
                     new OccupiedResourceSearch.Scope(unit, null, tier, tiers.indexOf(tier)),
                     claim && !tier.selective());
-            List<TaskExecution> more = occupied == null ? null : choose(unit, candidates, occupied.victims());
+            List<Victim> more = occupied == null ? null : choose(unit, candidates, occupied.victims());
             if (more != null) {
-                Set<TaskExecution> all = new LinkedHashSet<>(occupied.victims());
-                all.addAll(more);
-                return reservation(occupied.targets(), List.copyOf(all), occupied.why());
+                return extended(occupied, more);
             }
         }
         return null;
     }
 
-    private Reservation reservation(List<TargetState> chosen, List<TaskExecution> victims, String why) {
-        double lost = victims.stream().mapToDouble(this::lostCoreSeconds).sum();
-        return new Reservation(chosen, victims, why, lost, now.monotonicNanos());
+    /** Returns {@code occupied} with the victims {@code more}, none of which it has. */
+    private Reservation extended(Reservation occupied, List<Victim> more) {
+        Set<TaskExecution> all = new LinkedHashSet<>(occupied.victims());
+        all.addAll(tasksOf(more));
+        double lost = occupied.displacedCoreSeconds() + costOf(more);
+        return new Reservation(occupied.targets(), List.copyOf(all), occupied.why(), lost, now.monotonicNanos());
+    }
+
+    private static List<TaskExecution> tasksOf(List<Victim> victims) {
+        return victims.stream().flatMap(victim -> victim.tasks.stream()).toList();
+    }
+
+    private static double costOf(List<Victim> victims) {
+        return victims.stream().mapToDouble(victim -> victim.cost).sum();
     }
 
     /**
      * Returns the victims among {@code candidates} that the limit requires beside {@code stopped}, which are to be
      * stopped anyway; null if all of them would not suffice.
      */
-    private List<TaskExecution> choose(PlacementUnit unit, List<Victim> candidates, Collection<TaskExecution> stopped) {
+    private List<Victim> choose(PlacementUnit unit, List<Victim> candidates, Collection<TaskExecution> stopped) {
         Set<TaskExecution> counted = new HashSet<>(stopped);
         Resources ended = Resources.NONE;
         for (TaskExecution task : stopped) {
@@ -115,7 +113,7 @@
             if (limits.fitsAfter(unit, ended)) {
                 break;
             }
-            if (!counted.contains(victim.tasks().get(0))) {
+            if (!counted.contains(victim.tasks.get(0))) {
                 chosen.add(victim);
                 ended = ended.plus(fullDemand(victim));
             }
@@ -124,9 +122,7 @@
             return null;
         }
         List<Victim> byCost = new ArrayList<>(chosen);
-        byCost.sort(Comparator.comparing(Victim::answering)
-                .thenComparing(
-                        Comparator.comparingDouble(Victim::lostCoreSeconds).reversed()));
+        byCost.sort(SILENT_FIRST.thenComparingDouble(victim -> -victim.cost));
         for (Victim victim : byCost) {
             Resources without = ended.minus(fullDemand(victim));
             if (limits.fitsAfter(unit, without)) {
@@ -134,7 +130,7 @@
                 ended = without;
             }
         }
-        return chosen.stream().flatMap(victim -> victim.tasks().stream()).toList();
+        return chosen;
     }
 
     /** Returns the tasks of the account below the highest priority: on targets that answer first, then by cost. */
@@ -148,14 +144,13 @@
                     continue;
                 }
                 if (!task.step.spec.mode().gang()) {
-                    candidates.add(victim(unit, List.of(task)));
+                    candidates.add(victim(unit, candidates.size(), List.of(task)));
                 } else if (gangs.add(task.step)) {
-                    candidates.add(victim(unit, placedTasks(task.step)));
+                    candidates.add(victim(unit, candidates.size(), placedTasks(task.step)));
                 }
             }
         }
-        candidates.sort(
-                Comparator.comparing((Victim victim) -> !victim.answering()).thenComparingDouble(Victim::costPerGain));
+        candidates.sort(SILENT_FIRST.reversed().thenComparingDouble(victim -> victim.score));
         return candidates;
     }
 
@@ -165,27 +160,15 @@
                 .toList();
     }
 
-    private Victim victim(PlacementUnit unit, List<TaskExecution> tasks) {
-        double lost = tasks.stream().mapToDouble(this::lostCoreSeconds).sum();
-        Resources freed = Resources.sumOf(tasks.get(0).step.spec.demand(), tasks.size());
-        boolean answering = tasks.stream().allMatch(task -> overdueStops.isAnswering(task.target));
-        return new Victim(tasks, answering, lost, lost / limits.excessFreed(unit, freed));
-    }
-
-    private double lostCoreSeconds(TaskExecution task) {
-        if (task.phase == Phase.RESERVED) {
-            return 0;
-        }
-        double seconds = task.phase == Phase.RUNNING ? now.secondsSince(task.confirmedNanos) : 0;
-        double lostSeconds =
-                task.step.spec.mode().checkpoint() ? Math.min(seconds, MAX_CHECKPOINTED_LOSS_SECONDS) : seconds;
-        return (MIN_LOSS_SECONDS + lostSeconds)
-                * task.step.spec.demand().coreEquivalents()
-                * (1 + task.step.preemptionCount);
+    private Victim victim(PlacementUnit unit, int number, List<TaskExecution> tasks) {
+        Victim victim = Victim.ofOwnWork(number, tasks);
+        victim.cost = VictimCost.lostCoreSeconds(tasks, now);
+        victim.score = victim.cost / limits.excessFreed(unit, fullDemand(victim));
+        victim.answering = tasks.stream().allMatch(task -> overdueStops.isAnswering(task.target));
+        return victim;
     }
 
     private static Resources fullDemand(Victim victim) {
-        TaskExecution first = victim.tasks().get(0);
-        return Resources.sumOf(first.step.spec.demand(), victim.tasks().size());
+        return Resources.sumOf(victim.step.spec.demand(), victim.tasks.size());
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Victim.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Victim.java
@@ -28,7 +28,10 @@
 
     double cost;
 
-    /** Cost per gained slot; {@link Double#MAX_VALUE} if the end of the victim gains nothing. */
+    /**
+     * Cost per gained slot, {@link Double#MAX_VALUE} if the end of the victim gains nothing; in a search of an
+     * account's own work, cost per part of the lacking resources.
+     */
     double score;
 
     /** Number of evaluations of {@code score}, which tells whether an entry of the queue is current. */
@@ -36,6 +39,9 @@
 
     boolean chosen;
 
+    /** Whether all targets of the victim answer; set only in a search of an account's own work. */
+    boolean answering;
+
     /** Number of victims that were chosen when {@code score} was last evaluated. */
     int lastChoice;
 
@@ -77,6 +83,11 @@
         return new Victim(number, tasks, Arrays.copyOf(targets, used), Arrays.copyOf(counts, used));
     }
 
+    /** Returns a victim of {@code tasks} of one step, which a search of a client account's own work may stop. */
+    static Victim ofOwnWork(int number, List<TaskExecution> tasks) {
+        return new Victim(number, tasks, new int[0], new int[0]);
+    }
+
     /** Frees the resources of the victim in {@code table} if {@code sign} is 1, or takes them back if it is -1. */
     void apply(SlotTable table, int sign) {
         Resources demand = step.spec.chargedResources();
