The simulation of limits releases starts late and adds strays, lasting and recurring work

Each batch was sent at once. Starts are now released later and out of step, if still wanted, and the limit is checked at each start. Targets that are silent neither report nor end runs, stray runs count once the leader has seen them, and the leader changes in the middle.

--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
@@ -19,8 +19,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Random jobs of accounts with limits, with random ends, failures, lost targets, late answers, new leaders and changes
- * of limits.
+ * Random jobs of accounts with limits, lasting and recurring ones among them, with random ends, failures, lost and
+ * silent targets, starts that are released late and out of step, stray runs, new leaders and changes of limits.
  */
 final class LimitSimulationTest {
     private static final int SEEDS = 60;
@@ -31,6 +31,12 @@
     /** Most accelerators that a limit allows; a third of the pool. */
     private static final int MAX_LIMIT = 16;
 
+    /** Longest time for which a target is silent, in milliseconds; shorter than a lease. */
+    private static final int MAX_SILENCE_MILLIS = 2_000;
+
+    /** Run number of the first stray run, above those of the pool. */
+    private static final int FIRST_STRAY_RUN = 1_000;
+
     private static final Logger LOGGER = Logger.getLogger(Pool.class.getPackageName());
 
     private final Map<String, AccountTerms> accounts = new HashMap<>();
@@ -40,6 +46,18 @@
     /** The runs that targets may have, as the platform counts them. */
     private final Map<TaskId, TargetCommand.Start> running = new HashMap<>();
 
+    /** Starts that were decided and have not reached their targets. */
+    private final List<TargetCommand.Start> unsent = new ArrayList<>();
+
+    /** Runs on targets that no pool expects. */
+    private final List<TargetCommand.Start> strays = new ArrayList<>();
+
+    /** Those that the present leader has seen in a report. */
+    private final Set<TargetCommand.Start> knownStrays = new HashSet<>();
+
+    /** Time until which a target does not answer, in milliseconds. */
+    private final Map<String, Long> silentUntil = new HashMap<>();
+
     private final Map<String, Long> endCounts = new HashMap<>();
     private Random random;
     private Pool pool;
@@ -70,6 +88,9 @@
         for (int i = 0; i < EVENTS; i++) {
             millis += random.nextInt(120);
             playEvent();
+            if (i == EVENTS / 2) {
+                lead();
+            }
             schedule(seed);
         }
         removeLimitsAndFinish(seed);
@@ -80,7 +101,7 @@
     }
 
     private void playEvent() {
-        switch (random.nextInt(20)) {
+        switch (random.nextInt(21)) {
             case 0, 1, 2, 3 -> submit();
             case 4 -> changeLimits();
             case 5 -> loseTarget(randomTarget());
@@ -89,6 +110,7 @@
             case 8 -> cancel();
             case 9, 10 -> endRandomRun(TargetReport.EndReason.FAILED);
             case 11, 12, 13, 14, 15 -> endRandomRun(TargetReport.EndReason.DONE);
+            case 16 -> addStray();
             default -> report(randomTarget());
         }
     }
@@ -114,6 +136,8 @@
     /** Replaces the pool by that of a new leader, which knows only what is persisted and what targets report. */
     private void lead() {
         pool = new Pool();
+        unsent.clear();
+        knownStrays.clear();
         jobs.values().forEach(job -> {
             JobProgress progress = persisted.get(job.id());
             if (progress == null) {
@@ -140,12 +164,14 @@
         boolean gang = random.nextBoolean();
         boolean filling = random.nextInt(4) == 0;
         Resources demand = new Resources(1_000L * (1 + random.nextInt(4)), 1_000, random.nextInt(4));
-        Step.Mode mode = new Step.Mode(gang, random.nextBoolean(), false, false, filling, 0);
+        boolean lasting = random.nextInt(12) == 0;
+        boolean recurring = !lasting && random.nextInt(6) == 0;
+        Step.Mode mode = new Step.Mode(gang && !lasting, random.nextBoolean(), false, lasting, filling, 0);
         Step step = new Step(count, demand, 2_000, List.of(), Step.Constraints.NONE, mode);
         Job.Terms terms = new Job.Terms(random.nextInt(3), 3, 3.0, 1_000);
         String account = "a" + random.nextInt(ACCOUNTS);
-        Job job =
-                new Job(id, "queue", PoolFixture.SERVICE, account, terms, "", List.of(step), Job.Schedule.NOW, millis);
+        Job.Schedule schedule = recurring ? new Job.Schedule(3, millis, 300) : Job.Schedule.NOW;
+        Job job = new Job(id, "queue", PoolFixture.SERVICE, account, terms, "", List.of(step), schedule, millis);
         jobs.put(id, job);
         pool.submit(job);
     }
@@ -156,8 +182,27 @@
         }
     }
 
+    /** Adds a run of a known job that the leader does not expect, and reports it. */
+    private void addStray() {
+        String target = randomTarget();
+        if (jobs.isEmpty() || isSilent(target)) {
+            return;
+        }
+        String job = "j" + random.nextInt(jobs.size());
+        int run = FIRST_STRAY_RUN + random.nextInt(FIRST_STRAY_RUN);
+        strays.add(new TargetCommand.Start(target, 1, new TaskId(job, 0, 0, 0), run, "", ""));
+        report(target);
+    }
+
+    private boolean isSilent(String target) {
+        return silentUntil.getOrDefault(target, 0L) > millis;
+    }
+
     private void endRandomRun(TargetReport.EndReason reason) {
         List<TargetCommand.Start> starts = new ArrayList<>(running.values());
+        if (reason == TargetReport.EndReason.DONE) {
+            starts.removeIf(start -> stepOf(start).mode().lasting());
+        }
         if (!starts.isEmpty()) {
             endRun(starts.get(random.nextInt(starts.size())), reason);
         }
@@ -166,12 +211,19 @@
     /** Ends a run; the other members of its gang end with it, as on the platform. */
     private void endRun(TargetCommand.Start start, TargetReport.EndReason reason) {
         Step step = stepOf(start);
+        boolean complete = unsent.stream().noneMatch(other -> isSameGang(other, start));
+        if (reason == TargetReport.EndReason.DONE && step.mode().gang() && !complete) {
+            return;
+        }
         List<TargetCommand.Start> ending = new ArrayList<>(List.of(start));
         if (step.mode().gang()) {
             running.values().stream()
                     .filter(other -> other != start && isSameGang(other, start))
                     .forEach(ending::add);
         }
+        if (ending.stream().anyMatch(each -> isSilent(each.target()))) {
+            return;
+        }
         ending.forEach(each -> running.remove(each.task()));
         for (TargetCommand.Start each : ending) {
             boolean first = each == start || reason == TargetReport.EndReason.DONE;
@@ -182,10 +234,15 @@
     }
 
     private static boolean isSameGang(TargetCommand.Start one, TargetCommand.Start other) {
-        return one.task().job().equals(other.task().job()) && one.run() == other.run();
+        return one.task().job().equals(other.task().job())
+                && one.task().occurrence() == other.task().occurrence()
+                && one.run() == other.run();
     }
 
     private void report(String target, TargetReport.Ended... ended) {
+        if (isSilent(target)) {
+            return;
+        }
         long requestNanos = now().monotonicNanos();
         millis++;
         List<TargetReport.Running> runs = new ArrayList<>();
@@ -194,12 +251,20 @@
                 runs.add(new TargetReport.Running(start.task(), start.run(), "", (int) (millis / 50 % 100)));
             }
         }
+        for (TargetCommand.Start stray : strays) {
+            if (stray.target().equals(target)) {
+                runs.add(new TargetReport.Running(stray.task(), stray.run(), "", 0));
+                knownStrays.add(stray);
+            }
+        }
         pool.handleReport(new TargetReport(target, 1, requestNanos, runs, List.of(ended), true), now());
     }
 
     /** The target dies; the pool learns it by the end of the lease. */
     private void loseTarget(String id) {
         running.values().removeIf(start -> start.target().equals(id));
+        strays.removeIf(start -> start.target().equals(id));
+        silentUntil.remove(id);
         pool.unregister(id);
         pool.handleLeaseExpiry(id, now());
         register(id);
@@ -208,7 +273,9 @@
 
     /** The target is not heard of for a while but its runs go on. */
     private void silenceTarget(String id) {
-        pool.exclude(id, random.nextInt(2_000), now());
+        int silence = random.nextInt(MAX_SILENCE_MILLIS);
+        silentUntil.put(id, millis + silence);
+        pool.exclude(id, silence, now());
     }
 
     private Step stepOf(TargetCommand.Start start) {
@@ -219,41 +286,64 @@
         pool.schedule(now());
         Batch batch = pool.takeBatch();
         batch.records().forEach(record -> persisted.put(record.id(), record));
-        Set<String> startedAccounts = new HashSet<>();
-        for (TargetCommand.Start start : batch.starts()) {
+        unsent.addAll(batch.starts());
+        releaseSomeStarts(seed);
+        List<TargetCommand.Stop> stops = new ArrayList<>(pool.takeStops());
+        Collections.shuffle(stops, random);
+        for (TargetCommand.Stop stop : stops) {
+            TargetCommand.Start start = running.get(stop.task());
+            if (start != null && start.run() == stop.run() && random.nextBoolean()) {
+                endRun(start, TargetReport.EndReason.STOPPED);
+            }
+            strays.removeIf(stray ->
+                    stray.task().equals(stop.task()) && stray.run() == stop.run() && !isSilent(stray.target()));
+        }
+    }
+
+    /** Sends about half of the starts that have not been sent, in any order, unless they are not wanted any more. */
+    private void releaseSomeStarts(int seed) {
+        List<TargetCommand.Start> releasable = new ArrayList<>(unsent);
+        Collections.shuffle(releasable, random);
+        for (TargetCommand.Start start : releasable) {
+            if (random.nextBoolean() || isSilent(start.target())) {
+                continue;
+            }
+            unsent.remove(start);
+            if (!pool.isWanted(start)) {
+                pool.handleStartFailure(start, "not wanted", 0, now());
+                continue;
+            }
             assertWithMessage("seed %s: a task runs twice", seed)
                     .that(running.put(start.task(), start))
                     .isNull();
-            startedAccounts.add(jobs.get(start.task().job()).account());
+            assertWithinLimit(jobs.get(start.task().job()).account(), seed);
             if (random.nextInt(3) > 0) {
                 pool.handleStarted(start, now());
             }
         }
-        for (String account : startedAccounts) {
-            Resources total = Resources.NONE;
-            for (TargetCommand.Start start : running.values()) {
-                if (jobs.get(start.task().job()).account().equals(account)) {
-                    total = total.plus(stepOf(start).demand());
-                }
-            }
-            assertWithMessage("seed %s: %s uses %s of %s", seed, account, total, accounts.get(account))
-                    .that(accounts.getOrDefault(account, AccountTerms.NONE).isWithinLimit(total))
-                    .isTrue();
-        }
-        List<TargetCommand.Stop> stops = new ArrayList<>(pool.takeStops());
-        Collections.shuffle(stops, random);
-        for (TargetCommand.Stop stop : stops) {
-            TargetCommand.Start start = running.get(stop.task());
-            if (start != null && start.run() == stop.run() && random.nextBoolean()) {
-                endRun(start, TargetReport.EndReason.STOPPED);
+    }
+
+    private void assertWithinLimit(String account, int seed) {
+        List<TargetCommand.Start> counted = new ArrayList<>(running.values());
+        strays.stream().filter(knownStrays::contains).forEach(counted::add);
+        Resources total = Resources.NONE;
+        for (TargetCommand.Start start : counted) {
+            if (jobs.get(start.task().job()).account().equals(account)) {
+                total = total.plus(stepOf(start).demand());
             }
         }
+        assertWithMessage("seed %s: %s uses %s of %s", seed, account, total, accounts.get(account))
+                .that(accounts.getOrDefault(account, AccountTerms.NONE).isWithinLimit(total))
+                .isTrue();
     }
 
     /** Guards against work that a limit has held back and that never runs once the limit is gone. */
     private void removeLimitsAndFinish(int seed) {
         accounts.clear();
         configure();
+        jobs.values().stream()
+                .filter(job -> job.steps().get(0).mode().lasting())
+                .forEach(job -> pool.cancel(job.id(), now()));
         for (int i = 0; i < 4_000 && !allEnded(); i++) {
             millis += 50;
             endRandomRun(TargetReport.EndReason.DONE);
