--- a/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -131,4 +131,64 @@
         fixture.endRun(fixture.stops.get(1).task(), TargetReport.EndReason.STOPPED);
         assertThat(limits.runningOf("claim")).isEqualTo(2);
     }
+
+    /**
+     * Guards against a claim that waits for deferrable work of its own account which fills the limit, and against
+     * stops of other accounts' work for it, or of more than it needs.
+     */
+    @Test
+    void aClaimDisplacesJustEnoughOfItsOwnAccountsWork() {
+        limits.setTerms("a", 8, 16);
+        limits.addTargets(4);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(16, 1)));
+        fixture.submit(fixture.job("other", "b", 2, PoolFixture.independentTasks(8, 1)));
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.gang(2, 4, false)));
+        fixture.pass(200);
+        assertThat(fixture.stops).hasSize(8);
+        fixture.stops.forEach(stop -> assertThat(stop.task().job()).isEqualTo("own"));
+        assertThat(fixture.startsOf("claim")).isEmpty();
+        fixture.completeStops();
+        assertThat(limits.runningOf("claim")).isEqualTo(2);
+        fixture.pass(LimitFixture.MAX_CLAIM_MILLIS);
+        assertThat(fixture.stops).isEmpty();
+    }
+
+    /** Guards against a claim whose own account's work is scattered, while the pool is full of other work. */
+    @Test
+    void aClaimInAFullPoolStartsInTimeAlthoughItsOwnWorkFillsItsLimit() {
+        limits.setTerms("a", 16, 16);
+        limits.addTargets(4);
+        for (int i = 0; i < 4; i++) {
+            fixture.submit(fixture.job("own" + i, "a", 2, PoolFixture.independentTasks(1, 4)));
+            fixture.submit(fixture.job("other" + i, "b", 2, PoolFixture.independentTasks(1, 4)));
+        }
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.gang(2, 8, false)));
+        for (int elapsed = 0; elapsed < LimitFixture.MAX_CLAIM_MILLIS; elapsed += 100) {
+            fixture.completeStops();
+            fixture.advance(100);
+        }
+        assertThat(limits.runningOf("claim")).isEqualTo(2);
+    }
+
+    /**
+     * Guards against a claim that holds free resources for as long as the lease of a silent target, and against stops
+     * of ever more work in that time.
+     */
+    @Test
+    void aClaimHoldsFreeResourcesOnlyBrieflyForStopsOnASilentTarget() {
+        limits.setTerms("a", 8, 8);
+        limits.addTargets(2);
+        fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(1, 8)));
+        fixture.submit(fixture.job("claim", "a", 0, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.stops).hasSize(1);
+        fixture.pass(2_000);
+        fixture.submit(fixture.job("other", "b", 2, PoolFixture.independentTasks(1, 8)));
+        // The other account's task first reserves the room of the stopping run and moves after half a second.
+        fixture.pass(1_000);
+        assertThat(limits.runningOf("other")).isEqualTo(1);
+        assertThat(fixture.stops).hasSize(1);
+        fixture.completeStops();
+        assertThat(limits.runningOf("claim")).isEqualTo(1);
+        assertThat(limits.runningOf("own")).isEqualTo(0);
+    }
 }
