The outlook leaves out work that cannot start, and keeps simulated accounts within their limits

Cause: the forecast started waiting tasks on any free accelerator, whatever the limit of their account, the label or size of their targets, or their use. Work of a limited account in a half idle pool, an accepted gang beyond a lowered limit, one task larger than every target and a label without targets each led to long published waits, so other accounts were refused while there was room.

Change: steps that the targets together cannot host, and steps beyond the limit of their account, are left out, with what depends on them. LimitForecast keeps the simulated use of each account within its limit, of all services together; work that waits only for its limit is set aside (SimulatedQueue) and delays no other.

Six of the new tests in OutlookBuilderTest failed before: five with an outlook that was not empty, and workOfHigherPriorityThatIsOfNoUseDoesNotCountAsAhead with a wait of 500,500 ms where at most 6,000 are right. The seventh, workWithinItsAccountLimitCountsAsAhead, guards against leaving out too much and passed before.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
@@ -16,15 +16,21 @@
 final class OutlookBuilder {
     private static final double MILLIS_PER_SECOND = 1e3;
 
+    /** How far the forecast looks ahead, in seconds. */
+    private static final double HORIZON_SECONDS = ServiceForecast.HORIZON_MILLIS / MILLIS_PER_SECOND;
+
     /** Typical time from the stop command until a run has ended, in seconds. */
     private static final double STOP_SECONDS = 0.25;
 
     private final PoolSettings settings;
     private final RunEstimates estimates;
     private final ClockReading now;
+    private final LimitForecast limits;
+    private final List<TargetState> workingTargets = new ArrayList<>();
     private final Map<String, ServiceForecast> forecasts = new LinkedHashMap<>();
 
-    private OutlookBuilder(PoolSettings settings, RunEstimates estimates, ClockReading now) {
+    private OutlookBuilder(PoolSettings settings, AccountUsage accountUsage, RunEstimates estimates, ClockReading now) {
+        limits = new LimitForecast(settings, accountUsage);
         this.settings = settings;
         this.estimates = estimates;
         this.now = now;
@@ -35,9 +41,10 @@
             Collection<JobExecution> jobs,
             Collection<TargetState> targets,
             PoolSettings settings,
+            AccountUsage accountUsage,
             RunEstimates estimates,
             ClockReading now) {
-        OutlookBuilder builder = new OutlookBuilder(settings, estimates, now);
+        OutlookBuilder builder = new OutlookBuilder(settings, accountUsage, estimates, now);
         for (TargetState target : targets) {
             builder.addCapacity(target);
         }
@@ -66,14 +73,24 @@
 
     private void addCapacity(TargetState target) {
         if (takesWork(target)) {
+            workingTargets.add(target);
             forecasts
-                    .computeIfAbsent(target.info.service(), name -> new ServiceForecast())
+                    .computeIfAbsent(target.info.service(), name -> new ServiceForecast(limits))
                     .addCapacity(target.capacity());
         }
     }
 
     /** Adds what is free on a target, from the end of its exclusion on, and what its runs will free. */
     private void addRuns(TargetState target) {
+        for (TaskExecution task : target.tasks.values()) {
+            if (task.phase.mayOccupyTarget()) {
+                limits.addRun(
+                        LimitForecast.Claim.of(task.step),
+                        task.job().terms().priority(),
+                        ServiceForecast.intervalOf(remainingSeconds(task)),
+                        ServiceForecast.intervalOf(STOP_SECONDS));
+            }
+        }
         if (!takesWork(target)) {
             return;
         }
@@ -126,6 +143,11 @@
             }
         }
         double seconds = runSeconds(step);
+        LimitForecast.Claim claim = LimitForecast.Claim.of(step);
+        if (waiting > 0 && !(limits.isStartable(claim, step.spec.count()) && canBeHosted(step))) {
+            // Whatever depends on this step does not start either.
+            return HORIZON_SECONDS;
+        }
         if (waiting > 0) {
             longest = Math.max(longest, seconds);
             int priority = step.job.spec.terms().priority();
@@ -136,16 +158,38 @@
                     size,
                     ServiceForecast.intervalOf(readySeconds),
                     ServiceForecast.intervalOf(step.slackMillis(now) / MILLIS_PER_SECOND),
-                    Math.max(1, ServiceForecast.intervalOf(seconds))));
+                    ServiceForecast.intervalOf(usefulMillis(step) / MILLIS_PER_SECOND),
+                    Math.max(1, ServiceForecast.intervalOf(seconds)),
+                    claim));
         }
         return longest;
     }
 
+    /** Returns how long the step may still wait and be of use, in milliseconds. */
+    private long usefulMillis(StepExecution step) {
+        return step.job.objective.latestUsefulStartMillis(step.occurrence) - now.wallClockMillis();
+    }
+
+    /** Returns whether the targets that take work could hold a task of the step, or its whole gang, when empty. */
+    private boolean canBeHosted(StepExecution step) {
+        Step spec = step.spec;
+        int lacking = spec.mode().gang() ? spec.count() : 1;
+        int spreadLimit = spec.constraints().spreadLimit();
+        for (TargetState target : workingTargets) {
+            if (Placement.isCompatible(step.job.spec, spec, target)) {
+                int most = spreadLimit == 0 ? lacking : Math.min(lacking, spreadLimit);
+                lacking -= spec.chargedResources().countFitting(target.capacity(), most);
+                if (lacking <= 0) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Returns how long a run of the step is expected to take, in seconds. */
     private double runSeconds(StepExecution step) {
-        return step.spec.mode().lasting()
-                ? ServiceForecast.HORIZON_MILLIS / MILLIS_PER_SECOND
-                : estimates.seconds(step);
+        return step.spec.mode().lasting() ? HORIZON_SECONDS : estimates.seconds(step);
     }
 
     /** Returns when the newest run of the task is expected to end, in seconds from now. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -252,7 +252,7 @@
 
     /** Returns when more work could start, as far as that can be expected from the runs and the waiting work. */
     public Outlook outlook(ClockReading now) {
-        return OutlookBuilder.build(jobs.values(), targets.values(), settings, estimates, now);
+        return OutlookBuilder.build(jobs.values(), targets.values(), settings, accountUsage, estimates, now);
     }
 
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ServiceForecast.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ServiceForecast.java
@@ -1,8 +1,6 @@
 package org.acaciaport.pool;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.TreeSet;
@@ -33,9 +31,7 @@
     /** Part of the capacity that a level may ask for; a small pool is hardly ever free as a whole. */
     private static final double MAX_CAPACITY_FRACTION = 0.5;
 
-    /** Tolerance for sums of accelerators, which are not whole. */
-    private static final double TOLERANCE = 1e-6;
-
+    private final LimitForecast limits;
     private Resources capacity = Resources.NONE;
     private final double[] freed = new double[INTERVALS];
     private final List<Run> runs = new ArrayList<>();
@@ -53,19 +49,27 @@
      * @param accelerators accelerators of each
      * @param ready interval from which they could start
      * @param late interval from which they go behind new work of the same priority, being late
+     * @param useless interval from which they are of no use, so that lower priorities do not count them as ahead
      * @param length number of intervals for which each runs
+     * @param claim what they take of the limit of their account
      */
-    record Waiting(int priority, int count, double accelerators, int ready, int late, int length) {}
-
-    /** Tasks that wait in a simulated queue. */
-    private static final class Queued {
-        final Waiting tasks;
-        int remaining;
+    record Waiting(
+            int priority,
+            int count,
+            double accelerators,
+            int ready,
+            int late,
+            int useless,
+            int length,
+            LimitForecast.Claim claim) {}
 
-        Queued(Waiting tasks) {
-            this.tasks = tasks;
-            remaining = tasks.count;
-        }
+    /**
+     * Creates a forecast of a service without targets.
+     *
+     * @param limits the expected use of the limits of accounts, which all services share
+     */
+    ServiceForecast(LimitForecast limits) {
+        this.limits = limits;
     }
 
     /** Adds the capacity of a target; all are added before anything else. */
@@ -148,15 +152,15 @@
         double[] freedAt = freedFor(priority);
         List<List<Waiting>> readyAt = readyFor(priority);
         List<Integer> millis = new ArrayList<>();
-        Deque<Queued> queue = new ArrayDeque<>();
+        SimulatedQueue queue = new SimulatedQueue(priority, limits.room(priority), freedAt);
         double free = 0;
         for (int interval = 0; interval < INTERVALS; interval++) {
             free += freedAt[interval];
-            readyAt.get(interval).forEach(tasks -> queue.add(new Queued(tasks)));
-            free = startQueued(queue, priority, free, interval, freedAt);
-            while (queue.isEmpty()
+            readyAt.get(interval).forEach(queue::add);
+            free = queue.start(interval, free);
+            while (!queue.lacksCapacity()
                     && millis.size() < Outlook.LEVELS.size()
-                    && free + TOLERANCE >= level(millis.size())) {
+                    && free + SimulatedQueue.TOLERANCE >= level(millis.size())) {
                 millis.add(interval * INTERVAL_MILLIS);
             }
             if (millis.size() == Outlook.LEVELS.size()) {
@@ -197,29 +201,4 @@
         }
         return readyAt;
     }
-
-    /** Starts queued tasks in turn while there is room; returns the accelerators that stay free. */
-    private static double startQueued(Deque<Queued> queue, int priority, double free, int interval, double[] freedAt) {
-        double left = free;
-        while (!queue.isEmpty()) {
-            Queued first = queue.peek();
-            if (first.tasks.priority == priority && interval >= first.tasks.late) {
-                queue.remove();
-                continue;
-            }
-            double each = first.tasks.accelerators;
-            int started = each <= 0 ? first.remaining : (int) Math.min(first.remaining, (left + TOLERANCE) / each);
-            left -= started * each;
-            first.remaining -= started;
-            int end = interval + first.tasks.length;
-            if (end < freedAt.length) {
-                freedAt[end] += started * each;
-            }
-            if (first.remaining > 0) {
-                return left;
-            }
-            queue.remove();
-        }
-        return left;
-    }
 }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/OutlookBuilderTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/OutlookBuilderTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.acaciaport.admission.Outlook;
 import org.junit.jupiter.api.Test;
 
@@ -136,4 +138,83 @@
         fixture.submit(fixture.job("new", "x", 1, PoolFixture.independentTasks(4, 8)));
         assertThat(waits(1).get(0)).isAtMost(6_000);
     }
+
+    private void limit(String account, long accelerators) {
+        AccountTerms terms = AccountTerms.ofLimit(new Resources(0, 0, accelerators));
+        fixture.pool.configure(new PoolSettings(Map.of(account, terms), Set.of(), Set.of(PoolFixture.SERVICE)));
+    }
+
+    private void addTargets(int count) {
+        for (int i = 0; i < count; i++) {
+            fixture.addTarget("t" + i, "r1");
+        }
+    }
+
+    /** Guards against refusals of all accounts while the tasks of one wait for its limit in a half idle pool. */
+    @Test
+    void workThatWaitsForItsAccountLimitDoesNotCountAsAheadOfOthers() {
+        addTargets(4);
+        limit("x", 16);
+        fixture.submit(fixture.job("limited", "x", 1, PoolFixture.independentTasks(5_000, 1)));
+        assertThat(fixture.running).hasSize(16);
+        assertThat(fixture.pool.outlook(fixture.now()).isEmpty()).isTrue();
+    }
+
+    /** Guards against a limited account whose work is left out of the forecast as far as it may start. */
+    @Test
+    void workWithinItsAccountLimitCountsAsAhead() {
+        fixture.occupyTargets(4);
+        limit("limited", 32);
+        fixture.submit(fixture.job("next", "limited", 1, PoolFixture.independentTasks(8, 8)));
+        assertThat(waits(1).get(0)).isAtLeast(14_500);
+    }
+
+    /** Guards against an accepted gang that reserves simulated capacity for ever after its limit was lowered. */
+    @Test
+    void aGangBeyondALoweredLimitDoesNotCountAsAhead() {
+        addTargets(4);
+        limit("x", 8);
+        fixture.submit(fixture.job("gang", "x", 0, PoolFixture.gang(4, 8, false)));
+        assertThat(fixture.running).isEmpty();
+        assertThat(fixture.pool.outlook(fixture.now()).isEmpty()).isTrue();
+    }
+
+    /** Guards against one job that no target can hold and for which all other work is refused. */
+    @Test
+    void aTaskThatExceedsEveryTargetDoesNotCountAsAhead() {
+        addTargets(4);
+        Step step = new Step(
+                1, new Resources(1_000, 1_000_000_000, 0), 5_000, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("huge", "x", 0, step));
+        assertThat(fixture.pool.outlook(fixture.now()).isEmpty()).isTrue();
+    }
+
+    /** Guards against a gang larger than the pool that waits before all other work. */
+    @Test
+    void aGangThatExceedsAllTargetsTogetherDoesNotCountAsAhead() {
+        addTargets(4);
+        fixture.submit(fixture.job("gang", "x", 0, PoolFixture.gang(5, 8, false)));
+        assertThat(fixture.pool.outlook(fixture.now()).isEmpty()).isTrue();
+    }
+
+    /** Guards against simulated capacity for work whose label no target has. */
+    @Test
+    void workWithoutATargetOfItsLabelDoesNotCountAsAhead() {
+        addTargets(4);
+        Step.Constraints constraints = new Step.Constraints("none", "", 0, false);
+        Step step = new Step(5_000, new Resources(1_000, 1_000, 1), 5_000, List.of(), constraints, Step.Mode.PLAIN);
+        fixture.submit(fixture.job("unplaceable", "x", 0, step));
+        assertThat(fixture.pool.outlook(fixture.now()).isEmpty()).isTrue();
+    }
+
+    /** Guards against refusals for urgent work that is of no use any more. */
+    @Test
+    void workOfHigherPriorityThatIsOfNoUseDoesNotCountAsAhead() {
+        fixture.occupyTargets(4);
+        fixture.submit(fixture.job("urgent", "x", 1, PoolFixture.independentTasks(400, 8)));
+        // The job is of use for three times 16 s.
+        fixture.advance(50_000);
+        fixture.submit(fixture.job("next", "x", 2, PoolFixture.independentTasks(1, 8)));
+        assertThat(waits(2).get(0)).isAtMost(6_000);
+    }
 }
