Admission goes by how long declared durations turn out to be; urgent demand as a running sum

Declared durations. Cause: nodes refused by declared durations, while the leader's outlook goes by learned ones. Work of 2.5 s declared as 0.25 s was refused although it would have been of use. LateJobs had the same mismatch. Change: the pool keeps the 90th percentile of actual by declared durations of the latest 50 steps of each queue, from 100% to 1,000% (DeclaredDurations). Nodes take durations as that much longer; a queue without a figure (fewer than 10 steps) counts as 1,000%, and a job without a declared duration is not refused. LateJobs uses the same figure, or 100%.

Urgent demand. Cause: a node counted gangs beyond the limit of their account against its guarantee, the pool did not, so a node could refuse what the pool owes; each check walked all jobs under the replica's lock. Change: both use Job.largestStepAccelerators(terms), and UrgentDemand keeps the sum by account.

LateJobs counts completed jobs only, neither cancelled nor failed ones. Changes between known and unknown are logged at most once per second. AdmissionControl.weigh is named findRefusal; the field and the method OutlookPublisher.forecast are told apart.

AdmissionTest.publish now also publishes that declared durations are right, since a node without a figure accepts in doubt; its checks are the same, with the key of the new record.

--- a/acacia-admission/src/main/java/org/acaciaport/admission/Outlook.java
+++ b/acacia-admission/src/main/java/org/acaciaport/admission/Outlook.java
@@ -18,7 +18,7 @@
     /** The numbers of accelerators for which a wait is given, ascending. */
     public static final List<Integer> LEVELS = List.of(1, 8, 40, 160);
 
-    /** Longest wait that is believed, in milliseconds; a leader looks ahead two minutes. */
+    /** Longest wait that is believed, in milliseconds; a leader looks ahead ten minutes. */
     static final int MAX_WAIT_MILLIS = 60 * 60 * 1_000;
 
     /** Largest amount of a resource beside one accelerator that is believed, in thousandths of a core or megabytes. */
--- a/acacia-node/src/main/java/org/acaciaport/node/AdmissionControl.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/AdmissionControl.java
@@ -18,11 +18,15 @@
  * Decides on this node whether a submitted job can be of use, from the outlook that the leader publishes.
  *
  * <p>Thread-safe. Writes nothing to the log of the deployment. A job of priority 0 of an account within its guarantee,
- * a recurring job and a lasting one are never refused.
+ * a recurring job, a lasting one and one without declared durations are never refused. Declared durations count as
+ * long as those of the queue lately turned out to be.
  */
 final class AdmissionControl {
     private static final Logger LOG = Logger.getLogger(AdmissionControl.class);
 
+    /** Shortest time between log lines about the knowledge, in nanoseconds: its age may alternate around the limit. */
+    private static final long LOG_INTERVAL_NANOS = 1_000 * Clocks.NANOS_PER_MILLI;
+
     private final AdmissionPolicy policy = new AdmissionPolicy(AdmissionPolicy.Settings.DEFAULT);
     private final RefusedRequests refusedRequests = new RefusedRequests();
     private final Replica replica;
@@ -35,7 +39,9 @@
     /** Why the outlook was unknown at the last decision; empty if it was known. */
     private String unknownReason = "";
 
-    /** Number of jobs accepted since it became unknown. */
+    private long nextLogNanos = System.nanoTime();
+
+    /** Number of jobs accepted without knowledge since the last such log line. */
     private long acceptedUnknown;
 
     AdmissionControl(Term.Dependencies dependencies) {
@@ -48,7 +54,7 @@
     }
 
     /**
-     * What speaks against a job.
+     * The refusal of a job.
      *
      * @param request the request
      * @param account its client account
@@ -57,8 +63,8 @@
      */
     record Refusal(AdmissionPolicy.Request request, String account, Decision.Reject reject, long ageMillis) {}
 
-    /** Returns what speaks against {@code job}, which is submitted now; empty if it is to be accepted. */
-    Optional<Refusal> weigh(Job job) {
+    /** Returns the refusal of {@code job}, which is submitted now; empty if it is to be accepted. */
+    Optional<Refusal> findRefusal(Job job) {
         if (!settings.get().admission() || !isSubject(job)) {
             return Optional.empty();
         }
@@ -80,7 +86,8 @@
             return false;
         }
         for (Step step : job.steps()) {
-            if (step.mode().lasting()) {
+            // Without a declared duration, the time for which a job is of use is unknown.
+            if (step.mode().lasting() || step.estimateMillis() <= 0) {
                 return false;
             }
         }
@@ -96,6 +103,7 @@
                         step.count(), demand.cpuMillis(), demand.memoryMb(), demand.accelerators()));
             }
         }
+        int percent = replica.declaredDurationPercents().getOrDefault(job.queue(), DeclaredDurationsRecord.MAX_PERCENT);
         long nowMillis = job.acceptedMillis();
         long firstMillis = refusedRequests.firstAttemptMillis(job.id(), nowMillis);
         return new AdmissionPolicy.Request(
@@ -104,7 +112,7 @@
                 job.terms().priority(),
                 tasks,
                 nowMillis,
-                job.latestUsefulStartMillis() - (nowMillis - firstMillis));
+                job.latestUsefulStartMillis(percent) - (nowMillis - firstMillis));
     }
 
     /** Returns whether the pool owes the job an immediate start, as its account needs no more than its guarantee. */
@@ -113,17 +121,19 @@
         if (job.terms().priority() != 0 || latest == null) {
             return false;
         }
-        long guaranteed =
-                latest.accounts().getOrDefault(job.account(), AccountTerms.NONE).guaranteedAccelerators();
-        long needed = job.largestStepAccelerators();
-        return needed <= guaranteed && needed + replica.urgentAccelerators(job.account()) <= guaranteed;
+        AccountTerms terms = latest.accounts().getOrDefault(job.account(), AccountTerms.NONE);
+        long guaranteed = terms.guaranteedAccelerators();
+        long needed = job.largestStepAccelerators(terms);
+        return needed <= guaranteed && needed + replica.urgentAccelerators(job.account(), terms) <= guaranteed;
     }
 
-    /** Counts a decision without knowledge, and logs once that the knowledge is lost or there again. */
+    /** Counts a decision without knowledge, and logs that the knowledge is lost or there again. */
     private synchronized void recordKnowledge(
             Decision decision, AdmissionPolicy.Request request, AdmissionPolicy.Knowledge knowledge) {
         String reason = decision instanceof Decision.AdmitUnknown admitted ? admitted.reason() : "";
-        if (!reason.equals(unknownReason)) {
+        long nowNanos = System.nanoTime();
+        if (!reason.equals(unknownReason) && nowNanos - nextLogNanos >= 0) {
+            nextLogNanos = nowNanos + LOG_INTERVAL_NANOS;
             LOG.infof(
                     "admission: request=%s priority=%s outcome=%s age_ms=%s reason=%s accepted_unknown=%s",
                     request.id(),
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -29,6 +29,7 @@
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
     static final String OUTLOOK_KEY = "outlook";
+    static final String DECLARED_DURATIONS_KEY = "declared-durations";
     static final String LEASE_PREFIX = "lease/";
 
     /** Ends the id of the job in the key of a task; no id contains it. */
@@ -78,6 +79,7 @@
     static boolean isOfLeader(String key) {
         return key.equals(LEADER_KEY)
                 || key.equals(OUTLOOK_KEY)
+                || key.equals(DECLARED_DURATIONS_KEY)
                 || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
     }
 
@@ -115,6 +117,10 @@
         return record(OUTLOOK_KEY, outlook);
     }
 
+    static KeyedRecord encode(DeclaredDurationsRecord durations) {
+        return record(DECLARED_DURATIONS_KEY, durations);
+    }
+
     /**
      * Decodes an outlook.
      *
@@ -166,6 +172,7 @@
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
         decodeOutlook(encode(OutlookRecord.of(Outlook.NO_WAIT)));
+        decode(encode(DeclaredDurationsRecord.NONE), DeclaredDurationsRecord.class);
         decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -212,7 +212,7 @@
                 steps,
                 schedule,
                 System.currentTimeMillis());
-        Optional<AdmissionControl.Refusal> refusal = admission.weigh(job);
+        Optional<AdmissionControl.Refusal> refusal = admission.findRefusal(job);
         if (refusal.isPresent() && catchUp(deadline)) {
             return replica.find(id) == null ? admission.refuse(refusal.get()) : new Answer.Accepted();
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/OutlookPublisher.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/OutlookPublisher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.acaciaport.admission.Outlook;
@@ -29,20 +30,27 @@
      */
     static final long SETTLING_MILLIS = 1_000;
 
-    private final Function<ClockReading, Outlook> forecast;
+    private final Function<ClockReading, Outlook> forecaster;
+    private final Supplier<Map<String, Integer>> declaredDurations;
     private final Supplier<SchedulingSettings> settings;
     private final long settledNanos;
+    private Map<String, Integer> publishedDurations = Map.of();
     private boolean noWaitPublished;
     private boolean failing;
 
     /**
      * Creates a publisher of a term that starts at {@code now}.
      *
-     * @param forecast returns the outlook as of a reading of the clock
+     * @param forecaster returns the outlook as of a reading of the clock
+     * @param declaredDurations returns how much longer than declared the steps of each queue take, in percent
      */
     OutlookPublisher(
-            Function<ClockReading, Outlook> forecast, Supplier<SchedulingSettings> settings, ClockReading now) {
-        this.forecast = forecast;
+            Function<ClockReading, Outlook> forecaster,
+            Supplier<Map<String, Integer>> declaredDurations,
+            Supplier<SchedulingSettings> settings,
+            ClockReading now) {
+        this.forecaster = forecaster;
+        this.declaredDurations = declaredDurations;
         this.settings = settings;
         settledNanos = now.nanosAfter(SETTLING_MILLIS);
     }
@@ -52,19 +60,29 @@
         if (now.monotonicNanos() - settledNanos < 0) {
             return List.of();
         }
-        Outlook outlook = settings.get().admission() ? forecast(now) : Outlook.NO_WAIT;
+        Outlook outlook = settings.get().admission() ? deriveOutlook(now) : Outlook.NO_WAIT;
         if (outlook.isEmpty() && noWaitPublished) {
             return List.of();
         }
         KeyedRecord record = encode(outlook);
         noWaitPublished = outlook.isEmpty();
-        return List.of(record);
+        return outlook.isEmpty() ? List.of(record) : withChangedDurations(record);
+    }
+
+    /** Returns {@code record} and, if they have changed, how far declared durations are off. */
+    private List<KeyedRecord> withChangedDurations(KeyedRecord record) {
+        Map<String, Integer> percents = declaredDurations.get();
+        if (percents.equals(publishedDurations)) {
+            return List.of(record);
+        }
+        publishedDurations = percents;
+        return List.of(JobRecords.encode(new DeclaredDurationsRecord(percents)), record);
     }
 
     /** Returns the outlook, or one without waits if it cannot be derived; that must not end the term. */
-    private Outlook forecast(ClockReading now) {
+    private Outlook deriveOutlook(ClockReading now) {
         try {
-            Outlook outlook = forecast.apply(now);
+            Outlook outlook = forecaster.apply(now);
             failing = false;
             return outlook;
         } catch (RuntimeException e) {
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -11,6 +11,7 @@
 import org.acaciaport.admission.AdmissionPolicy;
 import org.acaciaport.admission.Outlook;
 import org.acaciaport.log.KeyedRecord;
+import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
@@ -111,6 +112,8 @@
             applyLeader(JobRecords.decode(record, LeaderRecord.class));
         } else if (key.equals(JobRecords.OUTLOOK_KEY) && !isTombstone(record)) {
             applyOutlook(JobRecords.decodeOutlook(record));
+        } else if (key.equals(JobRecords.DECLARED_DURATIONS_KEY) && !isTombstone(record)) {
+            contents.declaredDurations = JobRecords.decode(record, DeclaredDurationsRecord.class);
         }
     }
 
@@ -162,6 +165,11 @@
                 Optional.of(received.outlook()), Math.max(replicaAgeMillis, outlookAgeMillis), "");
     }
 
+    /** Returns how much longer than declared the steps of each queue take, in percent of the declared durations. */
+    synchronized Map<String, Integer> declaredDurationPercents() {
+        return shown().declaredDurations.percents();
+    }
+
     /** Adds or, for null, removes a job. A repeated submission leaves the first in place. */
     private void applyJob(String id, Job job) throws IOException {
         if (job != null && !job.id().equals(id)) {
@@ -257,19 +265,9 @@
         return List.copyOf(shown().nodes.values());
     }
 
-    /** Returns the accelerators that the unfinished jobs of priority 0 of an account need, by their largest steps. */
-    synchronized long urgentAccelerators(String account) {
-        long accelerators = 0;
-        for (JobEntry entry : shown().entries()) {
-            Job job = entry.job();
-            if (job != null
-                    && job.terms().priority() == 0
-                    && job.account().equals(account)
-                    && !entry.state().isTerminal()) {
-                accelerators += job.largestStepAccelerators();
-            }
-        }
-        return accelerators;
+    /** Returns the accelerators that the unfinished jobs of priority 0 of an account with {@code terms} need. */
+    synchronized long urgentAccelerators(String account, AccountTerms terms) {
+        return shown().urgentDemand.accelerators(account, terms);
     }
 
     /** Returns how many jobs of {@code queue} have no started task. */
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -19,6 +19,9 @@
     /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
     private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
 
+    /** The demand of the unfinished jobs of priority 0. */
+    final UrgentDemand urgentDemand = new UrgentDemand();
+
     /** The nodes by name. */
     final Map<String, NodeRecord> nodes = new HashMap<>();
 
@@ -28,6 +31,9 @@
     /** The latest outlook of that leader; null if there is none. */
     ReceivedOutlook outlook;
 
+    /** The latest record of how far declared durations are off. */
+    DeclaredDurationsRecord declaredDurations = DeclaredDurationsRecord.NONE;
+
     /** Offset of the next record of the log. */
     long nextOffset;
 
@@ -106,6 +112,7 @@
 
     /** Sets what is known of a job, apart from the progress of its tasks. */
     void put(String id, JobEntry entry) {
+        urgentDemand.update(entry(id), entry);
         if (entry.isEmpty()) {
             jobs.remove(id);
         } else {
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -106,7 +106,8 @@
                 this::end,
                 replica::setAside,
                 load,
-                new OutlookPublisher(pool::outlook, dependencies.scheduling(), now)::records);
+                new OutlookPublisher(pool::outlook, pool::declaredDurationPercents, dependencies.scheduling(), now)
+                        ::records);
         lateJobs = new LateJobs(replica, dependencies.metrics());
         jobIntake = new JobIntake(pool, writer);
         sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
--- a/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/AdmissionTest.java
@@ -62,13 +62,18 @@
         assertThat(fixture.jobConsumer.catchUp(deadline())).isTrue();
     }
 
-    /** Has the leader publish, and the node read it. */
+    /** Has the leader publish, and the node read it; declared durations are right. */
     private void publish(Outlook outlook) {
         read();
+        append(declaredDurations(100));
         append(JobRecords.encode(LEADER), JobRecords.encode(OutlookRecord.of(outlook)));
         read();
     }
 
+    private static KeyedRecord declaredDurations(int percent) {
+        return JobRecords.encode(new DeclaredDurationsRecord(Map.of(QUEUE.name(), percent)));
+    }
+
     private JobService.Answer submit(String id, Step step, Job.Schedule schedule) {
         return jobService.submit(ACCESS, id, "payload", List.of(step), schedule, deadline());
     }
@@ -133,7 +138,8 @@
             JobService.Answer.Overloaded again = assertRefused("a");
             assertThat(again.latestStartMillis()).isAtMost(first.latestStartMillis());
         }
-        assertThat(keys()).containsExactly(JobRecords.LEADER_KEY, JobRecords.OUTLOOK_KEY);
+        assertThat(keys())
+                .containsExactly(JobRecords.DECLARED_DURATIONS_KEY, JobRecords.LEADER_KEY, JobRecords.OUTLOOK_KEY);
     }
 
     /** Guards against refusals on old knowledge, by a node whose leader has stopped writing. */
@@ -151,6 +157,28 @@
         assertThat(count("admission.unknown")).isEqualTo(5);
     }
 
+    /** Guards against a log line per request while the outlook alternates between known and unknown. */
+    @Test
+    void changesOfTheKnowledgeAreLoggedAtMostOncePerSecond() {
+        publish(FULL);
+        long startNanos = System.nanoTime();
+        try (LogCapture capture = LogCapture.of(AdmissionControl.class)) {
+            for (int i = 0; i < 10; i++) {
+                append(JobRecords.encode(new LeaderRecord("leader" + i, 1, false)));
+                read();
+                assertAccepted("a" + i);
+                append(JobRecords.encode(OutlookRecord.of(FULL)));
+                read();
+                assertRefused("b" + i);
+            }
+            long seconds = (System.nanoTime() - startNanos) / (1_000 * Clocks.NANOS_PER_MILLI);
+            int lines = capture.messagesContaining("outcome=unknown").size()
+                    + capture.messagesContaining("outcome=known").size();
+            assertThat(lines).isAtLeast(1);
+            assertThat((long) lines).isAtMost(seconds + 1);
+        }
+    }
+
     /** Guards against refusals by a node that is cut off from the log, and takes what it read last for the present. */
     @Test
     void aNodeThatIsCutOffDoesNotKnow() {
@@ -236,6 +264,36 @@
         assertAccepted("a");
     }
 
+    /** Returns an outlook with a wait of {@code millis} for everything. */
+    private static Outlook waitOf(int millis) {
+        Outlook.Wait wait = new Outlook.Wait(0, List.of(millis, millis, millis, millis));
+        return new Outlook(List.of(new Outlook.Service("s", 16_000, 32_768, List.of(wait))));
+    }
+
+    /** Guards against refusals of work whose declared duration is a tenth of the actual one. */
+    @Test
+    void declaredDurationsCountAsLongAsThoseOfTheQueueLatelyTook() {
+        read();
+        append(JobRecords.encode(LEADER), JobRecords.encode(OutlookRecord.of(waitOf(60_000))));
+        read();
+        // The declared second may be ten, with which the job is of use for longer than it waits.
+        assertAccepted("a");
+        append(declaredDurations(1_000));
+        read();
+        assertAccepted("b");
+        append(declaredDurations(100));
+        read();
+        assertRefused("c");
+    }
+
+    /** Guards against the refusal of work without a declared duration, whose time of use is unknown. */
+    @Test
+    void jobsWithoutDeclaredDurationsAreNeverRefused() {
+        publish(FULL);
+        Step step = new Step(2, STEP.demand(), 0, List.of(), Step.Constraints.NONE, Step.Mode.PLAIN);
+        assertThat(submit("a", step, Job.Schedule.NOW)).isInstanceOf(JobService.Answer.Accepted.class);
+    }
+
     /** Guards against the refusal of work whose wait does not make it useless. */
     @Test
     void recurringAndLastingJobsAreNeverRefused() {
--- a/acacia-node/src/test/java/org/acaciaport/node/LateJobsTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LateJobsTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.util.List;
+import java.util.Map;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
@@ -29,7 +30,11 @@
     }
 
     private long countEndedAfter(String id, long millis) {
-        JobProgress done = new JobProgress(id, JobState.DONE, ACCEPTED_MILLIS + millis, List.of(), List.of());
+        return countEndedAfter(id, millis, JobState.DONE);
+    }
+
+    private long countEndedAfter(String id, long millis, JobState state) {
+        JobProgress done = new JobProgress(id, state, ACCEPTED_MILLIS + millis, List.of(), List.of());
         lateJobs.record(List.of(done));
         return metrics.counter("admission.accepted-late").getCount();
     }
@@ -44,6 +49,25 @@
         assertThat(countEndedAfter("b", 9_751)).isEqualTo(1);
     }
 
+    /** Guards against jobs counted as late whose declared duration is a fraction of the actual one. */
+    @Test
+    void declaredDurationsCountAsLongAsThoseOfTheirQueueLatelyTook() {
+        replica.apply(JobRecords.encode(new DeclaredDurationsRecord(Map.of("q", 200))), replica.nextOffset());
+        accept("a", Job.Schedule.NOW);
+        accept("b", Job.Schedule.NOW);
+        assertThat(countEndedAfter("a", 18_750)).isEqualTo(0);
+        assertThat(countEndedAfter("b", 18_751)).isEqualTo(1);
+    }
+
+    /** Guards against a count of wrong acceptances that includes what callers cancelled or what failed. */
+    @Test
+    void cancelledAndFailedJobsDoNotCount() {
+        accept("a", Job.Schedule.NOW);
+        accept("b", Job.Schedule.NOW);
+        assertThat(countEndedAfter("a", 60_000, JobState.CANCELLED)).isEqualTo(0);
+        assertThat(countEndedAfter("b", 60_000, JobState.FAILED)).isEqualTo(0);
+    }
+
     @Test
     void recurringJobsDoNotCount() {
         accept("a", new Job.Schedule(2, ACCEPTED_MILLIS, 60_000));
--- a/acacia-node/src/test/java/org/acaciaport/node/OutlookPublisherTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/OutlookPublisherTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.acaciaport.admission.Outlook;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
@@ -18,7 +19,9 @@
 
     private Outlook outlook = outlook(1, 3);
     private SchedulingSettings settings = ON;
-    private final OutlookPublisher publisher = new OutlookPublisher(now -> outlook, () -> settings, START);
+    private Map<String, Integer> percents = Map.of();
+    private final OutlookPublisher publisher =
+            new OutlookPublisher(now -> outlook, () -> percents, () -> settings, START);
 
     /** Returns an outlook of services with waits of up to two minutes. */
     private static Outlook outlook(int services, int priorities) {
@@ -70,6 +73,7 @@
                 now -> {
                     throw new IllegalStateException("test");
                 },
+                Map::of,
                 () -> ON,
                 START);
         try (LogCapture capture = LogCapture.of(OutlookPublisher.class)) {
@@ -79,6 +83,19 @@
         }
     }
 
+    /** Guards against nodes that never hear how far declared durations are off, or hear it with each heartbeat. */
+    @Test
+    void declaredDurationsArePublishedWhenTheyChange() throws Exception {
+        percents = Map.of("q", 400);
+        List<KeyedRecord> records = publisher.records(SETTLED);
+        assertThat(records).hasSize(2);
+        assertThat(JobRecords.decode(records.get(0), DeclaredDurationsRecord.class)
+                        .percents())
+                .isEqualTo(percents);
+        assertThat(records.get(0).value().length).isAtMost(OutlookPublisher.MAX_BYTES);
+        assertThat(publisher.records(SETTLED)).hasSize(1);
+    }
+
     /** Guards against a record beyond 300 bytes, which small links transfer four times a second. */
     @Test
     void theSizeIsBounded() throws Exception {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/AccountDemand.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/AccountDemand.java
@@ -27,14 +27,7 @@
             if (job.state.isTerminal() || job.spec.terms().priority() != 0) {
                 continue;
             }
-            long largestStep = 0;
-            AccountTerms terms = settings.terms(job.spec.account());
-            for (Step step : job.spec.steps()) {
-                if (step.mode().gang() && !terms.isWithinLimit(Resources.sumOf(step.demand(), step.count()))) {
-                    continue;
-                }
-                largestStep = Math.max(largestStep, step.count() * step.demand().accelerators());
-            }
+            long largestStep = job.spec.largestStepAccelerators(settings.terms(job.spec.account()));
             demand.requestedAccelerators.merge(job.spec.account(), largestStep, Long::sum);
         }
         return demand;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -28,6 +28,8 @@
         List<Step> steps,
         Schedule schedule,
         long acceptedMillis) {
+    private static final double PERCENT = 100;
+
     /**
      * Creates a job with an immutable copy of {@code steps}.
      *
@@ -96,15 +98,35 @@
         return Objective.of(this).latestUsefulEndMillis(0);
     }
 
+    /** Returns the same if the steps take up to {@code percent} of their declared durations, at least 100. */
+    public long latestUsefulEndMillis(int percent) {
+        return Math.max(latestUsefulEndMillis(), stretched(percent).latestUsefulEndMillis(0));
+    }
+
     /** Returns the latest start at which the first occurrence is of use, in milliseconds since the Unix epoch. */
     public long latestUsefulStartMillis() {
         return Objective.of(this).latestUsefulStartMillis(0);
     }
 
-    /** Returns the accelerators that the tasks of the largest step need together. */
-    public long largestStepAccelerators() {
+    /** Returns the same if the steps take up to {@code percent} of their declared durations, at least 100. */
+    public long latestUsefulStartMillis(int percent) {
+        return Math.max(latestUsefulStartMillis(), stretched(percent).latestUsefulStartMillis(0));
+    }
+
+    private Objective stretched(int percent) {
+        return Objective.of(this, number -> steps.get(number).estimateSeconds() * percent / PERCENT);
+    }
+
+    /**
+     * Returns the accelerators that the tasks of the largest step need together; gangs beyond the limit of an account
+     * with {@code terms} do not count, as they cannot start.
+     */
+    public long largestStepAccelerators(AccountTerms terms) {
         long largest = 0;
         for (Step step : steps) {
+            if (step.mode().gang() && !terms.isWithinLimit(Resources.sumOf(step.demand(), step.count()))) {
+                continue;
+            }
             largest = Math.max(largest, step.count() * step.demand().accelerators());
         }
         return largest;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -255,6 +255,11 @@
         return OutlookBuilder.build(jobs.values(), targets.values(), settings, accountUsage, estimates, now);
     }
 
+    /** Returns the 90th percentile of actual by declared durations of the latest steps of each queue, in percent. */
+    public Map<String, Integer> declaredDurationPercents() {
+        return taskLifecycle.declaredDurations.percentByQueue();
+    }
+
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
     public List<WaitingStep> longestWaitingSteps(ClockReading now) {
         return WaitingStep.longest(jobs.values(), targets.values(), settings, now);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -29,6 +29,7 @@
     private final TargetHealth targetHealth;
     private final RunEstimates estimates;
     private final EstimateErrors estimateErrors = new EstimateErrors();
+    final DeclaredDurations declaredDurations = new DeclaredDurations();
 
     TaskLifecycle(Outbox outbox, TargetHealth targetHealth, RunEstimates estimates) {
         this.outbox = outbox;
@@ -89,6 +90,10 @@
         if (!step.mode().lasting() && task.isMeasurable()) {
             double runSeconds = now.secondsSince(task.confirmedNanos);
             estimateErrors.record(task.job().queue(), runSeconds, task.expectedSeconds);
+            if (task.step.doneTaskCount == 0) {
+                double nominalSeconds = runSeconds * task.target.speed;
+                declaredDurations.record(task.job().queue(), nominalSeconds, step.estimateSeconds());
+            }
         }
     }
 
