--- a/acacia-pool/src/test/java/org/acaciaport/pool/AdmissionGate.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/AdmissionGate.java
@@ -47,7 +47,7 @@
             next = pool.outlook(now);
             nextMillis = now.wallClockMillis() + INTERVAL_MILLIS;
         }
-        AdmissionPolicy.Request request = request(job, now.wallClockMillis());
+        AdmissionPolicy.Request request = request(pool, job, now.wallClockMillis());
         expectedWaits.putIfAbsent(job.id(), AdmissionPolicy.expectedWaitMillis(request, published));
         AdmissionPolicy.Knowledge knowledge =
                 new AdmissionPolicy.Knowledge(Optional.of(published), INTERVAL_MILLIS, "");
@@ -62,7 +62,8 @@
         };
     }
 
-    private AdmissionPolicy.Request request(Job job, long nowMillis) {
+    private AdmissionPolicy.Request request(Pool pool, Job job, long nowMillis) {
+        int percent = pool.declaredDurationPercents().getOrDefault(job.queue(), DeclaredDurations.MAX_PERCENT);
         long sinceFirst = nowMillis - firstAttempts.computeIfAbsent(job.id(), id -> nowMillis);
         List<AdmissionPolicy.Tasks> tasks = new ArrayList<>();
         for (Step step : job.steps()) {
@@ -78,6 +79,6 @@
                 job.terms().priority(),
                 tasks,
                 nowMillis,
-                job.latestUsefulStartMillis() - sinceFirst);
+                job.latestUsefulStartMillis(percent) - sinceFirst);
     }
 }
