--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -32,6 +32,7 @@
     static final String LEADER_KEY = "leader";
     static final String OUTLOOK_KEY = "outlook";
     static final String ESTIMATES_KEY = "estimates";
+    static final String DECLARED_DURATIONS_KEY = "declared-durations";
     static final String LEASE_PREFIX = "lease/";
 
     /** Largest size of encoded estimates, in bytes. */
@@ -85,6 +86,7 @@
         return key.equals(LEADER_KEY)
                 || key.equals(OUTLOOK_KEY)
                 || key.equals(ESTIMATES_KEY)
+                || key.equals(DECLARED_DURATIONS_KEY)
                 || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
     }
 
@@ -122,6 +124,10 @@
         return record(OUTLOOK_KEY, outlook);
     }
 
+    static KeyedRecord encode(DeclaredDurationsRecord durations) {
+        return record(DECLARED_DURATIONS_KEY, durations);
+    }
+
     /**
      * Decodes an outlook.
      *
@@ -196,6 +202,7 @@
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
         decodeOutlook(encode(OutlookRecord.of(Outlook.NO_WAIT)));
+        decode(encode(DeclaredDurationsRecord.NONE), DeclaredDurationsRecord.class);
         decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
         decodeEstimates(encode(new Pool().estimatesSnapshot()));
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -20,6 +20,9 @@
     /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
     private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
 
+    /** The demand of the unfinished jobs of priority 0. */
+    final UrgentDemand urgentDemand = new UrgentDemand();
+
     /** The nodes by name. */
     final Map<String, NodeRecord> nodes = new HashMap<>();
 
@@ -32,6 +35,9 @@
     /** The newest record of what a leader has learned, not decoded; null if there is none. */
     KeyedRecord estimates;
 
+    /** The latest record of how far declared durations are off. */
+    DeclaredDurationsRecord declaredDurations = DeclaredDurationsRecord.NONE;
+
     /** Offset of the next record of the log. */
     long nextOffset;
 
@@ -110,6 +116,7 @@
 
     /** Sets what is known of a job, apart from the progress of its tasks. */
     void put(String id, JobEntry entry) {
+        urgentDemand.update(entry(id), entry);
         if (entry.isEmpty()) {
             jobs.remove(id);
         } else {
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -109,7 +109,8 @@
         estimatesPersistence =
                 new EstimatesPersistence(pool::estimatesSnapshot, pool::restoreEstimates, dependencies.limits(), now);
         estimateMetrics = new EstimateMetrics(dependencies.metrics(), now);
-        OutlookPublisher outlookPublisher = new OutlookPublisher(pool::outlook, scheduling, now);
+        OutlookPublisher outlookPublisher =
+                new OutlookPublisher(pool::outlook, pool::declaredDurationPercents, scheduling, now);
         writer = new TermWriter(
                 self,
                 logWriter,
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -305,7 +305,12 @@
 
     /** Returns when more work could start, as far as that can be expected from the runs and the waiting work. */
     public Outlook outlook(ClockReading now) {
-        return OutlookBuilder.build(jobs.values(), targets.values(), settings, estimates, now);
+        return OutlookBuilder.build(jobs.values(), targets.values(), settings, accountUsage, estimates, now);
+    }
+
+    /** Returns the 90th percentile of actual by declared durations of the latest steps of each queue, in percent. */
+    public Map<String, Integer> declaredDurationPercents() {
+        return taskLifecycle.declaredDurations.percentByQueue();
     }
 
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
