Only urgent gangs leave a departing target early

Now only gangs of priority 0 are stopped early, for which staying means being late. The test is new and was not run against the former code.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -290,7 +290,8 @@
     /**
      * Stops the tasks on a draining target that would not complete before its departure, so that they go on elsewhere
      * instead of waiting for the lease of a target that has left. Those with checkpoints are stopped shortly before the
-     * departure, gangs without them as soon as it is clear that the work of all members will be lost.
+     * departure, gangs of the highest priority without them as soon as they would be late by staying. Others stay, as
+     * targets often leave later than they must.
      */
     void evictBeforeDeparture(TargetState target, ClockReading now) {
         if (target.info == null || !target.info.draining() || target.info.departureNanos() == 0) {
@@ -313,8 +314,9 @@
         if (task.step.spec.mode().checkpoint()) {
             return secondsToDeparture <= EVICTION_LEAD_SECONDS && remaining >= secondsToDeparture;
         }
-        boolean breaksGang = task.step.tasks.size() > 1 && task.step.spec.mode().gang();
-        return breaksGang
+        boolean gang = task.step.tasks.size() > 1 && task.step.spec.mode().gang();
+        return gang
+                && task.job().terms().priority() == 0
                 && secondsToDeparture > 0
                 && remaining > EVICTION_MARGIN_FACTOR * secondsToDeparture + EVICTION_LEAD_SECONDS;
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LeavingTargetTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LeavingTargetTest.java
@@ -93,6 +93,16 @@
         assertThat(fixture.startsOf("gang")).hasSize(2 * GANG_SIZE);
     }
 
+    /** Guards against long work of lower priority that is thrown away although its target may stay for seconds more. */
+    @Test
+    void aGangOfLowerPriorityStaysOnATargetThatLeaves() {
+        fixture.submit(fixture.job("gang", "x", 1, PoolFixture.gang(GANG_SIZE, 8, false)));
+        TargetCommand.Start member = fixture.running.values().iterator().next();
+        fixture.drainTarget(member.target(), "r1", fixture.now().nanosAfter(2_000));
+        fixture.advance(50);
+        assertThat(fixture.stops).isEmpty();
+    }
+
     /** Guards against work that is thrown away although its target stays long enough. */
     @Test
     void aRunThatCanCompleteBeforeTheDepartureGoesOn() {
