--- a/review/harness-2/Cluster.java
+++ b/review/harness-2/Cluster.java
@@ -25,22 +25,18 @@
     final Tasks tasks;
     final Store store = new Store();
     final List<Worker> workers = new ArrayList<>();
-    final List<Proxy> storeProxies = new ArrayList<>();
     private final List<Process> nodes = new ArrayList<>();
     private final Path folder;
     private final String net;
     private final int nodeCount;
-    private final boolean proxiedStore;
 
-    Cluster(Journal journal, int nodeCount, boolean proxiedStore) throws Exception {
+    Cluster(Journal journal, int nodeCount) throws Exception {
         this.journal = journal;
         this.nodeCount = nodeCount;
-        this.proxiedStore = proxiedStore;
         tasks = new Tasks(journal);
         folder = Files.createTempDirectory("case");
         net = freeNet();
         Runtime.getRuntime().addShutdownHook(new Thread(this::killNodes));
-        store.start(net + ".200", STORE);
     }
 
     /** Returns the first three numbers of loopback addresses on which the ports of the nodes are free. */
@@ -124,11 +120,8 @@
 
     private Process startNode(int i) throws Exception {
         String ip = net + "." + (i + 1);
-        String storeAddress = net + ".200:" + STORE;
-        if (proxiedStore) {
-            storeProxies.add(new Proxy(net + "." + (201 + i), STORE, net + ".200", STORE));
-            storeAddress = net + "." + (201 + i) + ":" + STORE;
-        }
+        String storeAddress = net + "." + (201 + i) + ":" + STORE;
+        store.start(net + "." + (201 + i), STORE, i);
         Path settings = folder.resolve("node-" + i + ".json");
         Files.writeString(settings, Json.write(settings(i, ip, storeAddress)));
         ProcessBuilder builder = new ProcessBuilder(runLine());
@@ -245,9 +238,6 @@
         for (Worker worker : workers) {
             worker.close();
         }
-        for (Proxy proxy : storeProxies) {
-            proxy.close();
-        }
         if (System.getenv("KEEP_LOGS") == null) {
             try (var files = Files.walk(folder)) {
                 files.sorted(java.util.Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
--- a/review/harness-2/PendingCount.java
+++ b/review/harness-2/PendingCount.java
@@ -18,7 +18,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int result = 2;
         try (Journal journal = new Journal(Path.of(arguments[0]));
-                Cluster cluster = new Cluster(journal, 6, false)) {
+                Cluster cluster = new Cluster(journal, 6)) {
             result = run(journal, cluster, trouble);
             journal.line("exit %d", result);
         } catch (Exception e) {
--- a/review/harness-2/Proxy.java
+++ b/review/harness-2/Proxy.java
@@ -9,7 +9,7 @@
 
 /**
  * A TCP proxy on one loopback address. While it is cut, no byte passes in either direction; what was held up is dropped
- * with its connection when the cut ends. {@link #silence} makes the open connections pass nothing for good.
+ * with its connection when the cut ends.
  */
 final class Proxy {
     private final ServerSocket listener;
@@ -21,7 +21,6 @@
         final Socket client;
         final Socket server;
         volatile boolean held;
-        volatile boolean silent;
 
         Link(Socket client, Socket server) {
             this.client = client;
@@ -74,7 +73,7 @@
                 if (cut) {
                     link.held = true;
                 }
-                if (!link.silent && !link.held) {
+                if (!link.held) {
                     out.write(buffer, 0, count);
                     out.flush();
                 }
@@ -98,12 +97,6 @@
         links.stream().filter(link -> link.held).forEach(Link::close);
     }
 
-    /** Makes the open connections silent for good; new ones work. Returns how many there are. */
-    int silence() {
-        links.forEach(link -> link.silent = true);
-        return links.size();
-    }
-
     void close() throws Exception {
         listener.close();
         links.forEach(Link::close);
--- a/review/harness-2/Store.java
+++ b/review/harness-2/Store.java
@@ -20,7 +20,10 @@
     private static final long KEEP_NANOS = 20_000_000_000L;
 
     private final Map<String, Topic> topics = new HashMap<>();
-    private HttpServer server;
+    private final List<HttpServer> servers = new ArrayList<>();
+
+    /** Nodes whose calls are answered with 429, by the number of the listener that they use. */
+    final java.util.Set<Integer> refused = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
     /** A record of a topic. */
     private record Entry(byte[] bytes, long nanos) {
@@ -54,12 +57,13 @@
         }
     }
 
-    void start(String host, int port) throws Exception {
-        server = Http.serve(host, port, this::handle);
+    /** Listens for the calls of one node. */
+    void start(String host, int port, int node) throws Exception {
+        servers.add(Http.serve(host, port, exchange -> handle(exchange, node)));
     }
 
     void stop() {
-        server.stop(0);
+        servers.forEach(server -> server.stop(0));
     }
 
     private synchronized Topic topic(String name) {
@@ -100,9 +104,13 @@
         return offset;
     }
 
-    private void handle(HttpExchange exchange) throws Exception {
+    private void handle(HttpExchange exchange, int node) throws Exception {
         byte[] body = exchange.getRequestBody().readAllBytes();
         Thread.sleep(ANSWER_MILLIS);
+        if (refused.contains(node)) {
+            Http.answer(exchange, 429, new byte[0]);
+            return;
+        }
         switch (exchange.getRequestURI().getPath()) {
             case "/log-append" -> handleAppend(exchange, body);
             case "/log-read" -> handleRead(exchange);
