--- a/review/harness-2/Cluster.java
+++ b/review/harness-2/Cluster.java
@@ -90,13 +90,19 @@
         journal.line("operator: configuration %d with queues %s acknowledged", version, names);
     }
 
-    /** Adds workers of one kind, four a rack. */
+    /** Adds workers of one kind, four a rack, to all zones in turn. */
     void addWorkers(int count, String kind) throws Exception {
+        addWorkers(count, kind, -1);
+    }
+
+    /** Adds workers of one kind to a zone, or to all in turn if it is negative. */
+    void addWorkers(int count, String kind, int zone) throws Exception {
         for (int i = 0; i < count; i++) {
             int number = workers.size();
+            int place = zone < 0 ? number % ZONES.size() : zone;
             workers.add(new Worker(
                     "i-" + String.format("%010x", 0x2a0000 + number), net + "." + (50 + number), 8_081, 8_080,
-                    ZONES.get(number % ZONES.size()), kind, "r1-" + number / 4, store, tasks));
+                    ZONES.get(place), kind, "r1-" + number / 4, store, tasks));
         }
     }
 
@@ -121,12 +127,15 @@
     private Process startNode(int i) throws Exception {
         String ip = net + "." + (i + 1);
         String storeAddress = net + "." + (201 + i) + ":" + STORE;
-        store.start(net + "." + (201 + i), STORE, i);
+        if (nodes.size() <= i) {
+            store.start(net + "." + (201 + i), STORE, i);
+        }
         Path settings = folder.resolve("node-" + i + ".json");
         Files.writeString(settings, Json.write(settings(i, ip, storeAddress)));
         ProcessBuilder builder = new ProcessBuilder(runLine());
         builder.environment().put("ACACIAPORT_BOOT", settings.toString());
-        builder.redirectErrorStream(true).redirectOutput(new File(folder.toFile(), "node-" + i + ".log"));
+        File log = new File(folder.toFile(), "node-" + i + ".log");
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
         return builder.start();
     }
 
@@ -177,12 +186,21 @@
         throw new IllegalStateException("deploy/system.toml has no run line");
     }
 
-    long pid(int node) {
-        return nodes.get(node).pid();
+    /** Kills a node at once. */
+    void kill(int node) {
+        nodes.get(node).destroyForcibly();
+        journal.line("node %d is killed", node);
     }
 
-    Process node(int node) {
-        return nodes.get(node);
+    /** Starts a node that was killed. */
+    void startAgain(int node) throws Exception {
+        nodes.get(node).waitFor();
+        nodes.set(node, startNode(node));
+        journal.line("node %d starts again", node);
+    }
+
+    long pid(int node) {
+        return nodes.get(node).pid();
     }
 
     /** Sends a signal to a node. */
@@ -206,11 +224,6 @@
         return leader;
     }
 
-    /** Returns the path of the log of a node. */
-    Path log(int node) {
-        return folder.resolve("node-" + node + ".log");
-    }
-
     /** A client's call with the key of the tenant. */
     Http.Reply call(int node, String method, String path, String body) {
         Http.Reply reply = Http.call(
--- a/review/harness-2/Worker.java
+++ b/review/harness-2/Worker.java
@@ -59,6 +59,22 @@
         Thread.ofVirtual().start(this::tick);
     }
 
+    /** Loses power: its runs end without a report, and its entry expires after three heartbeats. */
+    void losePower() throws Exception {
+        synchronized (tasks) {
+            close();
+            for (Tasks.Run run : new ArrayList<>(running.values())) {
+                tasks.ends.add(new Tasks.End(0, run.task, run.run, "lost", id, tasks.journal.seconds()));
+                tasks.journal.line("worker %s: %s run %d is lost with its worker", id, run.task, run.run);
+            }
+            running.clear();
+        }
+        Thread.ofVirtual().start(() -> {
+            sleep(3 * HEARTBEAT_MILLIS);
+            store.put("keyed.servers", id, null);
+        });
+    }
+
     void close() throws Exception {
         closed = true;
         proxy.close();
