--- a/review/harness-2/GangBudget.java
+++ b/review/harness-2/GangBudget.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -18,19 +17,10 @@
     private static final String FAILING = JOB + ".0.0.0";
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Journal journal = new Journal(Path.of(arguments[0]));
-                Cluster cluster = new Cluster(journal, 6)) {
-            result = run(journal, cluster, trouble);
-            journal.line("exit %d", result);
-        } catch (Exception e) {
-            e.printStackTrace();
-        }
-        System.exit(result);
+        Case.main(arguments, GangBudget::play);
     }
 
-    private static int run(Journal journal, Cluster cluster, boolean trouble) throws Exception {
+    private static int play(Journal journal, Cluster cluster, boolean trouble) throws Exception {
         cluster.configure(7, List.of("lohu930", "pufi791"), ATTEMPTS);
         cluster.addWorkers(WORKERS, "a");
         cluster.start();
@@ -42,16 +32,16 @@
         String longBody = "{\"spec\":\"sheet\",\"steps\":[{\"count\":12,\"cpu\":2800,\"mem_mb\":7400,\"gpu\":1,"
                 + "\"est_ms\":40000,\"anti_affinity\":1}]}";
         if (cluster.call(0, "POST", "/pufi791/" + LONG_JOB, longBody).status() != 200) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         Thread.sleep(1_000);
         String body = "{\"spec\":\"plate\",\"steps\":[{\"count\":2,\"cpu\":13000,\"mem_mb\":26000,\"gpu\":4,"
                 + "\"est_ms\":1500,\"gang\":true}]}";
         if (cluster.call(0, "POST", "/lohu930/" + JOB, body).status() != 200) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         if (!awaitStarts(cluster, 1)) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         if (trouble) {
             Thread.sleep(300);
--- a/review/harness-2/PendingCount.java
+++ b/review/harness-2/PendingCount.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.List;
 
 /**
@@ -15,19 +14,10 @@
     private static final String JOB = "5c0e7a21d94b36f8";
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Journal journal = new Journal(Path.of(arguments[0]));
-                Cluster cluster = new Cluster(journal, 6)) {
-            result = run(journal, cluster, trouble);
-            journal.line("exit %d", result);
-        } catch (Exception e) {
-            e.printStackTrace();
-        }
-        System.exit(result);
+        Case.main(arguments, PendingCount::play);
     }
 
-    private static int run(Journal journal, Cluster cluster, boolean trouble) throws Exception {
+    private static int play(Journal journal, Cluster cluster, boolean trouble) throws Exception {
         cluster.configure(7, List.of("lohu930"), 3);
         cluster.addWorkers(WORKERS - 1, "a");
         cluster.addWorkers(1, "b");
@@ -42,7 +32,7 @@
         String body = "{\"spec\":\"plate\",\"steps\":[{\"count\":1,\"cpu\":13000,\"mem_mb\":26000,\"gpu\":1,"
                 + "\"est_ms\":2000,\"requires\":\"b\"}]}";
         if (cluster.call(0, "POST", "/lohu930/" + JOB, body).status() != 200) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         double accepted = journal.seconds();
         int broken = 0;
--- a/review/harness-2/RelayCut.java
+++ b/review/harness-2/RelayCut.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -17,19 +16,10 @@
     private static final double SENDING_SECONDS = 0.05;
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Journal journal = new Journal(Path.of(arguments[0]));
-                Cluster cluster = new Cluster(journal, 6)) {
-            result = run(journal, cluster, trouble);
-            journal.line("exit %d", result);
-        } catch (Exception e) {
-            e.printStackTrace();
-        }
-        System.exit(result);
+        Case.main(arguments, RelayCut::play);
     }
 
-    private static int run(Journal journal, Cluster cluster, boolean trouble) throws Exception {
+    private static int play(Journal journal, Cluster cluster, boolean trouble) throws Exception {
         List<String> queues = new ArrayList<>(List.of("lohu930"));
         cluster.configure(7, queues, 3);
         cluster.addWorkers(12, "a");
@@ -78,12 +68,12 @@
             }
             if (broken) {
                 journal.line("judged: CONFIG is broken");
-                return 1;
+                return Case.BROKEN;
             }
             Thread.sleep(2_500);
         }
         journal.line("judged: CONFIG is kept");
-        return 0;
+        return Case.HELD;
     }
 
     private static void sleepUntil(Journal journal, double seconds) throws Exception {
--- a/review/harness-2/ZoneLoss.java
+++ b/review/harness-2/ZoneLoss.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,25 +11,13 @@
     private static final int TASKS = 6;
     private static final int BACK_MILLIS = 1_500;
 
-    /** From 6 s after the last run of the task, nothing may run for 3 s. */
-    private static final double BOUND_SECONDS = 6 + 3;
-
     private static final String JOB = "5c0e7a21d94b36f8";
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Journal journal = new Journal(Path.of(arguments[0]));
-                Cluster cluster = new Cluster(journal, 6)) {
-            result = run(journal, cluster, trouble);
-            journal.line("exit %d", result);
-        } catch (Exception e) {
-            e.printStackTrace();
-        }
-        System.exit(result);
+        Case.main(arguments, ZoneLoss::play);
     }
 
-    private static int run(Journal journal, Cluster cluster, boolean trouble) throws Exception {
+    private static int play(Journal journal, Cluster cluster, boolean trouble) throws Exception {
         cluster.configure(7, List.of("pufi791", "lohu930"), 3);
         cluster.addWorkers(WORKERS, "a");
         cluster.start();
@@ -41,17 +28,17 @@
         String body = "{\"spec\":\"plate\",\"steps\":[{\"count\":6,\"cpu\":2800,\"mem_mb\":7400,\"gpu\":1,"
                 + "\"long_running\":true,\"anti_affinity\":1}]}";
         if (cluster.call(0, "POST", "/lohu930/" + JOB, body).status() != 200) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         Thread.sleep(3_000);
         if (cluster.tasks.startsOfJob(JOB).size() != TASKS) {
-            return 2;
+            return Case.COULD_NOT_RUN;
         }
         if (trouble) {
             loseZone(journal, cluster, cluster.leader() % ZONES);
         }
         Thread.sleep(18_000);
-        return judge(journal, cluster);
+        return Case.judgeLasting(journal, cluster, cluster.tasks.ends);
     }
 
     private static void loseZone(Journal journal, Cluster cluster, int zone) throws Exception {
@@ -73,21 +60,4 @@
         cluster.addWorkers(count, "a", zone);
         journal.line("the zone is back, its workers are new ones");
     }
-
-    /** LOST: from 6 s after its last run, a task that lasts has nothing running for 3 s, though there is room. */
-    private static int judge(Journal journal, Cluster cluster) {
-        int broken = 0;
-        for (Tasks.End end : cluster.tasks.ends) {
-            double next = cluster.tasks.startsOf(end.task).stream()
-                    .mapToDouble(Tasks.Start::seconds)
-                    .filter(seconds -> seconds > end.seconds)
-                    .min()
-                    .orElse(journal.seconds());
-            journal.line("judged: %s run %d %s at %.3f with worker %s, nothing ran for %.3f s", end.task, end.run,
-                    end.how, end.seconds, end.worker, next - end.seconds);
-            broken |= next - end.seconds > BOUND_SECONDS ? 1 : 0;
-        }
-        journal.line("judged: LOST is %s", broken == 1 ? "broken" : "kept");
-        return broken;
-    }
 }
