Count a job as begun only once a target has confirmed a run

Cause: UnitStarter set the job to RUNNING with the decision to start it. The record of that decision told all nodes so, a start that failed did not take it back, and a successor read it as a fact.

Change: a job leaves QUEUED when a target confirms one of its runs: by its answer to the start, or by a report that lists a run of the job as running or ended, whichever run that is. The decision itself is recorded only with the task, whose run number must not be used again. So the count, the state and the record follow from what targets confirmed, and a successor hears it from the targets.

Ruled out: setting the state back when a start fails. A start without an answer would have had to be guessed at, and a takeover between the decision and its failure would have kept the state.

--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
@@ -28,6 +28,12 @@
     /** How many of the next start commands are carried out without an answer. */
     volatile int startAnswersToLose;
 
+    /** Whether start commands are refused without effect, as by an unhealthy target. */
+    volatile boolean refusesStarts;
+
+    /** How many start commands were refused so. */
+    volatile int refusedStarts;
+
     /** Whether no call is answered or carried out. */
     volatile boolean silent;
 
@@ -80,6 +86,10 @@
             startsToThrow--;
             throw new IllegalArgumentException("unsupported URI");
         }
+        if (refusesStarts) {
+            refusedStarts++;
+            return new Refused(RefusalReason.UNHEALTHY, OptionalLong.empty());
+        }
         if (stopped.getOrDefault(request.task(), 0) >= request.run()) {
             return new Refused(RefusalReason.OLD_RUN, OptionalLong.of(clock()));
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -136,6 +136,21 @@
         assertThat(showsEstimates()).isFalse();
     }
 
+    /** Guards against a job that is missing among the pending ones (MIXED), as the leader has tried to start it. */
+    @Test
+    void aJobIsPendingUntilATargetHasStartedIt() {
+        target.refusesStarts = true;
+        append(JobRecords.encode(newJob("a", 1)));
+        lead();
+        Conditions.await(() -> target.refusedStarts >= 2);
+        Conditions.await(() -> replica.find("a").progress() != null);
+        assertThat(replica.countPending("queue")).isEqualTo(1);
+        assertThat(replica.find("a").state()).isEqualTo(JobState.QUEUED);
+        target.refusesStarts = false;
+        Conditions.await(() -> replica.countPending("queue") == 0);
+        assertThat(replica.find("a").state()).isEqualTo(JobState.RUNNING);
+    }
+
     /** Guards against a leader that ends each of its terms because of a record that it could do without. */
     @Test
     void aTermLeadsAlthoughTheLearnedEstimatesAreMalformed() {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -27,7 +27,9 @@
 
     private final TreeMap<Integer, List<StepExecution>> openOccurrences = new TreeMap<>();
 
+    /** The state that callers are told: queued until a target has confirmed a run. */
     JobState state = JobState.QUEUED;
+
     long endedMillis;
 
     JobExecution(Job spec, RunEstimates estimates) {
@@ -95,6 +97,19 @@
         }
     }
 
+    /**
+     * Records that a target has confirmed a run of the job, so that the job counts as begun.
+     *
+     * @return whether it did not before
+     */
+    boolean begin() {
+        if (state != JobState.QUEUED) {
+            return false;
+        }
+        state = JobState.RUNNING;
+        return true;
+    }
+
     void end(JobState finalState, long nowMillis) {
         state = finalState;
         endedMillis = nowMillis;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
@@ -12,8 +12,8 @@
  * @param state state of the job
  * @param endedMillis time at which the job ended, in milliseconds since the Unix epoch; 0 until then
  * @param doneOccurrences indices of the occurrences whose tasks are all done; empty once the job has ended
- * @param tasks tasks of other occurrences that have started at least once; once the job has ended, only those whose
- *     newest run may still be active
+ * @param tasks tasks of other occurrences for which a start was decided at least once; once the job has ended, only
+ *     those whose newest run may still be active
  */
 public record JobProgress(
         String id, JobState state, long endedMillis, List<Integer> doneOccurrences, List<Task> tasks) {
@@ -46,7 +46,7 @@
      * @param occurrence index of the occurrence of a recurring job, from 0
      * @param step index of the step in the job, from 0
      * @param index index of the task in the step, from 0
-     * @param lastRun run number of the newest run
+     * @param lastRun run number of the newest run that was decided on; it may not have started
      * @param failures number of failed runs; for a gang, counted on its first task
      * @param done whether the task is done
      * @param target target on which the newest run may be active; empty if that run is known to have ended
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -213,8 +213,12 @@
                         .isWithinLimit(accountUsage.running(task.job().account()));
     }
 
-    /** Handles the confirmation of a start by the target. Ignores confirmations of runs that are no longer current. */
+    /**
+     * Handles the confirmation of a start by the target. Of a run that is no longer current, it shows only that the job
+     * has begun.
+     */
     public void handleStarted(TargetCommand.Start start, ClockReading now) {
+        reportHandler.recordBegun(start.task().job());
         TaskExecution task = currentTask(start);
         if (task != null && task.confirmedNanos == 0) {
             ReportHandler.confirmStart(task, now);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -48,6 +48,7 @@
         handleRestart(target, report.incarnation(), now);
         long lastNumber = 0;
         for (TargetReport.Ended end : report.ended()) {
+            recordBegun(end.task().job());
             taskLifecycle.handleEnd(findTask(end.task()), target, end, now);
             lastNumber = end.number();
         }
@@ -78,6 +79,7 @@
         Set<TaskId> reported = new HashSet<>();
         target.clearStrayRuns();
         for (TargetReport.Running run : report.running()) {
+            recordBegun(run.task().job());
             TaskExecution task = findTask(run.task());
             if (task == null || task.target != target || task.lastRun != run.run() || !task.phase.mayOccupyTarget()) {
                 stopStray(target, task, run);
@@ -101,6 +103,14 @@
         }
     }
 
+    /** Records that a target has started a run of the job. Has no effect if the job is unknown. */
+    void recordBegun(String id) {
+        JobExecution job = findJob.apply(id);
+        if (job != null && job.begin()) {
+            outbox.markChanged(job);
+        }
+    }
+
     private void stopStray(TargetState target, TaskExecution task, TargetReport.Running run) {
         target.hasStrayRuns = true;
         if (task != null) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -94,9 +94,6 @@
             task.target.put(task, Phase.STARTING);
             context.outbox().addStart(task);
         }
-        if (unit.step().job.state == JobState.QUEUED) {
-            unit.step().job.state = JobState.RUNNING;
-        }
     }
 
     /** Returns whether other units of the step of {@code unit} have no run yet. */
