Count each reported end of a run, whatever was concluded before

Cause: the end of a gang's last member is concluded when all others are broken, so that the gang need not wait for a silent target. When that target reported the end later, handleEnd ignored it, as the task had no run there any more, and the report was acknowledged all the same. The same held for every end of a run that is not the newest one: after a lease expired, and, of failures, for runs whose record was written by a leader that failed before the acknowledgement.

Change: what is reported counts, once each. A task is done once any of its runs is reported as done; a run that was started since is stopped. The failures of a task are the set of its runs that were reported as failed, so reports may come late, in any order, and again to the next leader. A run whose end is concluded stays unreported until its target lists it, shows that it never will, restarts, or loses its lease. Meanwhile the target is asked for reports, and the run counts as a possible failure: no run starts that would be one too many if it turns out to have failed.

Both are in the log, under a key of their own (ends/JOB/TASK), which earlier builds skip; the other records keep their form, now as TaskRecord and ProgressRecord. From a record with the number of failures only, the newest runs that have ended are taken as the failed ones.

Ruled out: no conclusion at all (a gang would wait 6 s for a lease again); counting the concluded end as a failure (a job would end as failed without a cause); keeping it in memory only (the next leader would start one run too many).

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -15,6 +15,7 @@
 import org.acaciaport.pool.JobState;
 import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.RunEnds;
 import org.acaciaport.pool.Step;
 import org.acaciaport.wire.Codecs;
 import org.msgpack.core.MessagePackException;
@@ -27,6 +28,10 @@
     static final String JOB_PREFIX = "job/";
     static final String PROGRESS_PREFIX = "progress/";
     static final String TASK_PREFIX = "task/";
+
+    /** Records of the ends of runs; earlier builds skip them. */
+    static final String ENDS_PREFIX = "ends/";
+
     static final String CANCEL_PREFIX = "cancel/";
     static final String NODE_PREFIX = "node/";
     static final String LEADER_KEY = "leader";
@@ -48,8 +53,7 @@
     }
 
     static KeyedRecord encode(JobProgress progress) {
-        List<Integer> ranges = OccurrenceRanges.compact(progress.doneOccurrences());
-        return record(PROGRESS_PREFIX + progress.id(), progress.withDoneOccurrences(ranges));
+        return record(PROGRESS_PREFIX + progress.id(), ProgressRecord.of(progress));
     }
 
     /**
@@ -58,13 +62,27 @@
      * @throws IOException if the value is no progress
      */
     static JobProgress decodeProgress(KeyedRecord record) throws IOException {
-        JobProgress progress = decode(record, JobProgress.class);
-        return progress.withDoneOccurrences(OccurrenceRanges.expand(progress.doneOccurrences()));
+        return decode(record, ProgressRecord.class).toProgress();
     }
 
     /** Encodes the progress of a task under its {@link #taskKey}. */
     static KeyedRecord encode(String key, JobProgress.Task task) {
-        return record(key, task);
+        return record(key, TaskRecord.of(task));
+    }
+
+    /** Encodes what is known of the ends of the runs of a task, under the {@link #endsKey} of its {@link #taskKey}. */
+    static KeyedRecord encodeEnds(String taskKey, RunEnds ends) {
+        return record(endsKey(taskKey), ends);
+    }
+
+    /** Returns the key of the ends of the task with the key {@code taskKey}. */
+    static String endsKey(String taskKey) {
+        return ENDS_PREFIX + taskKey.substring(TASK_PREFIX.length());
+    }
+
+    /** Returns the key of the task with the key {@code endsKey} of its ends. */
+    static String taskKeyOfEnds(String endsKey) {
+        return TASK_PREFIX + endsKey.substring(ENDS_PREFIX.length());
     }
 
     /** Returns the key of the record of a task. */
@@ -87,11 +105,15 @@
                 || key.equals(OUTLOOK_KEY)
                 || key.equals(ESTIMATES_KEY)
                 || key.equals(DECLARED_DURATIONS_KEY)
-                || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, LEASE_PREFIX).anyMatch(key::startsWith);
+                || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, ENDS_PREFIX, LEASE_PREFIX)
+                        .anyMatch(key::startsWith);
     }
 
     /** Returns the id of the job that a record with this key is about; empty if it is about none. */
     static Optional<String> jobOfKey(String key) {
+        if (key.startsWith(ENDS_PREFIX)) {
+            return jobOfKey(taskKeyOfEnds(key));
+        }
         if (key.startsWith(TASK_PREFIX)) {
             int end = key.lastIndexOf(TASK_SEPARATOR);
             boolean named = end > TASK_PREFIX.length();
@@ -196,7 +218,8 @@
         Job job = new Job("j", "q", "s", "a", new Job.Terms(0, 1, 1, 1), "", List.of(step), Job.Schedule.NOW, 0);
         decode(encode(job), Job.class);
         JobProgress.Task task = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
-        decode(encode(taskKey("j", task), task), JobProgress.Task.class);
+        decode(encode(taskKey("j", task), task), TaskRecord.class);
+        decode(encodeEnds(taskKey("j", task), RunEnds.NONE), RunEnds.class);
         decodeProgress(encode(new JobProgress("j", JobState.RUNNING, 0, List.of(), List.of())));
         decode(encode(new CancelRecord("j", 0)), CancelRecord.class);
         decode(encode(new NodeRecord("n", "a", VmCapacity.UNKNOWN)), NodeRecord.class);
--- a/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ProgressEncoder.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.RunEnds;
 
 /**
- * Encodes the progress of jobs as records: one for the job and one for each of its tasks, and of these only the ones
- * that changed since they were last encoded. So the bytes written for a change do not grow with the size of the job.
+ * Encodes the progress of jobs as records: one for the job, one for each of its tasks, and one for the ends of a task's
+ * runs if they matter. Of these, only the ones that changed since they were last encoded are returned, so the bytes
+ * written for a change do not grow with the size of the job.
  *
  * <p>Not thread-safe; confined to the thread of the term. Invariant: applied in order, all records encoded so far and
  * those that the encoder was created with amount to the progress that was encoded last.
@@ -51,17 +53,35 @@
         }
         Map<String, JobProgress.Task> removed = previous == null ? new HashMap<>() : tasksByKey(previous);
         tasksByKey(progress).forEach((key, task) -> {
-            if (!task.equals(removed.remove(key)) || wasEmbedded) {
+            JobProgress.Task before = removed.remove(key);
+            if (!task.equals(before) || wasEmbedded) {
+                addEnds(records, key, before, task);
                 records.add(JobRecords.encode(key, task));
             }
         });
         if (wasEmbedded) {
             records.add(JobRecords.encode(header));
         }
-        removed.keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
+        removed.forEach((key, task) -> addTombstones(records, key, task));
         return records;
     }
 
+    /** Adds the record of the ends, which comes before that of the task: a run without a report is not forgotten. */
+    private static void addEnds(List<KeyedRecord> records, String key, JobProgress.Task before, JobProgress.Task task) {
+        if (!task.ends().equals(RunEnds.NONE)) {
+            records.add(JobRecords.encodeEnds(key, task.ends()));
+        } else if (before != null && !before.ends().equals(RunEnds.NONE)) {
+            records.add(KeyedRecord.tombstone(JobRecords.endsKey(key)));
+        }
+    }
+
+    private static void addTombstones(List<KeyedRecord> records, String key, JobProgress.Task task) {
+        records.add(KeyedRecord.tombstone(key));
+        if (!task.ends().equals(RunEnds.NONE)) {
+            records.add(KeyedRecord.tombstone(JobRecords.endsKey(key)));
+        }
+    }
+
     /** Returns the records that remove the progress of a job from the log, and forgets the job. */
     List<KeyedRecord> remove(String id) {
         List<KeyedRecord> records = new ArrayList<>();
@@ -69,7 +89,7 @@
         embedded.remove(id);
         records.add(KeyedRecord.tombstone(JobRecords.PROGRESS_PREFIX + id));
         if (progress != null) {
-            tasksByKey(progress).keySet().forEach(key -> records.add(KeyedRecord.tombstone(key)));
+            tasksByKey(progress).forEach((key, task) -> addTombstones(records, key, task));
         }
         return records;
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -14,8 +14,8 @@
 import org.acaciaport.pool.AccountTerms;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
-import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
+import org.acaciaport.pool.RunEnds;
 import org.jboss.logging.Logger;
 
 /**
@@ -100,7 +100,11 @@
             String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
             contents.putProgress(id, isTombstone(record) ? null : JobRecords.decodeProgress(record));
         } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
-            contents.putTask(JobRecords.jobOfTaskKey(key), key, decode(record, JobProgress.Task.class));
+            TaskRecord task = decode(record, TaskRecord.class);
+            contents.putTask(JobRecords.jobOfTaskKey(key), key, task == null ? null : task.toTask());
+        } else if (key.startsWith(JobRecords.ENDS_PREFIX)) {
+            String taskKey = JobRecords.taskKeyOfEnds(key);
+            contents.putEnds(JobRecords.jobOfTaskKey(taskKey), taskKey, decode(record, RunEnds.class));
         } else if (key.startsWith(JobRecords.LEASE_PREFIX)) {
             applyLease(key.substring(JobRecords.LEASE_PREFIX.length()), decode(record, LeaseRecord.class), offset);
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -1,13 +1,16 @@
 package org.acaciaport.node;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.acaciaport.admission.Outlook;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.JobProgress;
+import org.acaciaport.pool.RunEnds;
 
 /**
  * The scheduler's own records up to one offset of the log.
@@ -20,6 +23,9 @@
     /** The progress of tasks, by job and by the key of its record. Kept beside the jobs, as it changes most often. */
     private final Map<String, Map<String, JobProgress.Task>> tasks = new HashMap<>();
 
+    /** What is known of the ends of the runs of tasks, by job and by the key of the record of the task. */
+    private final Map<String, Map<String, RunEnds>> ends = new HashMap<>();
+
     /** The demand of the unfinished jobs of priority 0. */
     final UrgentDemand urgentDemand = new UrgentDemand();
 
@@ -109,11 +115,18 @@
     /** Returns what is known of each job, by id. */
     Map<String, JobEntry> entriesWithTasks() {
         Map<String, JobEntry> entries = new LinkedHashMap<>();
-        jobs.forEach((id, entry) ->
-                entries.put(id, entry.withTasks(tasks.getOrDefault(id, Map.of()).values())));
+        jobs.forEach((id, entry) -> entries.put(id, entry.withTasks(tasksWithEnds(id))));
         return entries;
     }
 
+    private List<JobProgress.Task> tasksWithEnds(String id) {
+        Map<String, RunEnds> known = ends.getOrDefault(id, Map.of());
+        List<JobProgress.Task> complete = new ArrayList<>();
+        tasks.getOrDefault(id, Map.of())
+                .forEach((key, task) -> complete.add(task.withEnds(known.getOrDefault(key, RunEnds.NONE))));
+        return complete;
+    }
+
     /** Sets what is known of a job, apart from the progress of its tasks. */
     void put(String id, JobEntry entry) {
         urgentDemand.update(entry(id), entry);
@@ -139,14 +152,23 @@
 
     /** Sets or, for null, removes the progress of a task of job {@code id}. */
     void putTask(String id, String key, JobProgress.Task task) {
-        if (task != null) {
-            tasks.computeIfAbsent(id, job -> new HashMap<>()).put(key, task);
+        put(tasks, id, key, task);
+    }
+
+    /** Sets or, for null, removes what is known of the ends of a task of job {@code id}. */
+    void putEnds(String id, String key, RunEnds known) {
+        put(ends, id, key, known);
+    }
+
+    private static <T> void put(Map<String, Map<String, T>> valuesByJob, String id, String key, T value) {
+        if (value != null) {
+            valuesByJob.computeIfAbsent(id, job -> new HashMap<>()).put(key, value);
             return;
         }
-        Map<String, JobProgress.Task> remaining = tasks.getOrDefault(id, new HashMap<>());
+        Map<String, T> remaining = valuesByJob.getOrDefault(id, new HashMap<>());
         remaining.remove(key);
         if (remaining.isEmpty()) {
-            tasks.remove(id);
+            valuesByJob.remove(id);
         }
     }
 }
--- a/acacia-node/src/test/java/org/acaciaport/node/OddRecordTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/OddRecordTest.java
@@ -86,7 +86,16 @@
                 "endless array", endless(ARRAY),
                 "endless text", endless(TEXT),
                 "other bytes", new byte[] {(byte) 0xc1, 0, -1});
-        return List.of("job/odd", "progress/odd", "task/odd/0.0.0", "cancel/odd", "node/odd", "leader", "other", "")
+        return List.of(
+                        "job/odd",
+                        "progress/odd",
+                        "task/odd/0.0.0",
+                        "ends/odd/0.0.0",
+                        "cancel/odd",
+                        "node/odd",
+                        "leader",
+                        "other",
+                        "")
                 .stream()
                 .flatMap(key -> values.entrySet().stream()
                         .map(value -> skips(
@@ -98,7 +107,7 @@
     @TestFactory
     List<DynamicTest> aTaskWithoutAJobIsSkipped() {
         JobProgress.Task task = new JobProgress.Task(0, 0, 0, 1, 0, false, "t", 1, "");
-        return List.of("task/", "task/odd", "task//0.0.0").stream()
+        return List.of("task/", "task/odd", "task//0.0.0", "ends/", "ends/odd", "ends//0.0.0").stream()
                 .flatMap(key -> List.of(JobRecords.encode(key, task), KeyedRecord.tombstone(key)).stream()
                         .map(odd -> skips("key " + key + " length " + odd.value().length, odd)))
                 .toList();
--- a/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ProgressEncoderTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.primitives.Ints;
 import java.util.List;
 import java.util.TreeSet;
 import org.acaciaport.log.KeyedRecord;
@@ -9,6 +10,7 @@
 import org.acaciaport.pool.JobProgress;
 import org.acaciaport.pool.JobState;
 import org.acaciaport.pool.Resources;
+import org.acaciaport.pool.RunEnds;
 import org.acaciaport.pool.Step;
 import org.junit.jupiter.api.Test;
 
@@ -145,4 +147,55 @@
         apply(encoder.encode(progress(JobState.RUNNING, done(0), done(1))));
         assertThat(restored()).isEqualTo(progress(JobState.RUNNING, done(0), done(1)));
     }
+
+    private static JobProgress.Task withEnds(JobProgress.Task task, int... failedRuns) {
+        RunEnds.Unreported unreported = new RunEnds.Unreported(3, "silent", 7);
+        return new JobProgress.Task(
+                task.occurrence(),
+                task.step(),
+                task.index(),
+                task.lastRun(),
+                failedRuns.length,
+                task.done(),
+                task.target(),
+                task.incarnation(),
+                task.saved(),
+                new RunEnds(Ints.asList(failedRuns), List.of(unreported)));
+    }
+
+    /** Guards against failures that a successor counts twice or not at all (BUDGET). */
+    @Test
+    void theReplicaRestoresTheEndsOfRuns() {
+        List<JobProgress> history = List.of(
+                progress(JobState.RUNNING, withEnds(running(0, 4), 1)),
+                progress(JobState.RUNNING, withEnds(running(0, 5), 1, 4)),
+                progress(JobState.RUNNING, running(0, 5)),
+                progress(JobState.RUNNING, withEnds(running(0, 6), 2)),
+                progress(JobState.RUNNING, done(0)));
+        for (JobProgress progress : history) {
+            apply(encoder.encode(progress));
+            assertThat(restored()).isEqualTo(progress);
+        }
+    }
+
+    /** Guards against a failure that counts twice, as a successor read its record but not that of its task, or less. */
+    @Test
+    void aSuccessorThatReadsTheFirstRecordsOnlyKnowsWhichRunsHaveFailed() {
+        apply(encoder.encode(progress(JobState.RUNNING, withEnds(running(0, 4), 1))));
+        List<KeyedRecord> records = encoder.encode(progress(JobState.RUNNING, withEnds(running(0, 5), 1, 4)));
+        assertThat(records).hasSize(2);
+        apply(records.subList(0, 1));
+        assertThat(restored().tasks().get(0).ends().failedRuns()).containsExactly(1, 4);
+        apply(records.subList(1, 2));
+        assertThat(restored().tasks().get(0).ends().failedRuns()).containsExactly(1, 4);
+    }
+
+    /** Guards against records of ended jobs that stay in the log for ever. */
+    @Test
+    void theEndsOfRunsAreRemovedWithTheirJob() {
+        apply(encoder.encode(progress(JobState.RUNNING, withEnds(running(0, 4), 1))));
+        List<String> removed =
+                encoder.remove("a").stream().map(KeyedRecord::key).toList();
+        assertThat(removed).containsExactly("progress/a", "task/a/0.0.0", "ends/a/0.0.0");
+    }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -139,11 +139,12 @@
                     task.id.step(),
                     task.id.index(),
                     task.lastRun,
-                    task.failures,
+                    task.failedRuns.size(),
                     task.phase == Phase.DONE,
                     placed ? task.target.id : "",
                     placed ? task.incarnation : 0,
-                    task.phase == Phase.DONE ? "" : task.checkpoint));
+                    task.phase == Phase.DONE ? "" : task.checkpoint,
+                    task.ends()));
         }
         boolean ended = state.isTerminal();
         return new JobProgress(
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobProgress.java
@@ -52,6 +52,7 @@
      * @param target target on which the newest run may be active; empty if that run is known to have ended
      * @param incarnation incarnation of {@code target} to which the run was sent; 0 if {@code target} is empty
      * @param saved newest checkpoint; empty if there is none
+     * @param ends what is known of the ends of the runs
      */
     public record Task(
             int occurrence,
@@ -62,11 +63,43 @@
             boolean done,
             String target,
             long incarnation,
-            String saved) {
+            String saved,
+            RunEnds ends) {
         /** Requires texts, which may be empty. */
         public Task {
             Objects.requireNonNull(target, "target");
             Objects.requireNonNull(saved, "saved");
+            Objects.requireNonNull(ends, "ends");
+        }
+
+        /** Creates progress of which only the number of failures is known. */
+        public Task(
+                int occurrence,
+                int step,
+                int index,
+                int lastRun,
+                int failures,
+                boolean done,
+                String target,
+                long incarnation,
+                String saved) {
+            this(
+                    occurrence,
+                    step,
+                    index,
+                    lastRun,
+                    failures,
+                    done,
+                    target,
+                    incarnation,
+                    saved,
+                    done ? RunEnds.NONE : RunEnds.NONE.withFailures(failures, lastRun, target.isEmpty()));
+        }
+
+        /** Returns this progress with what is known of the ends, with at least as many failures. */
+        public Task withEnds(RunEnds known) {
+            RunEnds complete = done ? RunEnds.NONE : known.withFailures(failures, lastRun, target.isEmpty());
+            return new Task(occurrence, step, index, lastRun, failures, done, target, incarnation, saved, complete);
         }
     }
 }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -46,7 +46,7 @@
 
     /** Returns whether runs of the unit have failed so often that one more failure ends its job. */
     boolean isLastAttempt() {
-        int failures = tasks.get(0).failures;
+        int failures = tasks.get(0).failedRuns.size();
         return failures > 0 && failures + 1 >= job().terms().attempts();
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -28,7 +28,13 @@
     private final Outbox outbox = new Outbox();
     private final RunEstimates estimates = new RunEstimates();
     private final TaskLifecycle taskLifecycle = new TaskLifecycle(outbox, targetHealth, estimates);
-    private final ReportHandler reportHandler = new ReportHandler(outbox, taskLifecycle, estimates, jobs::get);
+    private final EstimateErrors estimateErrors = new EstimateErrors();
+    private final DeclaredDurations declaredDurations = new DeclaredDurations();
+    private final RunEndHandler runEndHandler =
+            new RunEndHandler(outbox, targetHealth, estimates, taskLifecycle, estimateErrors, declaredDurations);
+    private final RunMonitor runMonitor = new RunMonitor(targetHealth, estimateErrors, taskLifecycle);
+    private final ReportHandler reportHandler =
+            new ReportHandler(outbox, taskLifecycle, runEndHandler, runMonitor, estimates, jobs::get);
     private final PlacementPass.Context passContext =
             new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
     private PoolFeatures features = PoolFeatures.ALL;
@@ -111,7 +117,7 @@
             return;
         }
         target.registered = false;
-        if (target.tasks.isEmpty() && !target.hasStrayRuns) {
+        if (target.isIdle()) {
             targets.remove(id);
         }
     }
@@ -136,51 +142,11 @@
      */
     public void restore(Job job, JobProgress progress, ClockReading now) {
         JobExecution execution = new JobExecution(job, estimates);
-        execution.state = progress.state();
-        execution.endedMillis = progress.endedMillis();
-        execution.doneOccurrences.addAll(progress.doneOccurrences());
         jobs.put(job.id(), execution);
-        for (JobProgress.Task persisted : progress.tasks()) {
-            if (!execution.doneOccurrences.contains(persisted.occurrence())) {
-                restore(execution, persisted, now);
-            }
-        }
+        new JobRestorer(id -> targets.computeIfAbsent(id, this::newTarget), now).restore(execution, progress);
         taskLifecycle.completeRestored(execution, now);
     }
 
-    private void restore(JobExecution execution, JobProgress.Task persisted, ClockReading now) {
-        if (!hasTask(execution.spec, persisted)) {
-            LOG.warnf("restore: request=%s outcome=ignored task=%s", execution.spec.id(), persisted);
-            return;
-        }
-        StepExecution step = execution.occurrence(persisted.occurrence()).get(persisted.step());
-        TaskExecution task = step.tasks.get(persisted.index());
-        task.lastRun = persisted.lastRun();
-        task.failures = persisted.failures();
-        task.checkpoint = persisted.saved();
-        if (persisted.done()) {
-            task.phase = Phase.DONE;
-            step.doneTaskCount++;
-        } else if (!persisted.target().isEmpty()) {
-            TargetState target = targets.computeIfAbsent(persisted.target(), this::newTarget);
-            task.incarnation = persisted.incarnation();
-            task.confirmedNanos = now.monotonicNanos();
-            task.lastProgressNanos = now.monotonicNanos();
-            task.stoppingSinceNanos = now.monotonicNanos();
-            target.put(task, execution.state.isTerminal() ? Phase.STOPPING : Phase.RUNNING);
-        }
-    }
-
-    private static boolean hasTask(Job job, JobProgress.Task task) {
-        return isIndex(task.occurrence(), job.occurrenceCount())
-                && isIndex(task.step(), job.steps().size())
-                && isIndex(task.index(), job.steps().get(task.step()).count());
-    }
-
-    private static boolean isIndex(int value, int size) {
-        return value >= 0 && value < size;
-    }
-
     /** Cancels a job and stops its runs. Has no effect if the job is unknown or has ended. */
     public void cancel(String id, ClockReading now) {
         JobExecution job = jobs.get(id);
@@ -272,10 +238,7 @@
         if (target == null) {
             return;
         }
-        target.clearStrayRuns();
-        for (TaskExecution task : List.copyOf(target.tasks.values())) {
-            taskLifecycle.requeue(task, now);
-        }
+        reportHandler.handleLeaseExpiry(target, now);
         if (!target.registered) {
             targets.remove(id);
         }
@@ -283,7 +246,7 @@
 
     /** Runs a scheduling pass: places waiting tasks and decides which runs to stop. */
     public void schedule(ClockReading now) {
-        targets.values().forEach(target -> taskLifecycle.evictBeforeDeparture(target, now));
+        targets.values().forEach(target -> runMonitor.evictBeforeDeparture(target, now));
         lastEffort = new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
     }
 
@@ -314,7 +277,7 @@
 
     /** Returns the 90th percentile of actual by declared durations of the latest steps of each queue, in percent. */
     public Map<String, Integer> declaredDurationPercents() {
-        return taskLifecycle.declaredDurations.percentByQueue();
+        return declaredDurations.percentByQueue();
     }
 
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
@@ -326,7 +289,7 @@
     public Collection<String> occupiedTargets() {
         List<String> ids = new ArrayList<>();
         for (TargetState target : targets.values()) {
-            if (target.hasStrayRuns || target.tasks.values().stream().anyMatch(task -> task.phase.mayOccupyTarget())) {
+            if (target.isOccupied()) {
                 ids.add(target.id);
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -19,6 +19,8 @@
 
     private final Outbox outbox;
     private final TaskLifecycle taskLifecycle;
+    private final RunEndHandler runEndHandler;
+    private final RunMonitor runMonitor;
     private final RunEstimates estimates;
     private final Function<String, JobExecution> findJob;
 
@@ -27,16 +29,22 @@
      *
      * @param outbox collects stop commands and acknowledgements
      * @param taskLifecycle changes the states of tasks
+     * @param runEndHandler counts the ends of runs
+     * @param runMonitor watches the progress of runs
      * @param estimates learns from the progress of runs
      * @param findJob returns a job by its id, or null if it is unknown
      */
     ReportHandler(
             Outbox outbox,
             TaskLifecycle taskLifecycle,
+            RunEndHandler runEndHandler,
+            RunMonitor runMonitor,
             RunEstimates estimates,
             Function<String, JobExecution> findJob) {
         this.outbox = outbox;
         this.taskLifecycle = taskLifecycle;
+        this.runEndHandler = runEndHandler;
+        this.runMonitor = runMonitor;
         this.estimates = estimates;
         this.findJob = findJob;
     }
@@ -49,7 +57,7 @@
         long lastNumber = 0;
         for (TargetReport.Ended end : report.ended()) {
             recordBegun(end.task().job());
-            taskLifecycle.handleEnd(findTask(end.task()), target, end, now);
+            runEndHandler.handleEnd(findTask(end.task()), target, end, now);
             lastNumber = end.number();
         }
         if (lastNumber > 0) {
@@ -101,6 +109,30 @@
                 taskLifecycle.requeue(task, now);
             }
         }
+        settleAbsent(target, report);
+    }
+
+    /** Settles the runs that a complete report lists neither as running nor as ended: their ends were counted. */
+    private void settleAbsent(TargetState target, TargetReport report) {
+        for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
+            if (report.presenceOf(each.task().id, each.run()) == TargetReport.Presence.ABSENT) {
+                settle(each);
+            }
+        }
+    }
+
+    private void settle(UnreportedRun run) {
+        run.settle();
+        outbox.markChanged(run.task().step.job);
+    }
+
+    /** Handles the expiry of the lease of {@code target}: its runs have ended, and no end of one is still to count. */
+    void handleLeaseExpiry(TargetState target, ClockReading now) {
+        target.clearStrayRuns();
+        List.copyOf(target.unreportedRuns).forEach(this::settle);
+        for (TaskExecution task : List.copyOf(target.tasks.values())) {
+            taskLifecycle.requeue(task, now);
+        }
     }
 
     /** Records that a target has started a run of the job. Has no effect if the job is unknown. */
@@ -152,7 +184,7 @@
         }
         task.recordProgress(run.percent(), now.monotonicNanos());
         estimates.recordProgress(task, now);
-        taskLifecycle.checkProgress(task, now);
+        runMonitor.checkProgress(task, now);
     }
 
     /** Records that the newest run of the task has started. */
@@ -175,6 +207,11 @@
         target.lastSuccessNanos = 0;
         target.lastFailedJob = "";
         target.excludedUntilNanos = now.monotonicNanos();
+        for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
+            if (each.incarnation() != incarnation) {
+                settle(each);
+            }
+        }
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
             if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
                 taskLifecycle.requeue(task, now);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StepExecution.java
@@ -1,7 +1,9 @@
 package org.acaciaport.pool;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The execution state of one step of one occurrence.
@@ -20,9 +22,6 @@
     final List<TaskExecution> tasks = new ArrayList<>();
     int doneTaskCount;
 
-    /** Number of the newest failed run of a gang, so that a failure reported by several members counts once. */
-    int lastFailedRun;
-
     /** Ends of the newest run of a gang. */
     final GangEnds gangEnds = new GangEnds();
 
@@ -92,6 +91,19 @@
         return job.objective.deadlineStatus(occurrence, now.wallClockMillis());
     }
 
+    /**
+     * Returns whether a gang may run once more: the runs that have failed or may have failed are fewer than the
+     * attempts of the job.
+     */
+    boolean hasAttemptLeft() {
+        if (spec.mode().lasting() || tasks.stream().allMatch(task -> task.unreportedRuns.isEmpty())) {
+            return true;
+        }
+        Set<Integer> failures = new HashSet<>(tasks.get(0).failedRuns);
+        tasks.forEach(task -> failures.addAll(task.unreportedRuns.keySet()));
+        return failures.size() < job.spec.terms().attempts();
+    }
+
     /** Returns whether all steps that must end before this one have; {@code steps} are those of its occurrence. */
     boolean isReady(List<StepExecution> steps) {
         for (int earlier : spec.after()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 
 /**
@@ -62,6 +64,9 @@
 
     final Map<TaskId, TaskExecution> tasks = new LinkedHashMap<>();
 
+    /** The runs on this target that have ended without a report. */
+    final Set<UnreportedRun> unreportedRuns = new LinkedHashSet<>();
+
     /** The stray runs of known jobs, which count against the limits of their accounts. */
     private final List<StrayRun> strayRuns = new ArrayList<>();
 
@@ -128,6 +133,27 @@
         hasStrayRuns = false;
     }
 
+    /** Turns the newest run of {@code task}, which is not wanted any more, into a stray run; the task has none then. */
+    void disown(TaskExecution task) {
+        Resources demand = task.demand();
+        remove(task, Phase.WAITING);
+        hasStrayRuns = true;
+        strayDemand = strayDemand.plus(demand);
+        addStrayRun(task.job(), task.step.spec.demand());
+    }
+
+    /** Returns whether the target has to be asked for reports, since it may have runs or ends to report. */
+    boolean isOccupied() {
+        return hasStrayRuns
+                || !unreportedRuns.isEmpty()
+                || tasks.values().stream().anyMatch(task -> task.phase.mayOccupyTarget());
+    }
+
+    /** Returns whether nothing is known of the target but its registration. */
+    boolean isIdle() {
+        return tasks.isEmpty() && !hasStrayRuns && unreportedRuns.isEmpty();
+    }
+
     /** Places {@code task} on this target in {@code phase}, or moves a task on this target to {@code phase}. */
     void put(TaskExecution task, Phase phase) {
         if (task.target == this) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -1,5 +1,11 @@
 package org.acaciaport.pool;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
 /**
  * The execution state of one task.
  *
@@ -26,8 +32,11 @@
     /** Run number of the newest run; 0 before the first. */
     int lastRun;
 
-    /** Number of failed runs; for a gang, counted on its first task. */
-    int failures;
+    /** Numbers of the runs that were reported as failed; for a gang, kept for its first task. */
+    final Set<Integer> failedRuns = new TreeSet<>();
+
+    /** The runs that have ended without a report, by number. */
+    final Map<Integer, UnreportedRun> unreportedRuns = new TreeMap<>();
 
     /** Newest checkpoint; empty if there is none. */
     String checkpoint = "";
@@ -160,6 +169,22 @@
         return observedSeconds() / gainedPercent();
     }
 
+    /** Returns whether {@code run} is the newest run and may be active on {@code on}. */
+    boolean isActive(int run, TargetState on) {
+        return lastRun == run && phase.mayOccupyTarget() && target == on;
+    }
+
+    /** Returns what is known of the ends of the runs. */
+    RunEnds ends() {
+        if (phase == Phase.DONE || failedRuns.isEmpty() && unreportedRuns.isEmpty()) {
+            return RunEnds.NONE;
+        }
+        List<RunEnds.Unreported> unreported = unreportedRuns.values().stream()
+                .map(each -> new RunEnds.Unreported(each.run(), each.target().id, each.incarnation()))
+                .toList();
+        return new RunEnds(List.copyOf(failedRuns), unreported);
+    }
+
     Resources demand() {
         return step.spec.chargedResources();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitStarter.java
@@ -63,6 +63,10 @@
     }
 
     private void start(PlacementUnit unit) {
+        if (!unit.step().hasAttemptLeft()) {
+            unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
+            return;
+        }
         for (TaskExecution task : unit.tasks()) {
             if (!placement.isEligible(unit, task.target, now.monotonicNanos())) {
                 unit.tasks().forEach(context.taskLifecycle()::cancelReservation);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
@@ -77,10 +77,13 @@
         }
     }
 
-    /** Adds the single tasks without a run, or the gang if none of its tasks has one. */
+    /** Adds the single tasks without a run, or the gang if none of its tasks has one and it may run once more. */
     private void collect(StepExecution step, List<Entry> entries) {
         if (step.spec.mode().gang()) {
             PlacementUnit gang = new PlacementUnit(step, step.tasks);
+            if (!step.hasAttemptLeft()) {
+                return;
+            }
             if (gang.isIn(Phase.WAITING) || gang.isIn(Phase.RESERVED)) {
                 entries.add(entry(gang));
             }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -36,10 +36,15 @@
 
     /** Registers a target and handles its first report. */
     void addTarget(String id, String rack) {
+        registerTarget(id, rack);
+        report(id);
+    }
+
+    /** Registers a target that has not reported yet. */
+    void registerTarget(String id, String rack) {
         incarnations.put(id, 1L);
         pool.register(
                 new TargetInfo(id, SERVICE, "address", "dc", rack, Set.of("a", rack), TARGET_CAPACITY, false, 0, 1));
-        report(id);
     }
 
     /** Adds targets t0, t1 and so on, and runs a task of eight accelerators on each; returns the tasks. */
