Leave a silent relay once another route works

The store had served the node again for over 3 s.

Cause: a call fixed its routes when it began and tried them one after the other, each with its wait and timeout. A read that waited for records through a relay held on to it for up to 3.5 s when it fell silent, and then went on to the next relay, maybe in the same zone, though a probe had found the direct route to work meanwhile. The direct route was probed only when a read began.

Change: RoutedCall makes a call on the routes that are known to work best while it is in progress. It goes on to the direct route as soon as any call finds that to work, and to the next route when its own is overdue or another call finds that to fail; the first answer counts. While a read is in progress, the direct route is probed at intervals. A relay holds back a read for 250 ms at most, as its silence tells nothing meanwhile. A call that began before the route was last found to work, or to fail, does not change what is known of it.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -2,8 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.StringJoiner;
-import java.util.function.Function;
+import java.util.function.Supplier;
 import org.acaciaport.failure.Failures;
 import org.acaciaport.log.Append;
 import org.acaciaport.log.AppendOutcome;
@@ -19,7 +18,8 @@
  * A client of the shared log that fails over to relaying peers while the log does not serve this node directly. It also
  * relays the calls of peers.
  *
- * <p>Thread-safe. A relayed call is never relayed again. An append is retried on another route only if it had no effect
+ * <p>Thread-safe. A relayed call is never relayed again. A call leaves a route that is found to fail for one that is
+ * found to work; see {@link RoutedCall}. An append is retried on another route only if it had no effect
  * on the first or a repetition is harmless. Once an attempt has had no answer, the outcome is never
  * {@link AppendOutcome.Refused}. A route that throws counts as one without an answer.
  */
@@ -35,6 +35,13 @@
     private volatile boolean directFails;
     private volatile boolean reachable = true;
     private final RouteProbes probes = new RouteProbes();
+    private final RouteChanges changes = new RouteChanges();
+
+    /** When the direct route last answered, on the monotonic clock, in nanoseconds. */
+    private long lastDirectAnswerNanos = System.nanoTime();
+
+    /** When the direct route was last found to fail, on the same clock. */
+    private long lastDirectFailureNanos = System.nanoTime();
 
     /** When a peer or the log last answered, on the monotonic clock, in nanoseconds. */
     private volatile long lastContactNanos = System.nanoTime();
@@ -45,19 +52,6 @@
         this.peers = peers;
     }
 
-    /**
-     * A route to the log.
-     *
-     * @param peer address of the relaying peer; null for the direct route
-     */
-    private record Route(String peer) {
-        static final Route DIRECT = new Route(null);
-
-        boolean isDirect() {
-            return peer == null;
-        }
-    }
-
     /**
      * Returns whether the latest call reached the log on some route. Also false between the first failure of the direct
      * route and the first successful relayed call.
@@ -71,25 +65,16 @@
         return !reachable && Clocks.millisUntil(lastContactNanos) < -ISOLATION_TIMEOUT_MILLIS;
     }
 
-    /**
-     * Returns the routes of a read in the order to try. While the direct route fails, peers are asked and the route is
-     * probed at intervals, in the background if possible.
-     *
-     * @param probe makes the read on the direct route; null if it is too long for a probe in the background
-     */
-    private List<Route> readRoutes(Runnable probe) {
+    /** Returns the routes of a read in the order to try; peers while the direct route fails. */
+    private List<Route> readRoutes() {
         List<Route> routes = new ArrayList<>();
         if (!directFails) {
             routes.add(Route.DIRECT);
         }
         peers.candidates().forEach(peer -> routes.add(new Route(peer)));
-        if (directFails && probes.isDue()) {
-            if (probe == null || routes.isEmpty()) {
-                probes.postpone();
-                routes.add(Route.DIRECT);
-            } else {
-                probes.start(probe);
-            }
+        if (routes.isEmpty() && probes.isDue()) {
+            probes.postpone();
+            routes.add(Route.DIRECT);
         }
         return routes;
     }
@@ -104,10 +89,9 @@
 
     /** Makes one call on one route; returns null if there was no usable answer in time. */
     private <T> T call(Route route, long deadline, LogCall<T> call) {
-        long waitMillis = call.waitMillis();
-        AdaptiveTimeout timeout =
-                route.isDirect() ? call.timeouts().direct() : call.timeouts().peer();
-        long timeoutMillis = Math.max(1, Math.min(waitMillis + timeout.currentMillis(), Clocks.millisUntil(deadline)));
+        AdaptiveTimeout timeout = call.timeout(route);
+        long waitMillis = call.waitMillis(route);
+        long timeoutMillis = call.timeoutMillis(route, deadline);
         long startNanos = System.nanoTime();
         T outcome = route.isDirect()
                 ? call.direct().apply(Clocks.deadlineAfter(timeoutMillis))
@@ -123,16 +107,37 @@
             lastContactNanos = System.nanoTime();
         }
         if (route.isDirect()) {
-            // A failed probe of the direct route does not make the log unreachable while relaying works.
-            boolean relayed = directFails && reachable;
-            setDirectAnswers(answered);
-            setReachable(answered || relayed);
+            recordDirect(answered, startNanos);
         } else if (!answered) {
             peers.recordFailure(route.peer());
+            changes.publish(route, false);
         }
         return outcome;
     }
 
+    /**
+     * Records whether a call on the direct route that began at {@code startNanos} was answered. A call that began
+     * before the route was last found to work, or to fail, tells nothing new of it.
+     */
+    private synchronized void recordDirect(boolean answered, long startNanos) {
+        if (answered && directFails && startNanos - lastDirectFailureNanos < 0) {
+            setReachable(true);
+            return;
+        }
+        if (!answered && startNanos - lastDirectAnswerNanos < 0) {
+            return;
+        }
+        if (answered) {
+            lastDirectAnswerNanos = System.nanoTime();
+        } else {
+            lastDirectFailureNanos = System.nanoTime();
+        }
+        // A failed probe of the direct route does not make the log unreachable while relaying works.
+        boolean relayed = directFails && reachable;
+        setDirectAnswers(answered);
+        setReachable(answered || relayed);
+    }
+
     private <T> T askPeer(String peer, LogCall<T> call, long timeoutMillis) {
         try {
             Message reply = peers.ask(peer, call.query(), timeoutMillis);
@@ -149,6 +154,7 @@
             directFails = !answered;
             probes.postpone();
             LOG.infof("dependency: log way=direct outcome=%s", answered ? "regained" : "lost");
+            changes.publish(Route.DIRECT, answered);
         }
     }
 
@@ -161,70 +167,69 @@
 
     @Override
     public AppendOutcome append(Append append, long deadline) {
-        boolean canRepeat = !(append.condition() instanceof Append.AtEnd);
+        if (Clocks.millisUntil(deadline) <= 0) {
+            return new AppendOutcome.Refused("no time left");
+        }
         LogCall<AppendOutcome> call = calls.append(append);
-        boolean anyUnanswered = false;
-        String reason = "no way to the log";
-        for (Route route : appendRoutes()) {
-            if (Clocks.millisUntil(deadline) <= 0) {
-                return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused("no time left");
-            }
-            AppendOutcome outcome = call(route, deadline, call);
-            if (call.isAnswer(outcome)) {
-                setReachable(true);
-                return outcome;
-            }
-            anyUnanswered |= !(outcome instanceof AppendOutcome.Refused);
-            reason = outcome == null ? "no answer" : outcome.toString();
-            if (anyUnanswered && !canRepeat) {
-                break;
-            }
+        RoutedCall.Environment<AppendOutcome> environment = new RoutedCall.Environment<>(
+                route -> call(route, deadline, call), changes, () -> {}, () -> Long.MAX_VALUE);
+        RoutedCall.Result<AppendOutcome> result = run(call, this::appendRoutes, deadline, environment);
+        if (result.answer() != null) {
+            return result.answer();
         }
-        setReachable(false);
-        return anyUnanswered ? new AppendOutcome.Unknown(reason) : new AppendOutcome.Refused(reason);
+        return result.mayHaveHadEffect()
+                ? new AppendOutcome.Unknown(result.reasons())
+                : new AppendOutcome.Refused(result.reasons());
     }
 
     @Override
     public ReadOutcome read(String topic, long from, long waitMillis, long deadline) {
         Runnable probe = () -> call(Route.DIRECT, deadline, calls.read(topic, from, 0));
-        return firstAnswer(probe, deadline, calls.read(topic, from, waitMillis), ReadOutcome.Unavailable::new);
+        RoutedCall.Result<ReadOutcome> result = read(calls.read(topic, from, waitMillis), probe, deadline);
+        return result.answer() != null ? result.answer() : new ReadOutcome.Unavailable(result.reasons());
     }
 
     @Override
     public NewestOutcome newest(String topic, String after, long deadline) {
-        return firstAnswer(null, deadline, calls.newest(topic, after), NewestOutcome.Unavailable::new);
+        Runnable probe = () -> call(Route.DIRECT, deadline, calls.probe(topic));
+        RoutedCall.Result<NewestOutcome> result = read(calls.newest(topic, after), probe, deadline);
+        return result.answer() != null ? result.answer() : new NewestOutcome.Unavailable(result.reasons());
     }
 
     /**
-     * Returns the first answer of the log on one of the routes of a read, or {@code unavailable} with the reasons.
+     * Makes a read, and probes the direct route while that fails.
      *
-     * @param probe makes a short read on the direct route; null if there is none
+     * @param probe makes a short call on the direct route
      */
-    private <T> T firstAnswer(Runnable probe, long deadline, LogCall<T> call, Function<String, T> unavailable) {
-        StringJoiner reasons = new StringJoiner("; ");
-        reasons.setEmptyValue("the direct route failed recently and there is no peer");
-        for (Route route : readRoutes(probe)) {
-            T outcome = call(route, deadline, call);
-            if (call.isAnswer(outcome)) {
-                setReachable(true);
-                return outcome;
-            }
-            if (route.isDirect() && probe != null) {
-                probes.start(probe);
-            }
-            reasons.add((route.isDirect() ? "direct" : route.peer()) + ": " + reasonOf(outcome));
+    private <T> RoutedCall.Result<T> read(LogCall<T> call, Runnable probe, long deadline) {
+        RoutedCall.Environment<T> environment = new RoutedCall.Environment<>(
+                route -> attempt(route, deadline, call, probe),
+                changes,
+                () -> probeIfDue(probe),
+                () -> directFails ? probes.delayMillis() : Long.MAX_VALUE);
+        return run(call, this::readRoutes, deadline, environment);
+    }
+
+    private <T> RoutedCall.Result<T> run(
+            LogCall<T> call, Supplier<List<Route>> routes, long deadline, RoutedCall.Environment<T> environment) {
+        RoutedCall.Result<T> result = new RoutedCall<>(call, routes, deadline, environment).run();
+        setReachable(result.answer() != null);
+        return result;
+    }
+
+    /** Makes a call on one route; a direct one that fails is followed by a probe at once. */
+    private <T> T attempt(Route route, long deadline, LogCall<T> call, Runnable probe) {
+        T outcome = call(route, deadline, call);
+        if (route.isDirect() && !call.isAnswer(outcome)) {
+            probes.start(probe);
         }
-        setReachable(false);
-        return unavailable.apply(reasons.toString());
+        return outcome;
     }
 
-    private static String reasonOf(Object outcome) {
-        return switch (outcome) {
-            case null -> "no reply";
-            case ReadOutcome.Unavailable unavailable -> unavailable.reason();
-            case NewestOutcome.Unavailable unavailable -> unavailable.reason();
-            default -> outcome.toString();
-        };
+    private void probeIfDue(Runnable probe) {
+        if (directFails && probes.isDue()) {
+            probes.start(probe);
+        }
     }
 
     /** Relays the call of a peer, on the direct route only. */
--- a/acacia-node/src/main/java/org/acaciaport/node/LogCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LogCalls.java
@@ -20,6 +20,15 @@
     /** Time for the transfer of a page of a snapshot, up to 1 MB, on a slow link, in milliseconds. */
     private static final long PAGE_TRANSFER_MILLIS = 2_000;
 
+    /**
+     * Longest time for which a peer holds back the answer to a relayed read, in milliseconds: while it does, it cannot
+     * be told from one that has fallen silent.
+     */
+    private static final long MAX_RELAYED_WAIT_MILLIS = 250;
+
+    /** No key of a topic is higher. */
+    private static final String LAST_KEY = "~~~~";
+
     /** Size of an append up to which its transfer takes no time worth counting, in bytes. */
     private static final long SMALL_APPEND_BYTES = 16 << 10;
 
@@ -44,10 +53,13 @@
         return new LogCall<>(
                 appendTimeouts,
                 transferMillis(append),
+                transferMillis(append),
                 deadline -> direct.append(append, deadline),
                 new Message.AppendLog(append),
                 reply -> reply instanceof Message.LogAppended answer ? answer.outcome() : null,
-                LogCalls::isAnswer);
+                LogCalls::isAnswer,
+                outcome -> outcome instanceof AppendOutcome.Refused,
+                !(append.condition() instanceof Append.AtEnd));
     }
 
     /** Returns the time that a slow link needs to transfer {@code append}, in milliseconds; 0 if that is negligible. */
@@ -77,22 +89,38 @@
      * @param waitMillis how long the log may wait for new records, in milliseconds
      */
     LogCall<ReadOutcome> read(String topic, long from, long waitMillis) {
+        long relayedWaitMillis = Math.min(waitMillis, MAX_RELAYED_WAIT_MILLIS);
         return new LogCall<>(
                 readTimeouts,
                 waitMillis,
+                relayedWaitMillis,
                 deadline -> direct.read(topic, from, waitMillis, deadline),
-                new Message.ReadLog(topic, from, waitMillis),
+                new Message.ReadLog(topic, from, relayedWaitMillis),
                 reply -> reply instanceof Message.LogRead answer ? answer.outcome() : null,
-                outcome -> !(outcome instanceof ReadOutcome.Unavailable));
+                outcome -> !(outcome instanceof ReadOutcome.Unavailable),
+                outcome -> true,
+                true);
     }
 
     LogCall<NewestOutcome> newest(String topic, String after) {
+        return newest(topic, after, pageTimeouts);
+    }
+
+    /** Returns a call that is answered briefly, as no key follows the one it asks for. */
+    LogCall<NewestOutcome> probe(String topic) {
+        return newest(topic, LAST_KEY, readTimeouts);
+    }
+
+    private LogCall<NewestOutcome> newest(String topic, String after, RouteTimeouts timeouts) {
         return new LogCall<>(
-                pageTimeouts,
+                timeouts,
+                0,
                 0,
                 deadline -> direct.newest(topic, after, deadline),
                 new Message.ReadNewest(topic, after),
                 reply -> reply instanceof Message.NewestRead answer ? answer.outcome() : null,
-                outcome -> outcome instanceof NewestOutcome.Page);
+                outcome -> outcome instanceof NewestOutcome.Page,
+                outcome -> true,
+                true);
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/RouteProbes.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/RouteProbes.java
@@ -21,6 +21,11 @@
         return System.nanoTime() - nextNanos >= 0 && !running.get();
     }
 
+    /** Returns the time until the next probe may start, in milliseconds; the interval while one is running. */
+    long delayMillis() {
+        return running.get() ? INTERVAL_MILLIS : Math.max(0, Clocks.millisUntil(nextNanos));
+    }
+
     /** Puts off the next probe by the interval. */
     void postpone() {
         nextNanos = Clocks.deadlineAfter(INTERVAL_MILLIS);
