Run tasks that last again within seconds on suspected targets

Cause: failures of different jobs add up against a target, which then gets no work at all for up to 16 s; only a run that ends as done clears them, and tasks that last never do.

Change: failures and stalls make a target suspected, apart from the exclusion of targets that do not answer or refuse. A task that lasts accepts suspected targets, and those on which its job failed, 4 s after its last run. Other work is kept off as before.

Ruled out: a shorter suspicion for all work (targets that fail all their runs would get it sooner); not counting failures of such tasks (a faulty target would get the next one at once).

Evidence: LastingWorkTest failed in 2 of 2 tests before the change and passes. All tests of acacia-pool pass (254, without AdmissionAccuracyTest).

--- a/acacia-pool/src/main/java/org/acaciaport/pool/EligibleTargets.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/EligibleTargets.java
@@ -15,8 +15,12 @@
  * @param racks the same targets by rack
  */
 record EligibleTargets(List<TargetState> all, Collection<List<TargetState>> racks) {
-    /** What targets are chosen by, other than demand; an empty label is no restriction. */
-    record Key(String service, String label) {}
+    /**
+     * What targets are chosen by, other than demand; an empty label is no restriction.
+     *
+     * @param acceptsSuspected whether targets are accepted on which work has failed
+     */
+    record Key(String service, String label, boolean acceptsSuspected) {}
 
     /** Returns {@code targets}, grouped by rack. */
     static EligibleTargets of(List<TargetState> targets) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/OutlookBuilder.java
@@ -96,7 +96,7 @@
         }
         ServiceForecast forecast = forecasts.get(target.info.service());
         double free = forecast.freeAccelerators(target.freeNow());
-        forecast.addFree(free, -now.secondsSince(target.excludedUntilNanos));
+        forecast.addFree(free, -now.secondsSince(target.openFromNanos()));
         double claimed = 0;
         for (TaskExecution task : target.tasks.values()) {
             claimed += task.phase.mayOccupyTarget() ? forecast.accelerators(task.demand()) : 0;
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -30,12 +30,13 @@
      * @param nowNanos current monotonic clock reading, in nanoseconds
      */
     boolean isEligible(PlacementUnit unit, TargetState target, long nowNanos) {
-        return isOpen(unit, target) && isUsable(target, nowNanos);
+        return isOpen(unit, target) && isUsable(target, unit.acceptsSuspectedTargets(nowNanos), nowNanos);
     }
 
-    /** Returns whether {@code target} has reported and is not excluded. */
-    private static boolean isUsable(TargetState target, long nowNanos) {
-        return target.info.incarnation() == target.incarnation && target.excludedUntilNanos <= nowNanos;
+    /** Returns whether {@code target} has reported and is not excluded, nor suspected unless that is accepted. */
+    private static boolean isUsable(TargetState target, boolean acceptsSuspected, long nowNanos) {
+        long fromNanos = acceptsSuspected ? target.excludedUntilNanos : target.openFromNanos();
+        return target.info.incarnation() == target.incarnation && fromNanos <= nowNanos;
     }
 
     /** Returns whether {@code target} accepts tasks of {@code unit}, once it has reported and is not excluded. */
@@ -177,12 +178,13 @@
 
     /** Returns the targets that currently accept the service and label of {@code unit}, whatever its demand. */
     private EligibleTargets eligibleTargets(PlacementUnit unit, long nowNanos) {
+        boolean acceptsSuspected = unit.acceptsSuspectedTargets(nowNanos);
         EligibleTargets.Key key = new EligibleTargets.Key(
-                unit.job().service(), unit.step().spec.constraints().label());
+                unit.job().service(), unit.step().spec.constraints().label(), acceptsSuspected);
         EligibleTargets known = eligible.get(key);
         if (known == null) {
             known = EligibleTargets.of(targets.stream()
-                    .filter(target -> isOpenToKind(unit, target) && isUsable(target, nowNanos))
+                    .filter(target -> isOpenToKind(unit, target) && isUsable(target, acceptsSuspected, nowNanos))
                     .toList());
             eligible.put(key, known);
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementPass.java
@@ -192,7 +192,8 @@
     private PlacementKind kind(PlacementUnit unit) {
         if (unit.step() != kindStep) {
             boolean comparable = unit.step().spec.constraints().spreadLimit() <= 0
-                    && !context.targetHealth().hasFailed(unit.job().id());
+                    && !context.targetHealth().hasFailed(unit.job().id())
+                    && !unit.acceptsSuspectedTargets(now.monotonicNanos());
             kindStep = unit.step();
             kindOfStep = comparable ? PlacementKind.of(unit, unitWaits) : null;
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/PlacementUnit.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The tasks that are placed together: all tasks of a gang, or a single task.
@@ -13,6 +14,9 @@
  * @param tasks tasks to place
  */
 record PlacementUnit(StepExecution step, List<TaskExecution> tasks) {
+    /** Time after which a task that lasts runs again wherever there is room, in nanoseconds. */
+    private static final long MAX_LASTING_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     Job job() {
         return step.job.spec;
     }
@@ -44,6 +48,23 @@
         return true;
     }
 
+    /**
+     * Returns whether the unit may use targets on which work has failed. A task that lasts may fail at any time by its
+     * own fault, and must run again soon.
+     */
+    boolean acceptsSuspectedTargets(long nowNanos) {
+        return step.spec.mode().lasting() && nanosWithoutRun(nowNanos) >= MAX_LASTING_PAUSE_NANOS;
+    }
+
+    /** Returns for how long the unit has been ready without a run, in nanoseconds. */
+    private long nanosWithoutRun(long nowNanos) {
+        long shortest = nowNanos - step.readyNanos;
+        for (TaskExecution task : tasks) {
+            shortest = task.runEndedNanos == 0 ? shortest : Math.min(shortest, nowNanos - task.runEndedNanos);
+        }
+        return step.readyNanos == 0 ? 0 : shortest;
+    }
+
     /** Returns whether runs of the unit have failed so often that one more failure ends its job. */
     boolean isLastAttempt() {
         int failures = tasks.get(0).failedRuns.size();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -207,6 +207,7 @@
         target.lastSuccessNanos = 0;
         target.lastFailedJob = "";
         target.excludedUntilNanos = now.monotonicNanos();
+        target.suspectedUntilNanos = now.monotonicNanos();
         for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
             if (each.incarnation() != incarnation) {
                 settle(each);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetHealth.java
@@ -8,16 +8,17 @@
 /**
  * Detects faulty targets by the outcome of their runs, since a faulty target may still report itself healthy.
  *
- * <p>A job that fails on several targets is assumed to be the cause itself, so further failures of it are not counted
- * against targets on which no other job has failed since their last success. Mutable and not thread-safe; confined to
- * the thread of the pool.
+ * <p>A suspected target gets no work but that which must not wait longer; see
+ * {@link PlacementUnit#acceptsSuspectedTargets}. A job that fails on several targets is assumed to be the cause itself,
+ * so further failures of it are not counted against targets on which no other job has failed since their last success.
+ * Mutable and not thread-safe; confined to the thread of the pool.
  */
 final class TargetHealth {
-    /** Failures of different jobs, without a success in between, after which a target is excluded. */
-    private static final int EXCLUSION_SCORE = 2;
+    /** Failures of different jobs, without a success in between, after which a target is suspected. */
+    private static final int SUSPICION_SCORE = 2;
 
-    /** Duration of the first exclusion, in milliseconds; doubled with each further point of the failure score. */
-    private static final long INITIAL_EXCLUSION_MILLIS = 2_000;
+    /** Duration of the first suspicion, in milliseconds; doubled with each further point of the failure score. */
+    private static final long INITIAL_SUSPICION_MILLIS = 2_000;
 
     private static final int MAX_DOUBLINGS = 3;
 
@@ -29,7 +30,7 @@
 
     /**
      * Time in which all stalls on a target count as one, in milliseconds: tasks of a target that hangs stall together.
-     * Shorter than an exclusion and the time after which the next task stalls.
+     * Shorter than a suspicion and the time after which the next task stalls.
      */
     private static final long SAME_STALL_MILLIS = 4_000;
 
@@ -52,24 +53,28 @@
         addToScore(target, now, 1);
     }
 
-    /** Records that a run stalled or straggled on {@code target}, and excludes the target at once. */
+    /** Records that a run stalled or straggled on {@code target}, which is suspected at once. */
     void recordStall(TargetState target, ClockReading now) {
         boolean counted = target.lastStallNanos != 0 && now.millisSince(target.lastStallNanos) < SAME_STALL_MILLIS;
         if (counted) {
-            exclude(target, now.nanosAfter(INITIAL_EXCLUSION_MILLIS));
+            suspect(target, now.nanosAfter(INITIAL_SUSPICION_MILLIS));
             return;
         }
         target.lastStallNanos = now.monotonicNanos();
-        addToScore(target, now, EXCLUSION_SCORE);
+        addToScore(target, now, SUSPICION_SCORE);
     }
 
     private static void addToScore(TargetState target, ClockReading now, int points) {
         target.failureScore += points;
-        if (target.failureScore < EXCLUSION_SCORE) {
+        if (target.failureScore < SUSPICION_SCORE) {
             return;
         }
-        int doublings = Math.min(MAX_DOUBLINGS, target.failureScore - EXCLUSION_SCORE);
-        exclude(target, now.nanosAfter(INITIAL_EXCLUSION_MILLIS << doublings));
+        int doublings = Math.min(MAX_DOUBLINGS, target.failureScore - SUSPICION_SCORE);
+        suspect(target, now.nanosAfter(INITIAL_SUSPICION_MILLIS << doublings));
+    }
+
+    private static void suspect(TargetState target, long untilNanos) {
+        target.suspectedUntilNanos = Math.max(target.suspectedUntilNanos, untilNanos);
     }
 
     /** Excludes {@code target} from new work until the given monotonic clock reading, in nanoseconds. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TargetState.java
@@ -38,6 +38,12 @@
     /** Monotonic clock reading until which the target accepts no new work, in nanoseconds. */
     long excludedUntilNanos;
 
+    /**
+     * Monotonic clock reading until which the target gets no new work since work failed or stalled there, in
+     * nanoseconds. Work that must not wait longer may use it sooner.
+     */
+    long suspectedUntilNanos;
+
     /** Failures of different jobs since the last success; a stall counts as several failures. */
     int failureScore;
 
@@ -87,6 +93,11 @@
         this.accountUsage = accountUsage;
     }
 
+    /** Returns the monotonic clock reading from which the target accepts all work, in nanoseconds. */
+    long openFromNanos() {
+        return Math.max(excludedUntilNanos, suspectedUntilNanos);
+    }
+
     String rack() {
         return info == null ? "" : info.rack();
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskExecution.java
@@ -64,6 +64,9 @@
     /** Monotonic clock reading at the first stop command for the newest run, in nanoseconds. */
     long stoppingSinceNanos;
 
+    /** Monotonic clock reading when the newest run was known to have ended, in nanoseconds; 0 before that. */
+    long runEndedNanos;
+
     /** Number of runs that were stopped because they stalled. */
     int stallCount;
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/TaskLifecycle.java
@@ -96,6 +96,7 @@
     /** Returns a task whose run has ended to the waiting phase, and stops the rest of its gang. */
     void requeue(TaskExecution task, ClockReading now) {
         boolean wasSent = task.phase.mayOccupyTarget();
+        task.runEndedNanos = task.confirmedNanos == 0 ? task.runEndedNanos : now.monotonicNanos();
         detach(task, Phase.WAITING);
         outbox.markChanged(task.step.job);
         if (!task.step.spec.mode().gang()) {
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnitWaits.java
@@ -110,6 +110,9 @@
 
     /** Returns whether the unit has waited for others long enough to accept a target on which its job failed. */
     private boolean hasWaited(PlacementUnit unit, TargetState target) {
+        if (unit.acceptsSuspectedTargets(now.monotonicNanos())) {
+            return true;
+        }
         long millis = targetHealth.millisSinceFailure(unit.job().id(), target, now);
         return millis > MAX_AVOIDANCE_MILLIS || millis > MOSTLY_FREE_WAIT_MILLIS && isMostlyFree(unit);
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingStep.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingStep.java
@@ -77,7 +77,7 @@
         int excluded = 0;
         for (TargetState target : targets) {
             boolean compatible = target.registered && Placement.isCompatible(unit.job(), step.spec, target);
-            if (compatible && target.excludedUntilNanos > now.monotonicNanos()) {
+            if (compatible && target.openFromNanos() > now.monotonicNanos()) {
                 excluded++;
             }
         }
