Ask the node of the former leader whether its process is over

Cause: a successor waits for the leases that the former leader may have granted: 5 s of authority after its last record and the lease. It did so too when that process was over, and its node ran another one.

Change: a new leader asks the node of the former one which process it is (Message.Identify, answered with name, start and uptime). Another process means that the former one has granted nothing since that one started. Leaders before the former one may have granted leases until 5 s after its claim, which is the other bound. The end of a lease that runs out is now found by the term's own loop, and no longer only after the next request without an answer.

Ruled out: a shorter authority (work would lapse in outages of the store that it survives now); a record of the start (a delayed append of an older process could be taken for it).

--- a/acacia-node/src/main/java/org/acaciaport/node/EarlierLeases.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/EarlierLeases.java
@@ -29,6 +29,11 @@
         return new EarlierLeases(TargetLease.latestEndNanos(lastGrantNanos), replica.leaseEndNanos());
     }
 
+    /** Returns these leases, but for those that would expire after {@code latestEndNanos}, which were not granted. */
+    EarlierLeases endingBy(long latestEndNanos) {
+        return latestEndNanos - endNanos < 0 ? new EarlierLeases(latestEndNanos, endNanosByTarget) : this;
+    }
+
     /** Returns when the leases of {@code target} have expired. */
     long endNanos(String target) {
         Long end = endNanosByTarget.get(target);
--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -138,6 +138,15 @@
         setReachable(answered || relayed);
     }
 
+    /**
+     * Sends a query to one peer and returns the reply.
+     *
+     * @throws WireException if no reply came in time
+     */
+    Message ask(String peer, Message query, long timeoutMillis) throws WireException {
+        return peers.ask(peer, query, timeoutMillis);
+    }
+
     private <T> T askPeer(String peer, LogCall<T> call, long timeoutMillis) {
         try {
             Message reply = peers.ask(peer, call.query(), timeoutMillis);
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -12,6 +12,7 @@
 import org.acaciaport.log.AppendLimits;
 import org.acaciaport.log.AppendOutcome;
 import org.acaciaport.log.KeyedLog;
+import org.acaciaport.wire.Message;
 import org.acaciaport.wire.WireServer;
 import org.jboss.logging.Logger;
 
@@ -37,6 +38,8 @@
 
     private static final long ANNOUNCE_RETRY_DELAY_MILLIS = 300;
 
+    private final long startedNanos = System.nanoTime();
+    private final long startedMillis = System.currentTimeMillis();
     private final Settings settings;
     private final FailoverLog log;
     private final Replica replica = new Replica();
@@ -105,7 +108,7 @@
         TopicConsumer.PollSettings operatorPollSettings = new TopicConsumer.PollSettings(OPERATORS_WAIT_MILLIS, 0);
         operatorConsumer = new TopicConsumer(settings.topics().operators(), log, operatorPollSettings, configuration);
         SplittableRandom random = new SplittableRandom(System.nanoTime());
-        LeaderRecord self = new LeaderRecord(settings.name(), System.currentTimeMillis(), false);
+        LeaderRecord self = new LeaderRecord(settings.name(), startedMillis, false);
         leaderElection = new LeaderElection(self, settings.capacity(), termDependencies, jobConsumer, random);
         jobService = new JobService(termDependencies, jobConsumer, settings.maxConfigurationAgeMillis());
     }
@@ -127,13 +130,21 @@
      * @throws IOException if the wire address cannot be bound
      */
     public void start() throws IOException {
-        server = WireServer.start(settings.wireAddress(), log);
+        server = WireServer.start(settings.wireAddress(), this::answer);
         operatorConsumer.start();
         jobConsumer.start();
         leaderElection.start();
         Thread.ofVirtual().name("announce").start(this::announce);
     }
 
+    private Message answer(Message query, long deadline) {
+        if (query instanceof Message.Identify) {
+            long uptimeMillis = (System.nanoTime() - startedNanos) / Clocks.NANOS_PER_MILLI;
+            return new Message.Identity(settings.name(), startedMillis, uptimeMillis);
+        }
+        return log.answer(query, deadline);
+    }
+
     /** Publishes this node's address in the log; retries until that is durable. */
     private void announce() {
         NodeRecord record = new NodeRecord(settings.name(), address(settings.wireAddress()), settings.capacity());
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -45,6 +45,15 @@
      */
     record Leader(LeaderRecord record, long receivedNanos) {}
 
+    /**
+     * A leader that another one has followed.
+     *
+     * @param record its latest record
+     * @param sinceNanos when its first record was received at the latest, on the monotonic clock, in nanoseconds;
+     *     leaders before it have written nothing later
+     */
+    record FormerLeader(LeaderRecord record, long sinceNanos) {}
+
     /** The records read so far: all of them, or a part of the snapshot that is being read. */
     private ReplicaContents contents = new ReplicaContents();
 
@@ -131,7 +140,7 @@
         if (!isReadingSnapshot() && (another || leader.resigned())) {
             contents.outlook = null;
         }
-        contents.leader = new Leader(leader, System.nanoTime());
+        contents.setLeader(leader);
     }
 
     private boolean isReadingSnapshot() {
@@ -275,6 +284,11 @@
         return shown().leader;
     }
 
+    /** Returns the leader before the latest one; empty if the records read so far do not show it. */
+    synchronized Optional<FormerLeader> formerLeader() {
+        return Optional.ofNullable(shown().formerLeader);
+    }
+
     /** Returns the offset of the next record of the log. */
     synchronized long nextOffset() {
         return shown().nextOffset;
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -35,6 +35,12 @@
     /** The latest leader record; null if there is none. */
     Replica.Leader leader;
 
+    /** When the first record of that leader was received at the latest, on the monotonic clock, in nanoseconds. */
+    private long leaderSinceNanos;
+
+    /** The leader before it; null if no record of it has been read. */
+    Replica.FormerLeader formerLeader;
+
     /** The latest outlook of that leader; null if there is none. */
     ReceivedOutlook outlook;
 
@@ -81,6 +87,19 @@
      */
     record ReceivedOutlook(Outlook outlook, ClockReading notBefore) {}
 
+    /** Sets the latest leader record. */
+    void setLeader(LeaderRecord record) {
+        long now = System.nanoTime();
+        boolean same = leader != null
+                && leader.record().node().equals(record.node())
+                && leader.record().startedMillis() == record.startedMillis();
+        if (!same) {
+            formerLeader = leader == null ? null : new Replica.FormerLeader(leader.record(), leaderSinceNanos);
+            leaderSinceNanos = now;
+        }
+        leader = new Replica.Leader(record, now);
+    }
+
     /** Records that a record which only leaders write is received now; a snapshot has them in no order. */
     void recordLeaderWrite(long offset) {
         long now = System.nanoTime();
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
@@ -41,6 +41,13 @@
         this.suspended = suspended;
     }
 
+    /** Records that leases of earlier leaders have expired by {@code endNanos}, on this node's monotonic clock. */
+    void limitEarlierLeases(long endNanos) {
+        if (earlierLeasesEndNanos != 0 && endNanos - earlierLeasesEndNanos < 0) {
+            earlierLeasesEndNanos = endNanos;
+        }
+    }
+
     /** Returns when a lease that was granted at {@code grantedNanos} has expired at the latest, on the same clock. */
     static long latestEndNanos(long grantedNanos) {
         long lease = (long) (LEASE_MILLIS / MIN_CLOCK_RATE) + EXPIRY_MARGIN_MILLIS;
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
@@ -112,6 +112,11 @@
         lease.resume();
     }
 
+    /** Records that leases of earlier leaders have expired by {@code endNanos}, on the monotonic clock. */
+    synchronized void limitEarlierLeases(long endNanos) {
+        lease.limitEarlierLeases(endNanos);
+    }
+
     synchronized boolean isLeaseExpired() {
         return lease.isExpired();
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -106,6 +106,11 @@
         link.resumeLease();
     }
 
+    /** Records that leases of earlier leaders have expired by {@code endNanos}, on the monotonic clock. */
+    void limitEarlierLeases(long endNanos) {
+        link.limitEarlierLeases(endNanos);
+    }
+
     void setEndpoint(TargetCalls.Endpoint changed) {
         link.setEndpoint(changed);
     }
@@ -300,7 +305,6 @@
     }
 
     private void handleNoAnswer(String reason) {
-        boolean leaseExpired;
         synchronized (link) {
             if (silentSinceNanos == NOT_SILENT) {
                 silentSinceNanos = System.nanoTime();
@@ -309,18 +313,25 @@
                 unresponsive = true;
                 LOG.infof("dependency: target=%s outcome=lost reason=%s", id, reason);
             }
-            leaseExpired = link.isLeaseExpired();
-            if (leaseExpired) {
-                starts.clear();
-                stops.clear();
-            }
         }
         events.unresponsive(id, EXCLUSION_MILLIS);
-        if (leaseExpired) {
+        if (isGone()) {
             events.leaseExpired(id);
         }
     }
 
+    /** Returns whether the target does not answer and its lease has expired, so that none of its runs is left. */
+    boolean isGone() {
+        synchronized (link) {
+            if (!unresponsive || !link.isLeaseExpired()) {
+                return false;
+            }
+            starts.clear();
+            stops.clear();
+            return true;
+        }
+    }
+
     /** Sends a start command; its record must be durable. */
     void start(TargetCommand.Start start) {
         starts.start(start);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +28,8 @@
     private final ExecutorService executor;
     private final TermLoad load;
     private final long baseFence;
-    private final EarlierLeases earlierLeases;
-    private final OrphanDetector orphanDetector;
+    private EarlierLeases earlierLeases;
+    private OrphanDetector orphanDetector;
     private final LeaseRecords leaseRecords;
 
     /**
@@ -120,12 +121,25 @@
         }
     }
 
-    /** Polls the targets that may have runs, and returns those whose runs have ended because nobody can poll them. */
+    /** Polls the targets that may have runs, and returns those whose runs have ended because their leases have. */
     List<String> poll(Set<String> occupied, ClockReading now) {
         occupied.forEach(this::getOrCreate);
         sessions.forEach((id, session) -> session.setOccupied(occupied.contains(id)));
         leaseRecords.update(occupied, now);
-        return orphanDetector.findExpired(occupied, sessions.keySet(), now);
+        List<String> expired = new ArrayList<>(orphanDetector.findExpired(occupied, sessions.keySet(), now));
+        for (String id : occupied) {
+            if (sessions.containsKey(id) && sessions.get(id).isGone()) {
+                expired.add(id);
+            }
+        }
+        return expired;
+    }
+
+    /** Records that leases of earlier leaders have expired by {@code endNanos}, on the monotonic clock. */
+    void limitEarlierLeases(long endNanos) {
+        earlierLeases = earlierLeases.endingBy(endNanos);
+        orphanDetector = new OrphanDetector(earlierLeases);
+        sessions.values().forEach(session -> session.limitEarlierLeases(endNanos));
     }
 
     void close() {
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -82,6 +82,8 @@
     private final Supplier<SchedulingSettings> scheduling;
     private final EstimatesPersistence estimatesPersistence;
     private final EstimateMetrics estimateMetrics;
+    private final FailoverLog log;
+    private final EarlierLeases earlierLeases;
 
     private volatile boolean ended;
     private long lastPurgeNanos;
@@ -125,6 +127,8 @@
                 });
         lateJobs = new LateJobs(replica, dependencies.metrics());
         jobIntake = new JobIntake(pool, writer);
+        log = dependencies.log();
+        this.earlierLeases = earlierLeases;
         sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
     }
 
@@ -159,6 +163,7 @@
             configuration.setListener(() -> events.post(() -> pool.configure(configuration.poolSettings())));
             pool.configure(configuration.poolSettings());
             registrationConsumer.start();
+            probeFormerLeader();
             while (!ended) {
                 runIteration();
             }
@@ -172,6 +177,15 @@
         }
     }
 
+    /** Finds out in the background whether the former leader's process is over. */
+    private void probeFormerLeader() {
+        replica.formerLeader().ifPresent(former -> {
+            FormerLeaderProbe probe = new FormerLeaderProbe(
+                    former, replica, log::ask, endNanos -> events.post(() -> sessions.limitEarlierLeases(endNanos)));
+            executor.execute(() -> probe.run(earlierLeases.endNanos()));
+        });
+    }
+
     /** Rebuilds the pool from the replica and subscribes to later records. */
     private void restore() {
         ClockReading now = Clocks.now();
--- a/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestService.java
+++ b/acacia-scheduler/src/main/java/org/acaciaport/scheduler/RequestService.java
@@ -71,6 +71,8 @@
             case Message.ListTargets list -> listTargets();
             case Message.Ping ping -> new Message.Pong();
             case Message.Pong pong -> rejectNonQuery();
+            case Message.Identify identify -> rejectNonQuery();
+            case Message.Identity identity -> rejectNonQuery();
             case Message.Status status -> rejectNonQuery();
             case Message.Elsewhere elsewhere -> rejectNonQuery();
             case Message.Refused refused -> rejectNonQuery();
--- a/acacia-wire/src/main/java/org/acaciaport/wire/Message.java
+++ b/acacia-wire/src/main/java/org/acaciaport/wire/Message.java
@@ -20,6 +20,8 @@
 @JsonSubTypes({
     @JsonSubTypes.Type(value = Message.Ping.class, name = "ping"),
     @JsonSubTypes.Type(value = Message.Pong.class, name = "pong"),
+    @JsonSubTypes.Type(value = Message.Identify.class, name = "identify"),
+    @JsonSubTypes.Type(value = Message.Identity.class, name = "identity"),
     @JsonSubTypes.Type(value = Message.Submit.class, name = "submit"),
     @JsonSubTypes.Type(value = Message.Find.class, name = "find"),
     @JsonSubTypes.Type(value = Message.Cancel.class, name = "cancel"),
@@ -46,6 +48,19 @@
     /** Answers {@link Ping}. */
     record Pong() implements Message {}
 
+    /** Asks which process of a node this is; answered by {@link Identity}. */
+    record Identify() implements Message {}
+
+    /**
+     * Answers {@link Identify}.
+     *
+     * @param node the name of the node
+     * @param startedMillis when the process started by its wall clock, in milliseconds since the Unix epoch; tells it
+     *     from other processes of the node
+     * @param uptimeMillis how long the process has been running at least, in milliseconds
+     */
+    record Identity(String node, long startedMillis, long uptimeMillis) implements Message {}
+
     /** A message by which a node reaches the log through another node. */
     sealed interface LogMessage extends Message {}
 
