Split Pool, Term, Replica and TargetSession

No change of behaviour. A test that made a term throw calls the receiver of events, which Term was itself before.

--- a/acacia-node/src/main/java/org/acaciaport/node/LeaseRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaseRecords.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
@@ -70,8 +71,9 @@
 
     private void recordIfSilent(String id, ClockReading now) {
         TargetSession session = sessions.get(id);
-        long silentSince = session == null ? began.monotonicNanos() : session.silentSinceNanos();
-        if (silentSince == TargetSession.NOT_SILENT || now.millisSince(silentSince) < SILENCE_MILLIS) {
+        OptionalLong silentSince =
+                session == null ? OptionalLong.of(began.monotonicNanos()) : session.silentSinceNanos();
+        if (silentSince.isEmpty() || now.millisSince(silentSince.getAsLong()) < SILENCE_MILLIS) {
             return;
         }
         long endNanos = session == null ? earlier.endNanos(id) : session.suspendLease();
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -115,7 +114,8 @@
             String taskKey = JobRecords.taskKeyOfEnds(key);
             contents.putEnds(JobRecords.jobOfTaskKey(taskKey), taskKey, decode(record, RunEnds.class));
         } else if (key.startsWith(JobRecords.LEASE_PREFIX)) {
-            applyLease(key.substring(JobRecords.LEASE_PREFIX.length()), decode(record, LeaseRecord.class), offset);
+            String target = key.substring(JobRecords.LEASE_PREFIX.length());
+            contents.putLease(target, decode(record, LeaseRecord.class), offset, earlier);
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
             applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
         } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
@@ -174,23 +174,7 @@
      * sign of the leader if there was no wait, and is at least that of the replica.
      */
     synchronized AdmissionPolicy.Knowledge knowledge() {
-        Leader leader = shown().leader;
-        ReplicaContents.ReceivedOutlook received = shown().outlook;
-        if (asOf == null) {
-            return AdmissionPolicy.Knowledge.unknown("log not read yet");
-        }
-        if (leader == null || leader.record().resigned()) {
-            return AdmissionPolicy.Knowledge.unknown(leader == null ? "no leader" : "leader resigned");
-        }
-        if (received == null) {
-            return AdmissionPolicy.Knowledge.unknown("no outlook of this leader");
-        }
-        long replicaAgeMillis = Clocks.ageMillis(asOf);
-        long outlookAgeMillis = received.outlook().isEmpty()
-                ? (System.nanoTime() - leader.receivedNanos()) / Clocks.NANOS_PER_MILLI
-                : Clocks.ageMillis(received.notBefore());
-        return new AdmissionPolicy.Knowledge(
-                Optional.of(received.outlook()), Math.max(replicaAgeMillis, outlookAgeMillis), "");
+        return OutlookKnowledge.of(shown().leader, shown().outlook, asOf);
     }
 
     /** Returns how much longer than declared the steps of each queue take, in percent of the declared durations. */
@@ -228,18 +212,6 @@
         }
     }
 
-    /** Sets or, for null, removes the record of a target whose leases run out. */
-    private void applyLease(String target, LeaseRecord lease, long offset) {
-        if (lease == null) {
-            contents.leases.remove(target);
-            return;
-        }
-        ReplicaContents.ReceivedLease known = earlier == null ? null : earlier.leases.get(target);
-        boolean received = known != null && known.offset() == offset;
-        contents.leases.put(
-                target, received ? known : new ReplicaContents.ReceivedLease(lease, offset, System.nanoTime()));
-    }
-
     /**
      * Returns when the last record that a leader before the term {@code epoch} wrote was received at the latest, on the
      * monotonic clock, in nanoseconds. The replica must have read on beyond the claim of that term.
@@ -250,9 +222,7 @@
 
     /** Returns when all leases have expired of the targets whose leases run out, on the monotonic clock. */
     synchronized Map<String, Long> leaseEndNanos() {
-        Map<String, Long> ends = new HashMap<>();
-        shown().leases.forEach((target, received) -> ends.put(target, received.endNanos()));
-        return ends;
+        return shown().leaseEndNanos();
     }
 
     /** Returns the decoded value, or null for a tombstone. */
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -54,7 +54,7 @@
     long nextOffset;
 
     /** The records of targets whose leases run out, by target. */
-    final Map<String, ReceivedLease> leases = new HashMap<>();
+    private final Map<String, ReceivedLease> leases = new HashMap<>();
 
     /** Offset of the last record that a leader wrote; -1 before the first. */
     private long lastWriteOffset = -1;
@@ -121,6 +121,29 @@
         return lastWriteOffset == epoch ? earlierWriteNanos : lastWriteNanos;
     }
 
+    /**
+     * Sets or, for null, removes the record of a target whose leases run out.
+     *
+     * @param earlier the records before the snapshot that is being read, which may have the same record; null if none
+     *     is being read
+     */
+    void putLease(String target, LeaseRecord lease, long offset, ReplicaContents earlier) {
+        if (lease == null) {
+            leases.remove(target);
+            return;
+        }
+        ReceivedLease known = earlier == null ? null : earlier.leases.get(target);
+        boolean received = known != null && known.offset() == offset;
+        leases.put(target, received ? known : new ReceivedLease(lease, offset, System.nanoTime()));
+    }
+
+    /** Returns when all leases have expired of the targets whose leases run out, on the monotonic clock. */
+    Map<String, Long> leaseEndNanos() {
+        Map<String, Long> ends = new HashMap<>();
+        leases.forEach((target, received) -> ends.put(target, received.endNanos()));
+        return ends;
+    }
+
     /** Returns what is known of a job, without the progress of its tasks; {@link JobEntry#NONE} if nothing is. */
     JobEntry entry(String id) {
         return jobs.getOrDefault(id, JobEntry.NONE);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -3,7 +3,6 @@
 import java.util.OptionalLong;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
-import org.jboss.logging.Logger;
 
 /**
  * The leader's session with one target: renews its lease, sends it commands, and determines their outcomes.
@@ -27,8 +26,6 @@
  * </ul>
  */
 final class TargetSession {
-    private static final Logger LOG = Logger.getLogger(TargetSession.class);
-
     /** How long a target holds back a report until a run ends (long polling), in milliseconds. */
     private static final long REPORT_WAIT_MILLIS = 500;
 
@@ -53,9 +50,6 @@
     /** Pause between reports of a silent target without runs, in milliseconds; it stays excluded meanwhile. */
     private static final long IDLE_PAUSE_MILLIS = 500;
 
-    /** Value of {@link #silentSinceNanos} for a target whose last report was received. */
-    static final long NOT_SILENT = 0;
-
     private final String id;
     private final TargetCalls calls;
     private final SessionEvents events;
@@ -67,12 +61,8 @@
     private boolean occupied;
     private boolean registered = true;
     private boolean reportRequired;
-    private boolean unresponsive;
-
-    /** Since when the target has not answered, on the monotonic clock; {@link #NOT_SILENT} if its report came last. */
-    private long silentSinceNanos = System.nanoTime();
-
-    private Thread thread;
+    private final TargetSilence silence;
+    private final PollThread pollThread;
 
     TargetSession(
             TargetCalls.Endpoint endpoint, TargetCalls calls, SessionEvents events, long baseFence, TargetLease lease) {
@@ -83,17 +73,17 @@
         stops = new StopCommands(link, this.calls, events);
         ends = new EndedRuns(link);
         starts = new StartCommands(link, this.calls, events, stops, this::pollIfNeeded);
+        silence = new TargetSilence(link);
+        pollThread = new PollThread(id, link, this::needsReport, this::poll, this::handleFailedPoll);
     }
 
-    /** Returns since when the target has not answered, on the monotonic clock; {@link #NOT_SILENT} if it has. */
-    long silentSinceNanos() {
-        synchronized (link) {
-            return silentSinceNanos;
-        }
+    /** Returns since when the target has not answered, on the monotonic clock; empty if its last report has come. */
+    OptionalLong silentSinceNanos() {
+        return silence.sinceNanos();
     }
 
     boolean hasAnswered() {
-        return silentSinceNanos() == NOT_SILENT;
+        return silentSinceNanos().isEmpty();
     }
 
     /** Grants no lease until {@link #resumeLease}; returns when all have expired, on the monotonic clock. */
@@ -127,11 +117,7 @@
     }
 
     private void pollIfNeeded() {
-        synchronized (link) {
-            if (needsReport() && thread == null && !link.isClosed()) {
-                thread = Thread.ofVirtual().name("target-" + id).start(this::run);
-            }
-        }
+        pollThread.startIfNeeded();
     }
 
     /**
@@ -143,7 +129,7 @@
         return occupied
                 || link.incarnation() == 0
                 || reportRequired
-                || registered && unresponsive
+                || registered && silence.isUnresponsive()
                 || !ends.areDurable()
                 || !starts.areAnswered()
                 || !stops.areConfirmed();
@@ -181,35 +167,6 @@
         }
     }
 
-    private boolean shouldContinue() {
-        synchronized (link) {
-            if (link.isClosed() || !needsReport()) {
-                thread = null;
-                return false;
-            }
-            return true;
-        }
-    }
-
-    private void run() {
-        try {
-            while (shouldContinue()) {
-                BackgroundTasks.run("target-" + id, this::poll, this::handleFailedPoll);
-            }
-        } finally {
-            releaseThread();
-        }
-    }
-
-    /** Lets another thread poll the target if this one still does, so if it ends by an exception. */
-    private void releaseThread() {
-        synchronized (link) {
-            if (thread == Thread.currentThread()) {
-                thread = null;
-            }
-        }
-    }
-
     private void poll() {
         if (!events.isLeading()) {
             Clocks.sleep(PAUSE_MILLIS);
@@ -237,7 +194,7 @@
                     && starts.areAnswered()
                     && ends.areDurable()
                     && (occupied || !stops.areConfirmed())
-                    && !unresponsive;
+                    && !silence.isUnresponsive();
             if (!idle) {
                 return 0;
             }
@@ -248,7 +205,7 @@
     /** Returns the pause after a failed report, in milliseconds; longer if no run or command depends on the next. */
     private long pauseMillis() {
         synchronized (link) {
-            boolean idle = unresponsive && !occupied && starts.areAnswered() && stops.areConfirmed();
+            boolean idle = silence.isUnresponsive() && !occupied && starts.areAnswered() && stops.areConfirmed();
             return idle ? IDLE_PAUSE_MILLIS : PAUSE_MILLIS;
         }
     }
@@ -259,7 +216,7 @@
         TargetCalls.ReportRequest request;
         TargetCalls.Endpoint target;
         synchronized (link) {
-            OptionalLong leaseEnd = unresponsive ? OptionalLong.empty() : link.nextLeaseEndMillis();
+            OptionalLong leaseEnd = silence.isUnresponsive() ? OptionalLong.empty() : link.nextLeaseEndMillis();
             request = new TargetCalls.ReportRequest(fence, ends.acknowledged(), leaseEnd, waitMillis);
             target = link.endpoint();
         }
@@ -283,13 +240,9 @@
                 stops.clear();
             }
             reportRequired = false;
-            silentSinceNanos = NOT_SILENT;
             link.recordReport(reported.clockMillis());
             report.ended().forEach(end -> ends.recordReported(end.number()));
-            if (unresponsive) {
-                unresponsive = false;
-                LOG.infof("dependency: target=%s outcome=regained", id);
-            }
+            silence.recordAnswer();
         }
         events.reported(report);
         starts.resolve(report, fence);
@@ -305,15 +258,7 @@
     }
 
     private void handleNoAnswer(String reason) {
-        synchronized (link) {
-            if (silentSinceNanos == NOT_SILENT) {
-                silentSinceNanos = System.nanoTime();
-            }
-            if (!unresponsive) {
-                unresponsive = true;
-                LOG.infof("dependency: target=%s outcome=lost reason=%s", id, reason);
-            }
-        }
+        silence.recordNoAnswer(reason);
         events.unresponsive(id, EXCLUSION_MILLIS);
         if (isGone()) {
             events.leaseExpired(id);
@@ -323,7 +268,7 @@
     /** Returns whether the target does not answer and its lease has expired, so that none of its runs is left. */
     boolean isGone() {
         synchronized (link) {
-            if (!unresponsive || !link.isLeaseExpired()) {
+            if (!silence.isUnresponsive() || !link.isLeaseExpired()) {
                 return false;
             }
             starts.clear();
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -13,11 +13,9 @@
 import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.Batch;
 import org.acaciaport.pool.ClockReading;
-import org.acaciaport.pool.Job;
 import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetInfo;
-import org.acaciaport.pool.TargetReport;
 import org.jboss.logging.Logger;
 
 /**
@@ -28,7 +26,7 @@
  * the record of that start is durable. An exception of an event, a pass or an append ends the term, as the pool may be
  * inconsistent with the log; a job that the pool rejects is left out instead, as it would end each later term.
  */
-final class Term implements SessionEvents, Replica.Listener {
+final class Term {
     private static final Logger LOG = Logger.getLogger(Term.class);
 
     /**
@@ -78,6 +76,7 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TermWriter writer;
     private final JobIntake jobIntake;
+    private final PoolEvents poolEvents;
     private final LateJobs lateJobs;
     private final Supplier<SchedulingSettings> scheduling;
     private final EstimatesPersistence estimatesPersistence;
@@ -129,7 +128,8 @@
         jobIntake = new JobIntake(pool, writer);
         log = dependencies.log();
         this.earlierLeases = earlierLeases;
-        sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), this, executor, load);
+        poolEvents = new PoolEvents(pool, events, jobIntake, executor, this::end, this::isLeading);
+        sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), poolEvents, executor, load);
     }
 
     /**
@@ -191,7 +191,7 @@
         ClockReading now = Clocks.now();
         pool.use(scheduling.get().poolFeatures(), now);
         estimatesPersistence.restore(replica.estimates(), now);
-        jobIntake.restore(replica.attach(this), now);
+        jobIntake.restore(replica.attach(poolEvents), now);
         LOG.infof(
                 "lead: epoch=%s outcome=leading occupied=%s",
                 epoch, pool.occupiedTargets().size());
@@ -292,60 +292,14 @@
         });
     }
 
-    @Override
-    public void submitted(Job job) {
-        events.post(() -> jobIntake.submit(job));
-    }
-
-    @Override
-    public void cancelled(CancelRecord cancel) {
-        events.post(() -> pool.cancel(cancel.id(), Clocks.now()));
-    }
-
-    @Override
-    public void reported(TargetReport report) {
-        events.post(() -> pool.handleReport(report, Clocks.now()));
-    }
-
-    @Override
-    public void started(TargetCommand.Start start) {
-        events.post(() -> pool.handleStarted(start, Clocks.now()));
-    }
-
-    @Override
-    public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {
-        events.post(() -> pool.handleStartFailure(start, reason, exclusionMillis, Clocks.now()));
-    }
-
-    @Override
-    public void startAbsent(TargetCommand.Start start, Runnable resend) {
-        events.post(() -> {
-            if (pool.isWanted(start)) {
-                executor.execute(resend);
-            } else {
-                pool.handleStartFailure(start, "not wanted", 0, Clocks.now());
-            }
-        });
-    }
-
-    @Override
-    public void unresponsive(String target, long exclusionMillis) {
-        events.post(() -> pool.exclude(target, exclusionMillis, Clocks.now()));
-    }
-
-    @Override
-    public void leaseExpired(String target) {
-        events.post(() -> pool.handleLeaseExpiry(target, Clocks.now()));
-    }
-
-    @Override
-    public void deposed(String target) {
-        end("target " + target + " has seen a later term");
+    /** Returns whether the term was confirmed recently enough to send commands and renew leases. */
+    boolean isLeading() {
+        return !ended && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_UNCONFIRMED_MILLIS;
     }
 
-    @Override
-    public boolean isLeading() {
-        return !ended && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_UNCONFIRMED_MILLIS;
+    /** Returns the receiver of the events of sessions. */
+    SessionEvents sessionEvents() {
+        return poolEvents;
     }
 
     /** Ends the term immediately. The reason of the first call is logged before the thread of the term can end. */
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -373,7 +373,7 @@
         lead();
         Conditions.await(() -> replica.leader() != null);
         try (LogCapture capture = LogCapture.of(Term.class)) {
-            term.reported(null);
+            term.sessionEvents().reported(null);
             Conditions.await(() -> !thread.isAlive());
             assertThat(capture.messagesContaining("outcome=ended reason=failed: java.lang.NullPointerException"))
                     .hasSize(1);
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -35,6 +35,8 @@
     private final RunMonitor runMonitor = new RunMonitor(targetHealth, estimateErrors, taskLifecycle);
     private final ReportHandler reportHandler =
             new ReportHandler(outbox, taskLifecycle, runEndHandler, runMonitor, estimates, jobs::get);
+    private final StartOutcomes startOutcomes =
+            new StartOutcomes(jobs::get, taskLifecycle, reportHandler, this::isWithinLimit);
     private final PlacementPass.Context passContext =
             new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
     private PoolFeatures features = PoolFeatures.ALL;
@@ -172,11 +174,11 @@
      * become lower than what the account would have running with it.
      */
     public boolean isWanted(TargetCommand.Start start) {
-        TaskExecution task = currentTask(start);
-        return task != null
-                && task.phase == Phase.STARTING
-                && settings.terms(task.job().account())
-                        .isWithinLimit(accountUsage.running(task.job().account()));
+        return startOutcomes.isWanted(start);
+    }
+
+    private boolean isWithinLimit(String account) {
+        return settings.terms(account).isWithinLimit(accountUsage.running(account));
     }
 
     /**
@@ -184,11 +186,7 @@
      * has begun.
      */
     public void handleStarted(TargetCommand.Start start, ClockReading now) {
-        reportHandler.recordBegun(start.task().job());
-        TaskExecution task = currentTask(start);
-        if (task != null && task.confirmedNanos == 0) {
-            ReportHandler.confirmStart(task, now);
-        }
+        startOutcomes.handleStarted(start, now);
     }
 
     /**
@@ -198,30 +196,8 @@
      * @param exclusionMillis time during which the target receives no new work, in milliseconds; 0 for none
      */
     public void handleStartFailure(TargetCommand.Start start, String reason, long exclusionMillis, ClockReading now) {
-        TaskExecution task = currentTask(start);
-        LOG.infof(
-                "start: request=%s task=%s run=%s target=%s outcome=refused reason=%s",
-                start.task().job(), start.task(), start.run(), start.target(), reason);
         exclude(start.target(), exclusionMillis, now);
-        if (task != null) {
-            taskLifecycle.requeue(task, now);
-        }
-    }
-
-    /** Returns the task, or null if it is unknown. */
-    private TaskExecution findTask(TaskId id) {
-        JobExecution job = jobs.get(id.job());
-        return job == null ? null : job.task(id);
-    }
-
-    /** Returns the task of {@code start}, or null if that start is not its newest active run. */
-    private TaskExecution currentTask(TargetCommand.Start start) {
-        TaskExecution task = findTask(start.task());
-        boolean current = task != null
-                && task.phase.mayOccupyTarget()
-                && task.lastRun == start.run()
-                && task.target.id.equals(start.target());
-        return current ? task : null;
+        startOutcomes.handleFailure(start, reason, now);
     }
 
     /** Excludes a target from new work for {@code millis} milliseconds. Never shortens an exclusion. */
