Do not prefer the former leader's node as a relay for its answer to a query

The reply of a peer made it the preferred relay whatever the query was. A node that has just started answers which process it is before it can relay. Found by reading.

--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -139,12 +139,12 @@
     }
 
     /**
-     * Sends a query to one peer and returns the reply.
+     * Sends a query that is no call of the log to one peer and returns the reply.
      *
      * @throws WireException if no reply came in time
      */
     Message ask(String peer, Message query, long timeoutMillis) throws WireException {
-        return peers.ask(peer, query, timeoutMillis);
+        return peers.send(peer, query, timeoutMillis);
     }
 
     private <T> T askPeer(String peer, LogCall<T> call, long timeoutMillis) {
--- a/acacia-node/src/main/java/org/acaciaport/node/Peers.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Peers.java
@@ -68,17 +68,25 @@
     }
 
     /**
-     * Sends a message to one peer and returns its reply.
+     * Sends a call of the log to one peer, which is preferred from then on, and returns its reply.
      *
      * @throws WireException if no reply came in time
      */
     Message ask(String address, Message query, long timeoutMillis) throws WireException {
-        WireClient client = clientOf(address);
-        Message reply = client.call(query, timeoutMillis);
+        Message reply = send(address, query, timeoutMillis);
         preferred = address;
         return reply;
     }
 
+    /**
+     * Sends any message to one peer and returns its reply, which tells nothing of it as a relay.
+     *
+     * @throws WireException if no reply came in time
+     */
+    Message send(String address, Message query, long timeoutMillis) throws WireException {
+        return clientOf(address).call(query, timeoutMillis);
+    }
+
     /** Records that a peer did not relay a call, so that the others are tried before it. */
     void recordFailure(String address) {
         lastFailures.put(address, failureCount.incrementAndGet());
