--- a/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/FailoverLog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.acaciaport.failure.Failures;
 import org.acaciaport.log.Append;
@@ -180,9 +181,9 @@
             return new AppendOutcome.Refused("no time left");
         }
         LogCall<AppendOutcome> call = calls.append(append);
-        RoutedCall.Environment<AppendOutcome> environment = new RoutedCall.Environment<>(
-                route -> call(route, deadline, call), changes, () -> {}, () -> Long.MAX_VALUE);
-        RoutedCall.Result<AppendOutcome> result = run(call, this::appendRoutes, deadline, environment);
+        Runnable probe = () -> call(Route.DIRECT, deadline, calls.probe(append.topic()));
+        RoutedCall.Result<AppendOutcome> result =
+                run(call, this::appendRoutes, deadline, environment(route -> call(route, deadline, call), probe));
         if (result.answer() != null) {
             return result.answer();
         }
@@ -205,18 +206,20 @@
         return result.answer() != null ? result.answer() : new NewestOutcome.Unavailable(result.reasons());
     }
 
+    private <T> RoutedCall.Result<T> read(LogCall<T> call, Runnable probe, long deadline) {
+        return run(
+                call, this::readRoutes, deadline, environment(route -> attempt(route, deadline, call, probe), probe));
+    }
+
     /**
-     * Makes a read, and probes the direct route while that fails.
+     * Returns an environment in which the direct route is probed while it fails.
      *
+     * @param attempt makes the call on one route
      * @param probe makes a short call on the direct route
      */
-    private <T> RoutedCall.Result<T> read(LogCall<T> call, Runnable probe, long deadline) {
-        RoutedCall.Environment<T> environment = new RoutedCall.Environment<>(
-                route -> attempt(route, deadline, call, probe),
-                changes,
-                () -> probeIfDue(probe),
-                () -> directFails ? probes.delayMillis() : Long.MAX_VALUE);
-        return run(call, this::readRoutes, deadline, environment);
+    private <T> RoutedCall.Environment<T> environment(Function<Route, T> attempt, Runnable probe) {
+        return new RoutedCall.Environment<>(
+                attempt, changes, () -> probeIfDue(probe), () -> directFails ? probes.delayMillis() : Long.MAX_VALUE);
     }
 
     private <T> RoutedCall.Result<T> run(
