--- a/acacia-node/src/test/java/org/acaciaport/node/SilentRelayTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/SilentRelayTest.java
@@ -39,6 +39,7 @@
     private static final long MAX_SILENCE_MILLIS = 2_500;
 
     private final MemoryLog direct = new MemoryLog();
+    private final List<Relay> twoRelays = List.of(new Relay(), new Relay());
     private final List<WireServer> servers = new ArrayList<>();
 
     /** A log that answers nothing while it is silent, and counts the calls that it got. */
@@ -168,37 +169,39 @@
         assertThat(records.records()).isEmpty();
     }
 
-    @Test
-    void aReadLeavesARelayThatAnotherCallHasFoundSilent() throws Exception {
-        Relay first = new Relay();
-        Relay second = new Relay();
-        first.silent = false;
-        second.silent = false;
+    /** Returns a log whose direct route refuses calls, with two relays that answer. */
+    private FailoverLog logWithTwoRelays() throws Exception {
         direct.failure = MemoryLog.Failure.REFUSE;
-        FailoverLog log = failoverLog(direct, first, second);
+        for (Relay relay : twoRelays) {
+            relay.silent = false;
+        }
+        return failoverLog(direct, twoRelays.get(0), twoRelays.get(1));
+    }
+
+    /** Silences the relay that {@code log} uses, and starts a read that goes there. */
+    private CompletableFuture<ReadOutcome> readThroughSilentRelay(FailoverLog log) {
         read(log, 0);
-        Relay used = first.calls.isEmpty() ? second : first;
+        Relay used = twoRelays.get(twoRelays.get(0).calls.isEmpty() ? 1 : 0);
         used.calls.clear();
         used.silent = true;
         CompletableFuture<ReadOutcome> outcome = new CompletableFuture<>();
         Thread.ofVirtual().start(() -> outcome.complete(read(log, WAIT_MILLIS)));
         Conditions.await(() -> !used.calls.isEmpty());
+        return outcome;
+    }
+
+    @Test
+    void aReadLeavesARelayThatAnotherCallHasFoundSilent() throws Exception {
+        FailoverLog log = logWithTwoRelays();
+        CompletableFuture<ReadOutcome> outcome = readThroughSilentRelay(log);
         assertThat(log.append(append(new Append.Always()), deadline())).isInstanceOf(AppendOutcome.Appended.class);
         assertThat(outcome.get(MAX_CHANGE_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(ReadOutcome.Records.class);
     }
 
     @Test
     void aReadLeavesASilentRelayAlthoughNoOtherCallIsMade() throws Exception {
-        Relay first = new Relay();
-        Relay second = new Relay();
-        first.silent = false;
-        second.silent = false;
-        direct.failure = MemoryLog.Failure.REFUSE;
-        FailoverLog log = failoverLog(direct, first, second);
-        read(log, 0);
-        (first.calls.isEmpty() ? second : first).silent = true;
-        CompletableFuture<ReadOutcome> outcome = new CompletableFuture<>();
-        Thread.ofVirtual().start(() -> outcome.complete(read(log, WAIT_MILLIS)));
+        FailoverLog log = logWithTwoRelays();
+        CompletableFuture<ReadOutcome> outcome = readThroughSilentRelay(log);
         assertThat(outcome.get(MAX_SILENCE_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(ReadOutcome.Records.class);
     }
 
