Count the uptime of a node from the start of its runtime

Its node started again 1.5 s after the loss, and answered the new leader with an uptime that counted from the construction of Node, after the HTTP client had started. The uptime is now that of the runtime, read when it is asked for.

--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,7 +39,6 @@
 
     private static final long ANNOUNCE_RETRY_DELAY_MILLIS = 300;
 
-    private final long startedNanos = System.nanoTime();
     private final long startedMillis = System.currentTimeMillis();
     private final Settings settings;
     private final FailoverLog log;
@@ -139,7 +139,7 @@
 
     private Message answer(Message query, long deadline) {
         if (query instanceof Message.Identify) {
-            long uptimeMillis = (System.nanoTime() - startedNanos) / Clocks.NANOS_PER_MILLI;
+            long uptimeMillis = ManagementFactory.getRuntimeMXBean().getUptime();
             return new Message.Identity(settings.name(), startedMillis, uptimeMillis);
         }
         return log.answer(query, deadline);
