Settle a concluded end only by a report requested after the conclusion

A complete report that lists a run neither as running nor as ended settled a concluded end, also if it had been requested before and was from before the run. The run then no longer counted as a possible failure, so one run too many could start (BUDGET). Found by reading. LateEndTest#aReportFromBeforeTheConclusionSettlesNothing failed before the change and passes.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobRestorer.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobRestorer.java
@@ -70,7 +70,8 @@
             return;
         }
         for (RunEnds.Unreported each : ends.unreported()) {
-            new UnreportedRun(task, each.run(), targets.apply(each.target()), each.incarnation()).add();
+            TargetState target = targets.apply(each.target());
+            new UnreportedRun(task, each.run(), target, each.incarnation(), now.monotonicNanos()).add();
         }
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -112,10 +112,14 @@
         settleAbsent(target, report);
     }
 
-    /** Settles the runs that a complete report lists neither as running nor as ended: their ends were counted. */
+    /**
+     * Settles the runs that a complete report lists neither as running nor as ended: their ends were counted. A report
+     * that was requested before the end was concluded may be from before the run.
+     */
     private void settleAbsent(TargetState target, TargetReport report) {
         for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
-            if (report.presenceOf(each.task().id, each.run()) == TargetReport.Presence.ABSENT) {
+            boolean later = report.requestNanos() - each.concludedNanos() > 0;
+            if (later && report.presenceOf(each.task().id, each.run()) == TargetReport.Presence.ABSENT) {
                 settle(each);
             }
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/RunEndHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/RunEndHandler.java
@@ -98,7 +98,7 @@
             LOG.infof(
                     "end: request=%s task=%s run=%s target=%s how=inferred reason=all others are broken",
                     last.id.job(), last.id, last.lastRun, last.target.id);
-            UnreportedRun.ofNewest(last).add();
+            UnreportedRun.ofNewest(last, now).add();
             taskLifecycle.requeue(last, now);
         }
     }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/UnreportedRun.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/UnreportedRun.java
@@ -11,11 +11,12 @@
  * @param run run number of the task
  * @param target target that the run was sent to
  * @param incarnation incarnation of the target that the run was sent to
+ * @param concludedNanos monotonic clock reading when the end was concluded or restored, in nanoseconds
  */
-record UnreportedRun(TaskExecution task, int run, TargetState target, long incarnation) {
+record UnreportedRun(TaskExecution task, int run, TargetState target, long incarnation, long concludedNanos) {
     /** Returns the newest run of {@code task}, which must be on a target. */
-    static UnreportedRun ofNewest(TaskExecution task) {
-        return new UnreportedRun(task, task.lastRun, task.target, task.incarnation);
+    static UnreportedRun ofNewest(TaskExecution task, ClockReading now) {
+        return new UnreportedRun(task, task.lastRun, task.target, task.incarnation, now.monotonicNanos());
     }
 
     /** Adds this run to the task and the target. */
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
@@ -119,6 +119,18 @@
         assertThat(state()).isEqualTo(JobState.FAILED);
     }
 
+    /** A report that was taken before the run began lists it nowhere, and shows nothing of its end. */
+    @Test
+    void aReportFromBeforeTheConclusionSettlesNothing() {
+        long requestNanos = fixture.now().monotonicNanos();
+        concludeFirstRun();
+        failNewestRun();
+        TargetReport late = new TargetReport(first.target(), 1, requestNanos, List.of(), List.of(), true);
+        fixture.pool.handleReport(late, fixture.now());
+        fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(runsOfFirstMember()).isEqualTo(2);
+    }
+
     @Test
     void theNextRunStartsOnceTheEndIsReportedOtherwise() {
         concludeFirstRun();
