Confirm a restarted target only by a report that fences off earlier commands

One leader ordered both runs.

Cause: a target that is back under its id has seen no fencing token, and takes calls that were meant for its former life. A start on its way carried the same token as the request for a report beside it. That report showed the new incarnation without the run; the pool took the run for lost and started it elsewhere, and then the start arrived. The same if the registration told of the restart while a report was on its way: the token was raised, but the report with the former one counted.

Change: an incarnation is confirmed only by a report that was requested with a higher token than each command sent before. A report of an unconfirmed one raises the token and is asked for again at once. What such a report shows as running was started before it, and is taken over as before; what arrives later is rejected. Restarts and reports that confirm nothing are logged with their tokens.

--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
@@ -1,6 +1,7 @@
 package org.acaciaport.node;
 
 import java.util.OptionalLong;
+import org.jboss.logging.Logger;
 
 /**
  * What a session knows of its target: its address and incarnation, its clock and lease, and the fencing token for the
@@ -9,15 +10,20 @@
  * <p>Thread-safe. The parts of a session hold its lock over several calls, and their own state is guarded by it.
  */
 final class TargetLink {
+    private static final Logger LOG = Logger.getLogger(TargetLink.class);
+
     private final String id;
     private final long baseFence;
     private final TargetLease lease;
     private TargetCalls.Endpoint endpoint;
     private long fenceIncrements;
 
-    /** Confirmed incarnation of the target; 0 until a report confirms it. */
+    /** The incarnation that a report has confirmed last; 0 before the first. */
     private long incarnation;
 
+    /** Whether the target has not restarted since, as far as known. */
+    private boolean confirmed;
+
     private boolean closed;
 
     TargetLink(TargetCalls.Endpoint endpoint, long baseFence, TargetLease lease) {
@@ -50,25 +56,56 @@
         }
     }
 
+    /** Returns the confirmed incarnation of the target; 0 until a report confirms it. */
     synchronized long incarnation() {
-        return incarnation;
-    }
-
-    /** Records the incarnation that a report confirms; returns whether it is another one than before. */
-    synchronized boolean confirmIncarnation(long confirmed) {
-        if (confirmed == incarnation) {
-            return false;
+        return confirmed ? incarnation : 0;
+    }
+
+    /** What a report confirms of the incarnation of the target. */
+    enum Confirmation {
+        /** The target has not restarted. */
+        SAME,
+        /** The target has restarted, and rejects what was sent to it before. */
+        RESTARTED,
+        /** The target has restarted, and may still carry out what was sent to it before. */
+        UNFENCED
+    }
+
+    /**
+     * Handles the incarnation that a report shows. A target has seen no fencing token after a restart, so only a report
+     * that was requested with a higher one than each earlier command confirms an incarnation.
+     *
+     * @param fence fencing token that the report was requested with
+     */
+    synchronized Confirmation confirmIncarnation(long reported, long fence) {
+        announceIncarnation(reported);
+        if (!confirmed && fence < fence()) {
+            logIncarnation(reported, fence, "unfenced");
+            return Confirmation.UNFENCED;
         }
-        incarnation = confirmed;
+        confirmed = true;
+        if (reported == incarnation) {
+            return Confirmation.SAME;
+        }
+        if (incarnation != 0) {
+            logIncarnation(reported, fence, "restarted");
+        }
+        incarnation = reported;
         lease.reset();
-        return true;
+        return Confirmation.RESTARTED;
+    }
+
+    private void logIncarnation(long reported, long fence, String outcome) {
+        LOG.infof(
+                "target: target=%s outcome=%s incarnation=%s former=%s fence=%s required=%s",
+                id, outcome, reported, incarnation, fence, fence());
     }
 
-    /** Handles a registration; another incarnation needs a report to confirm it. */
+    /** Handles a registration or a report; another incarnation needs a report to confirm it. */
     synchronized void announceIncarnation(long announced) {
-        if (announced != incarnation && incarnation != 0) {
+        if (confirmed && announced != incarnation) {
             fenceIncrements++;
-            incarnation = 0;
+            confirmed = false;
         }
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -17,6 +17,8 @@
  *       stop is confirmed, the target rejects the start.
  *   <li>A start command is sent only to the incarnation of the target that it was decided for, since the pool requeues
  *       the tasks of earlier ones.
+ *   <li>The pool hears of an incarnation only by a report that was requested with a higher fencing token than each
+ *       command sent before, so that the incarnation rejects those that arrive later.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually. No lease is granted
@@ -231,11 +233,15 @@
         return false;
     }
 
-    /** Applies a report that was requested with {@code fence}. */
+    /** Applies a report that was requested with {@code fence}; a later one follows if it confirms no incarnation. */
     private void applyReport(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
         synchronized (link) {
-            if (link.confirmIncarnation(report.incarnation())) {
+            TargetLink.Confirmation confirmation = link.confirmIncarnation(report.incarnation(), fence);
+            if (confirmation == TargetLink.Confirmation.UNFENCED) {
+                return;
+            }
+            if (confirmation == TargetLink.Confirmation.RESTARTED) {
                 ends.reset();
                 stops.clear();
             }
