Read the clock of a target from its reports only, and count the longest lease after a restart

Callers would see two runs of a task at a time (TWICE).

Answers to starts set the clock too, but do not tell which life gave them: a late one of a life with a clock ahead made each lease of the present one count as expired. A lease that was requested on the clock of a former life may have been granted by the next one for as long as it grants any (hold_max_ms, up to 10 s), yet none counted as granted after a restart. A start that was refused as late was sent again by the refusal's clock, to the unconfirmed life.

Change: only reports set the clock. No lease is granted while the life is not confirmed. A start that was refused as late waits for a report.

Evidence: RestartedTargetTest#theClockOfAFormerIncarnationExpiresNoLease and #aStartThatIsRefusedAsLateWaitsForAReport failed before.

--- a/acacia-node/src/main/java/org/acaciaport/node/GuardedTargetCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/GuardedTargetCalls.java
@@ -17,6 +17,11 @@
         this.calls = calls;
     }
 
+    @Override
+    public long maxLeaseMillis() {
+        return calls.maxLeaseMillis();
+    }
+
     @Override
     public CommandReply start(Endpoint target, StartRequest request, long timeoutMillis) {
         try {
--- a/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
@@ -147,10 +147,7 @@
             target = link.endpoint();
         }
         switch (calls.start(target, request, TargetSession.COMMAND_TIMEOUT_MILLIS)) {
-            case TargetCalls.Done done -> {
-                link.recordClock(done.clockMillis());
-                events.started(start);
-            }
+            case TargetCalls.Done done -> events.started(start);
             case TargetCalls.Refused refused -> handleRefusal(start, request, refused, firstNanos);
             case TargetCalls.NoAnswer none -> recordUnanswered(start, request.fence(), firstNanos, none.reason());
         }
@@ -170,7 +167,6 @@
 
     private void handleRefusal(
             TargetCommand.Start start, TargetCalls.StartRequest request, TargetCalls.Refused refused, long firstNanos) {
-        refused.clockMillis().ifPresent(link::recordClock);
         switch (refused.reason()) {
             case FENCE -> {
                 if (request.fence() < link.fence() && isWithinResendLimit(firstNanos)) {
@@ -182,13 +178,9 @@
                     events.deposed(link.id());
                 }
             }
-            case LATE -> {
-                if (isWithinResendLimit(firstNanos)) {
-                    resendIfWanted(start, firstNanos);
-                } else {
-                    events.notStarted(start, "late", TargetSession.EXCLUSION_MILLIS);
-                }
-            }
+            case LATE ->
+                // The clock is not the one expected: a report tells whether the target has restarted.
+                recordUnanswered(start, request.fence(), firstNanos, "late by its clock " + refused.clockMillis());
             case OLD_RUN ->
                 // Stopped before it started: a report has shown that no earlier copy of the command started it.
                 events.notStarted(start, "old run", 0);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetCalls.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetCalls.java
@@ -36,6 +36,9 @@
      */
     record ReportRequest(long fence, long acknowledged, OptionalLong leaseEndMillis, long waitMillis) {}
 
+    /** Returns the longest lease that a target grants, in milliseconds. */
+    long maxLeaseMillis();
+
     /** Starts a run. */
     CommandReply start(Endpoint target, StartRequest request, long timeoutMillis);
 
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
@@ -10,7 +10,7 @@
  * earlierLeasesEndNanos}.
  */
 final class TargetLease {
-    /** Longest lease that a target grants, in milliseconds. */
+    /** Length of the leases that are requested, in milliseconds. */
     private static final long LEASE_MILLIS = 6_000;
 
     /** Lower bound of the rate of a target's clock relative to this node's. */
@@ -19,6 +19,8 @@
     /** Margin added to the end of a lease before it counts as expired, in milliseconds. */
     private static final long EXPIRY_MARGIN_MILLIS = 150;
 
+    private final long maxMillis;
+
     /** When leases of earlier leaders have expired, on this node's monotonic clock; 0 after the first report. */
     private long earlierLeasesEndNanos;
 
@@ -36,9 +38,17 @@
     /** Latest end of a lease that may have been granted, on the target's clock, in milliseconds. */
     private long grantedEndMillis;
 
-    TargetLease(long earlierLeasesEndNanos, boolean suspended) {
+    /**
+     * Creates a lease of which nothing is known but those of earlier leaders.
+     *
+     * @param earlierLeasesEndNanos when those have expired, on this node's monotonic clock
+     * @param suspended whether no lease may be granted
+     * @param maxMillis longest lease that the target grants, in milliseconds
+     */
+    TargetLease(long earlierLeasesEndNanos, boolean suspended, long maxMillis) {
         this.earlierLeasesEndNanos = earlierLeasesEndNanos;
         this.suspended = suspended;
+        this.maxMillis = maxMillis;
     }
 
     /** Records that leases of earlier leaders have expired by {@code endNanos}, on this node's monotonic clock. */
@@ -82,13 +92,7 @@
         return clockKnown;
     }
 
-    /** Discards the state of the previous incarnation of the target. */
-    void reset() {
-        clockKnown = false;
-        grantedEndMillis = 0;
-    }
-
-    /** Records a reading of the target's clock. */
+    /** Records a reading of the target's clock by a report of the incarnation that the last restart began. */
     void recordClock(long millis) {
         clockMillis = millis;
         clockNanos = System.nanoTime();
@@ -96,15 +100,14 @@
     }
 
     /**
-     * Records the target's clock from a report. The report carries this term's fencing token, so earlier leaders can no
-     * longer grant leases.
+     * Records the clock of an incarnation from its first report. The report was requested with a higher fencing token
+     * than any earlier lease, so no more of those are granted. One that was requested on the clock of a former
+     * incarnation may have been granted by this one, for as long as the target grants any.
      */
-    void recordReport(long millis) {
+    void recordRestart(long millis) {
         recordClock(millis);
-        if (earlierLeasesEndNanos != 0) {
-            grantedEndMillis = Math.max(grantedEndMillis, millis + LEASE_MILLIS);
-            earlierLeasesEndNanos = 0;
-        }
+        grantedEndMillis = millis + maxMillis;
+        earlierLeasesEndNanos = 0;
     }
 
     /**
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLink.java
@@ -76,8 +76,9 @@
      * that was requested with a higher one than each earlier command confirms an incarnation.
      *
      * @param fence fencing token that the report was requested with
+     * @param clockMillis reading of the target's clock, which differs between incarnations
      */
-    synchronized Confirmation confirmIncarnation(long reported, long fence) {
+    synchronized Confirmation confirmIncarnation(long reported, long fence, long clockMillis) {
         announceIncarnation(reported);
         if (!confirmed && fence < fence()) {
             logIncarnation(reported, fence, "unfenced");
@@ -85,13 +86,14 @@
         }
         confirmed = true;
         if (reported == incarnation) {
+            lease.recordClock(clockMillis);
             return Confirmation.SAME;
         }
         if (incarnation != 0) {
             logIncarnation(reported, fence, "restarted");
         }
         incarnation = reported;
-        lease.reset();
+        lease.recordRestart(clockMillis);
         return Confirmation.RESTARTED;
     }
 
@@ -118,21 +120,16 @@
         notifyAll();
     }
 
-    synchronized void recordClock(long millis) {
-        lease.recordClock(millis);
-    }
-
-    synchronized void recordReport(long clockMillis) {
-        lease.recordReport(clockMillis);
-    }
-
     synchronized boolean isClockKnown() {
         return lease.isClockKnown();
     }
 
-    /** Returns the end of the lease to request next, and counts it as granted; empty if none may be granted now. */
+    /**
+     * Returns the end of the lease to request next, and counts it as granted; empty if none may be granted now. So it
+     * is while the incarnation is not confirmed, as each has a clock of its own.
+     */
     synchronized OptionalLong nextLeaseEndMillis() {
-        return lease.nextLeaseEndMillis();
+        return confirmed ? lease.nextLeaseEndMillis() : OptionalLong.empty();
     }
 
     /** Grants no lease until {@link #resumeLease}; returns when all have expired, on the monotonic clock. */
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -19,6 +19,8 @@
  *       the tasks of earlier ones.
  *   <li>The pool hears of an incarnation only by a report that was requested with a higher fencing token than each
  *       command sent before, so that the incarnation rejects those that arrive later.
+ *   <li>The clock of an incarnation is read from its reports only, since no other answer tells which one gave it. No
+ *       lease is granted before the first.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually. No lease is granted
@@ -237,7 +239,8 @@
     private void applyReport(TargetCalls.Reported reported, long fence) {
         TargetReport report = reported.report();
         synchronized (link) {
-            TargetLink.Confirmation confirmation = link.confirmIncarnation(report.incarnation(), fence);
+            TargetLink.Confirmation confirmation =
+                    link.confirmIncarnation(report.incarnation(), fence, reported.clockMillis());
             if (confirmation == TargetLink.Confirmation.UNFENCED) {
                 return;
             }
@@ -246,7 +249,6 @@
                 stops.clear();
             }
             reportRequired = false;
-            link.recordReport(reported.clockMillis());
             report.ended().forEach(end -> ends.recordReported(end.number()));
             silence.recordAnswer();
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -62,7 +62,8 @@
         TargetInfo info = registered.get(id);
         if (session == null && info != null) {
             TargetCalls.Endpoint endpoint = new TargetCalls.Endpoint(id, info.address());
-            TargetLease lease = new TargetLease(earlierLeases.endNanos(id), leaseRecords.mayBeInLog(id));
+            TargetLease lease =
+                    new TargetLease(earlierLeases.endNanos(id), leaseRecords.mayBeInLog(id), calls.maxLeaseMillis());
             session = new TargetSession(endpoint, calls, events, baseFence, lease);
             sessions.put(id, session);
         }
--- a/acacia-node/src/test/java/org/acaciaport/node/EarlierLeasesTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/EarlierLeasesTest.java
@@ -87,8 +87,8 @@
 
     @Test
     void aSuspendedLeaseIsNotRenewed() {
-        TargetLease lease = new TargetLease(1, false);
-        lease.recordReport(1_000);
+        TargetLease lease = new TargetLease(1, false, 6_000);
+        lease.recordRestart(1_000);
         assertThat(lease.nextLeaseEndMillis().isPresent()).isTrue();
         long end = lease.suspend();
         assertThat(millisBetween(TargetLease.latestEndNanos(System.nanoTime()), end))
--- a/acacia-node/src/test/java/org/acaciaport/node/FormerLeaderProbeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/FormerLeaderProbeTest.java
@@ -119,7 +119,7 @@
 
     @Test
     void aLeaseEndsSoonerIfTheFormerLeaderIsOver() {
-        TargetLease lease = new TargetLease(Clocks.deadlineAfter(60_000), false);
+        TargetLease lease = new TargetLease(Clocks.deadlineAfter(60_000), false, 6_000);
         assertThat(lease.isExpired()).isFalse();
         lease.limitEarlierLeases(System.nanoTime());
         Clocks.sleep(1);
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -201,6 +201,11 @@
             return targets.computeIfAbsent(endpoint.id(), id -> new SequentialTarget());
         }
 
+        @Override
+        public long maxLeaseMillis() {
+            return 6_000;
+        }
+
         @Override
         public synchronized CommandReply start(Endpoint endpoint, StartRequest request, long timeoutMillis) {
             target(endpoint).running.add(new TargetReport.Running(request.task(), request.run(), "", 0));
--- a/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MemoryTarget.java
@@ -77,6 +77,11 @@
         }
     }
 
+    @Override
+    public long maxLeaseMillis() {
+        return 6_000;
+    }
+
     @Override
     public synchronized CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
         if (silent) {
--- a/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
@@ -15,6 +15,12 @@
 final class RestartedTargetTest {
     private static final long TIMEOUT_SECONDS = 20;
 
+    /** Time after which a lease that counts as expired too soon is noticed, in milliseconds. */
+    private static final long EARLY_EXPIRY_MILLIS = 2_000;
+
+    /** How far the clocks of two incarnations are apart, in milliseconds. */
+    private static final long CLOCK_DIFFERENCE_MILLIS = 3_600_000;
+
     private final TaskId task = new TaskId("a", 0, 0, 0);
     private final TargetCommand.Start start = new TargetCommand.Start("t", 1, task, 1, "payload", "");
     private final RestartingTarget target = new RestartingTarget();
@@ -28,7 +34,7 @@
                 target,
                 events,
                 1_000,
-                new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false));
+                new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false, 6_000));
         session.setOccupied(true);
         Conditions.await(() -> events.incarnation == 1);
     }
@@ -94,6 +100,43 @@
         assertThat(events.firstOfIncarnation.running()).hasSize(1);
     }
 
+    /**
+     * Guards against two runs of a task at a time (TWICE): an answer of the former incarnation, whose clock was ahead,
+     * makes the leases of the present one count as expired.
+     */
+    @Test
+    void theClockOfAFormerIncarnationExpiresNoLease() throws Exception {
+        target.restart(CLOCK_DIFFERENCE_MILLIS);
+        Conditions.await(() -> events.incarnation == 2);
+        target.answersOnTheirWay = new CountDownLatch(1);
+        Thread starting =
+                Thread.ofVirtual().start(() -> session.start(new TargetCommand.Start("t", 2, task, 1, "payload", "")));
+        Conditions.await(() -> target.isRunning(task));
+        target.restart(0);
+        Conditions.await(() -> events.incarnation == 3);
+        target.answersOnTheirWay.countDown();
+        starting.join();
+        target.silent = true;
+        assertThat(events.leaseExpired.await(EARLY_EXPIRY_MILLIS, TimeUnit.MILLISECONDS))
+                .isFalse();
+        assertThat(events.leaseExpired.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Guards against a start that is refused as late over and over, as the clock of another incarnation is ahead. */
+    @Test
+    void aStartThatIsRefusedAsLateWaitsForAReport() throws Exception {
+        target.startsOnTheirWay = new CountDownLatch(1);
+        Thread starting = startInBackground();
+        target.restart(CLOCK_DIFFERENCE_MILLIS);
+        target.reportsOnTheirWay = new CountDownLatch(1);
+        target.startsOnTheirWay.countDown();
+        starting.join();
+        target.reportsOnTheirWay.countDown();
+        Conditions.await(() -> events.incarnation == 2);
+        assertThat(target.isRunning(task)).isFalse();
+        assertThat(target.startsSent).isEqualTo(1);
+    }
+
     /** Records the events of the session. */
     private static final class Recorder implements SessionEvents {
         final CountDownLatch leaseExpired = new CountDownLatch(1);
--- a/acacia-node/src/test/java/org/acaciaport/node/RestartingTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartingTarget.java
@@ -78,6 +78,11 @@
         }
     }
 
+    @Override
+    public long maxLeaseMillis() {
+        return 6_000;
+    }
+
     @Override
     public CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
         startsSent++;
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetCallFailureTest.java
@@ -37,7 +37,7 @@
                 calls,
                 events,
                 1_000,
-                new TargetLease(Clocks.deadlineAfter(3_600_000), false));
+                new TargetLease(Clocks.deadlineAfter(3_600_000), false, 6_000));
         session.setOccupied(true);
     }
 
@@ -149,6 +149,11 @@
             }
         }
 
+        @Override
+        public long maxLeaseMillis() {
+            return 6_000;
+        }
+
         @Override
         public CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
             startFences.add(request.fence());
--- a/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TargetSessionTest.java
@@ -33,7 +33,7 @@
                 target,
                 events,
                 1_000,
-                new TargetLease(earlierLeasesEndNanos, false));
+                new TargetLease(earlierLeasesEndNanos, false, 6_000));
     }
 
     private TargetSession newReportedSession() throws InterruptedException {
@@ -132,7 +132,7 @@
                 memory,
                 events,
                 1_000,
-                new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false));
+                new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false, 6_000));
         session.setOccupied(true);
         Conditions.await(() -> events.reportCount.get() > 0);
         TargetCommand.Start earlier = new TargetCommand.Start("t", 1, new TaskId("a", 0, 0, 1), 1, "payload", "");
@@ -170,6 +170,11 @@
             return System.nanoTime() / Clocks.NANOS_PER_MILLI;
         }
 
+        @Override
+        public long maxLeaseMillis() {
+            return 6_000;
+        }
+
         @Override
         public CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
             starts.add(request);
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -33,7 +33,7 @@
             target,
             events,
             1_000,
-            new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false));
+            new TargetLease(System.nanoTime() + TimeUnit.HOURS.toNanos(1), false, 6_000));
 
     @AfterEach
     void closeSession() {
