Acknowledge no ends to a target that may have restarted

Cause: a target numbers its ends anew after a restart. Until a report had shown the restart, requests acknowledged as many ends as the former life had reported, and so the first ones of the present life, unseen.

Change: a target that does not answer, or whose life is not confirmed, gets no acknowledgement. It reports its ends again then, each of which counts once.

Evidence: RestartedTargetTest#acknowledgementsOfAFormerIncarnation… failed before: the first request to the new life acknowledged end 1.

--- a/acacia-node/src/main/java/org/acaciaport/node/EndedRuns.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/EndedRuns.java
@@ -18,10 +18,13 @@
         this.link = link;
     }
 
-    /** Returns the number of the last ended run that need not be reported again. */
+    /**
+     * Returns the number of the last ended run that need not be reported again; 0 while the incarnation of the target
+     * is not confirmed, as each numbers its ends anew.
+     */
     long acknowledged() {
         synchronized (link) {
-            return lastAcknowledged;
+            return link.incarnation() == 0 ? 0 : lastAcknowledged;
         }
     }
 
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -21,6 +21,7 @@
  *       command sent before, so that the incarnation rejects those that arrive later.
  *   <li>The clock of an incarnation is read from its reports only, since no other answer tells which one gave it. No
  *       lease is granted before the first.
+ *   <li>A target that does not answer gets no acknowledgement: it may have restarted, and would number its ends anew.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
  *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually. No lease is granted
@@ -221,7 +222,8 @@
         TargetCalls.Endpoint target;
         synchronized (link) {
             OptionalLong leaseEnd = silence.isUnresponsive() ? OptionalLong.empty() : link.nextLeaseEndMillis();
-            request = new TargetCalls.ReportRequest(fence, ends.acknowledged(), leaseEnd, waitMillis);
+            long acknowledged = silence.isUnresponsive() ? 0 : ends.acknowledged();
+            request = new TargetCalls.ReportRequest(fence, acknowledged, leaseEnd, waitMillis);
             target = link.endpoint();
         }
         switch (calls.report(target, request, waitMillis + REPORT_TIMEOUT_MARGIN_MILLIS)) {
--- a/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
@@ -122,6 +122,21 @@
         assertThat(events.leaseExpired.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Guards against ends that are acknowledged uncounted, as the former incarnation had reported as many. */
+    @Test
+    void acknowledgementsOfAFormerIncarnationAreNotSentToTheNextOne() throws Exception {
+        session.start(start);
+        target.complete(task);
+        Conditions.await(() -> events.lastEnd == 1);
+        session.acknowledge(1, 1);
+        target.silent = true;
+        Conditions.await(() -> events.unresponsive);
+        target.restart(0);
+        target.silent = false;
+        Conditions.await(() -> events.incarnation == 2);
+        assertThat(target.firstAcknowledged).isEqualTo(0);
+    }
+
     /** Guards against a start that is refused as late over and over, as the clock of another incarnation is ahead. */
     @Test
     void aStartThatIsRefusedAsLateWaitsForAReport() throws Exception {
