Give a target whose lease has expired no new work at once

Cause: a silent target is excluded for 700 ms after each unanswered report, and those are up to 1.1 s apart. Work placed in between was undone at once, since the lease counted as expired, and placed again a few milliseconds later.

Change: an expired lease excludes its target too.

WorkAfterFailureTest#aTargetWhoseLeaseHasExpired… passes the exclusion; without it (as before) each pass starts the task anew.

--- a/acacia-node/src/main/java/org/acaciaport/node/PoolEvents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/PoolEvents.java
@@ -86,7 +86,7 @@
 
     @Override
     public void leaseExpired(String target) {
-        events.post(() -> pool.handleLeaseExpiry(target, Clocks.now()));
+        events.post(() -> pool.handleLeaseExpiry(target, TargetSession.EXCLUSION_MILLIS, Clocks.now()));
     }
 
     @Override
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -49,7 +49,7 @@
      */
     static final long PAUSE_MILLIS = 80;
 
-    /** How long a target that did not answer gets no new work, in milliseconds. */
+    /** How long a target that did not answer, or whose lease has expired, gets no new work, in milliseconds. */
     static final long EXCLUSION_MILLIS = 700;
 
     /** Pause between reports of a silent target without runs, in milliseconds; it stays excluded meanwhile. */
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -228,7 +228,7 @@
             writer.append(batch, now);
         }
         Set<String> occupied = new HashSet<>(pool.occupiedTargets());
-        sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, now));
+        sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, TargetSession.EXCLUSION_MILLIS, now));
         load.recordIteration(startNanos);
         load.reportIfDue(pool, Clocks.now());
         estimateMetrics.reportIfDue(pool, Clocks.now());
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -200,7 +200,7 @@
         @Override
         public void leaseExpired(String id) {
             synchronized (pool) {
-                pool.handleLeaseExpiry(id, Clocks.now());
+                pool.handleLeaseExpiry(id, 0, Clocks.now());
             }
         }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -208,8 +208,9 @@
         }
     }
 
-    /** Handles the expiry of the lease of a target: none of the runs sent to it so far is still active. */
-    public void handleLeaseExpiry(String id, ClockReading now) {
+    /** Handles the expiry of a lease: the runs of the target are over. Excludes it for {@code exclusionMillis}. */
+    public void handleLeaseExpiry(String id, long exclusionMillis, ClockReading now) {
+        exclude(id, exclusionMillis, now);
         TargetState target = targets.get(id);
         if (target == null) {
             return;
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
@@ -146,7 +146,7 @@
         concludeFirstRun();
         failNewestRun();
         takeOver();
-        fixture.pool.handleLeaseExpiry(first.target(), fixture.now());
+        fixture.pool.handleLeaseExpiry(first.target(), 0, fixture.now());
         fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS);
         assertThat(runsOfFirstMember()).isEqualTo(3);
     }
@@ -195,7 +195,7 @@
     void workThatIsReportedAsDoneAfterALeaseExpiredIsNotRunToTheEndAgain() {
         fixture.submit(fixture.job("single", "x", 1, PoolFixture.independentTasks(1, 8)));
         TargetCommand.Start lost = fixture.running.remove(PoolFixture.taskId("single", 0));
-        fixture.pool.handleLeaseExpiry(lost.target(), fixture.now());
+        fixture.pool.handleLeaseExpiry(lost.target(), 0, fixture.now());
         fixture.schedulePass();
         TargetCommand.Start again = fixture.running.get(lost.task());
         assertThat(again.run()).isGreaterThan(lost.run());
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitFailureTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitFailureTest.java
@@ -58,7 +58,7 @@
         fixture.pass(4_000);
         assertThat(fixture.starts).hasSize(1);
         fixture.running.clear();
-        fixture.pool.handleLeaseExpiry(silent, fixture.now());
+        fixture.pool.handleLeaseExpiry(silent, 0, fixture.now());
         fixture.schedulePass();
         assertThat(fixture.starts).hasSize(2);
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
@@ -266,7 +266,7 @@
         strays.removeIf(start -> start.target().equals(id));
         silentUntil.remove(id);
         pool.unregister(id);
-        pool.handleLeaseExpiry(id, now());
+        pool.handleLeaseExpiry(id, 0, now());
         register(id);
         report(id);
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -128,7 +128,7 @@
         fixture.pool.unregister("t1");
         fixture.advance(5_000);
         assertThat(fixture.starts).hasSize(1);
-        fixture.pool.handleLeaseExpiry("t1", fixture.now());
+        fixture.pool.handleLeaseExpiry("t1", 0, fixture.now());
         fixture.schedulePass();
         assertThat(fixture.starts).hasSize(2);
         assertThat(fixture.starts.get(1).target()).isEqualTo("t2");
@@ -226,7 +226,7 @@
         List<TargetCommand.Start> starts = fixture.pool.takeBatch().starts();
         assertThat(starts).hasSize(2);
         assertThat(fixture.pool.isWanted(starts.get(0))).isTrue();
-        fixture.pool.handleLeaseExpiry("t1", fixture.now());
+        fixture.pool.handleLeaseExpiry("t1", 0, fixture.now());
         assertThat(fixture.pool.isWanted(starts.get(0))).isFalse();
         fixture.pool.schedule(fixture.now());
         List<TargetCommand.Start> again = fixture.pool.takeBatch().starts();
--- a/acacia-pool/src/test/java/org/acaciaport/pool/RunEndSimulationTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/RunEndSimulationTest.java
@@ -190,7 +190,7 @@
         long lastContact = Math.max(target.lastContactMillis, leadingSinceMillis);
         if (target.isCut(millis)) {
             if (millis - lastContact > LEASE_WAIT_MILLIS) {
-                pool.handleLeaseExpiry(target.id, now());
+                pool.handleLeaseExpiry(target.id, 0, now());
             }
         } else if (chance(0.5)) {
             pool.handleReport(target.report(millis, now().monotonicNanos()), now());
--- a/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/WorkAfterFailureTest.java
@@ -8,8 +8,28 @@
 
 /** Tests that accepted work starts although a target, a leader or an earlier run failed. */
 final class WorkAfterFailureTest {
+    private static final int EXCLUSION_MILLIS = 700;
+
     private final PoolFixture fixture = new PoolFixture();
 
+    /**
+     * Guards against work that is started hundreds of times a second on a silent target, as the expiry of its lease
+     * undoes each start at once.
+     */
+    @Test
+    void aTargetWhoseLeaseHasExpiredGetsNoWorkAtOnce() {
+        fixture.addTarget("t1", "r1");
+        fixture.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8)));
+        assertThat(fixture.starts).hasSize(1);
+        for (int expiries = 0; expiries < 10; expiries++) {
+            fixture.pool.handleLeaseExpiry("t1", EXCLUSION_MILLIS, fixture.now());
+            fixture.schedulePass();
+        }
+        assertThat(fixture.starts).hasSize(1);
+        fixture.advance(EXCLUSION_MILLIS);
+        assertThat(fixture.starts).hasSize(2);
+    }
+
     /** Guards against a target that is never asked again (LOST) after it reported a run that it should not have. */
     @Test
     void aTargetWithAStrayRunIsReportedUntilTheRunHasEnded() {
@@ -39,7 +59,7 @@
     @Test
     void aStrayRunHoldsNoResourcesAfterItsLeaseHasExpired() {
         reportStrayRunOnT2();
-        fixture.pool.handleLeaseExpiry("t2", fixture.now());
+        fixture.pool.handleLeaseExpiry("t2", 0, fixture.now());
         fixture.submit(fixture.job("next", "x", 1, PoolFixture.independentTasks(2, 8)));
         assertThat(fixture.startsOf("next")).hasSize(2);
     }
@@ -72,7 +92,7 @@
         JobProgress.Task running = new JobProgress.Task(0, 0, 1, 1, 0, false, "gone", 1, "");
         JobProgress progress = new JobProgress("gang", JobState.RUNNING, 0, List.of(), List.of(done, running));
         fixture.pool.restore(gang, progress, fixture.now());
-        fixture.pool.handleLeaseExpiry("gone", fixture.now());
+        fixture.pool.handleLeaseExpiry("gone", 0, fixture.now());
         fixture.schedulePass();
         assertThat(fixture.persisted.get("gang").state()).isEqualTo(JobState.DONE);
     }
