--- a/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
@@ -7,22 +7,22 @@
 import org.acaciaport.pool.TargetInfo;
 
 /**
- * Reports the registration and unregistration of targets to a term.
+ * Reports the registration and unregistration of targets to those of a term.
  *
  * <p>Guarded by the lock of its consumer. A target is unregistered by a record that names no
  * target, and by a new snapshot that has no record of it.
  */
 final class RegistrationTracker implements TopicConsumer.Sink {
     private final TargetRecordDecoder decoder;
-    private final Term term;
+    private final TargetRegistrations registrations;
     private final Set<String> registered = new HashSet<>();
 
     /** Targets registered before a reset that the snapshot has not yet confirmed. */
     private final Set<String> unconfirmed = new HashSet<>();
 
-    RegistrationTracker(TargetRecordDecoder decoder, Term term) {
+    RegistrationTracker(TargetRecordDecoder decoder, TargetRegistrations registrations) {
         this.decoder = decoder;
-        this.term = term;
+        this.registrations = registrations;
     }
 
     @Override
@@ -51,13 +51,13 @@
     private void register(TargetInfo info) {
         unconfirmed.remove(info.id());
         registered.add(info.id());
-        term.register(info);
+        registrations.register(info);
     }
 
     private void unregister(String id) {
         unconfirmed.remove(id);
         if (registered.remove(id)) {
-            term.unregister(id);
+            registrations.unregister(id);
         }
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -15,7 +15,6 @@
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Pool;
 import org.acaciaport.pool.TargetCommand;
-import org.acaciaport.pool.TargetInfo;
 import org.jboss.logging.Logger;
 
 /**
@@ -59,11 +58,6 @@
      */
     private static final long MAX_UNREAD_MILLIS = 6_000;
 
-    /** How long the state of an ended job can be queried, in milliseconds. */
-    private static final long ENDED_JOB_RETENTION_MILLIS = 180_000;
-
-    private static final long PURGE_INTERVAL_MILLIS = 5_000;
-
     private final long epoch;
     private final LeaderLogWriter logWriter;
     private final Replica replica;
@@ -76,6 +70,7 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TermWriter writer;
     private final JobIntake jobIntake;
+    private final EndedJobs endedJobs;
     private final PoolEvents poolEvents;
     private final LateJobs lateJobs;
     private final Supplier<SchedulingSettings> scheduling;
@@ -85,7 +80,6 @@
     private final EarlierLeases earlierLeases;
 
     private volatile boolean ended;
-    private long lastPurgeNanos;
 
     Term(
             LeaderRecord self,
@@ -97,14 +91,7 @@
         this.logWriter = logWriter;
         this.replica = dependencies.replica();
         this.configuration = dependencies.configuration();
-        TopicConsumer.PollSettings pollSettings = new TopicConsumer.PollSettings(0, REGISTRATION_POLL_INTERVAL_MILLIS);
-        registrationConsumer = new TopicConsumer(
-                dependencies.topics().targets(),
-                dependencies.log(),
-                pollSettings,
-                new RegistrationTracker(dependencies.targetDecoder(), this));
         ClockReading now = Clocks.now();
-        lastPurgeNanos = now.monotonicNanos();
         load = new TermLoad(epoch, dependencies.metrics(), now);
         scheduling = dependencies.scheduling();
         estimatesPersistence =
@@ -126,10 +113,17 @@
                 });
         lateJobs = new LateJobs(replica, dependencies.metrics());
         jobIntake = new JobIntake(pool, writer);
+        endedJobs = new EndedJobs(pool, writer, now);
         log = dependencies.log();
         this.earlierLeases = earlierLeases;
         poolEvents = new PoolEvents(pool, events, jobIntake, executor, this::end, this::isLeading);
         sessions = new TargetSessions(epoch, earlierLeases, writer, dependencies.calls(), poolEvents, executor, load);
+        registrationConsumer = new TopicConsumer(
+                dependencies.topics().targets(),
+                dependencies.log(),
+                new TopicConsumer.PollSettings(0, REGISTRATION_POLL_INTERVAL_MILLIS),
+                new RegistrationTracker(
+                        dependencies.targetDecoder(), new TargetRegistrations(sessions, pool, events::post)));
     }
 
     /**
@@ -221,7 +215,7 @@
             writer.resign();
         }
         pool.takeStops().forEach(sessions::stop);
-        purge(now);
+        endedJobs.removeOld(now);
         if (writer.isIdle()) {
             Batch batch = pool.takeBatch();
             lateJobs.record(batch.records());
@@ -256,42 +250,6 @@
         batch.acknowledgements().forEach(sessions::acknowledge);
     }
 
-    /** Removes ended jobs whose retention period has passed from the pool and the log. */
-    private void purge(ClockReading now) {
-        if (now.millisSince(lastPurgeNanos) < PURGE_INTERVAL_MILLIS) {
-            return;
-        }
-        lastPurgeNanos = now.monotonicNanos();
-        for (String id : pool.jobsEndedBefore(now.wallClockMillis() - ENDED_JOB_RETENTION_MILLIS)) {
-            pool.removeJob(id);
-            writer.remove(id);
-        }
-    }
-
-    /** Adds or updates a registered target. */
-    void register(TargetInfo info) {
-        events.post(() -> {
-            TargetInfo previous = sessions.register(info);
-            if (previous == null
-                    || previous.draining() != info.draining()
-                    || previous.incarnation() != info.incarnation()) {
-                LOG.infof(
-                        "target: target=%s address=%s data_centre=%s incarnation=%s draining=%s",
-                        info.id(), info.address(), info.dataCentre(), info.incarnation(), info.draining());
-            }
-            pool.register(info);
-        });
-    }
-
-    /** Handles the removal of a target's registration. */
-    void unregister(String id) {
-        events.post(() -> {
-            LOG.infof("target: target=%s outcome=unregistered", id);
-            sessions.unregister(id);
-            pool.unregister(id);
-        });
-    }
-
     /** Returns whether the term was confirmed recently enough to send commands and renew leases. */
     boolean isLeading() {
         return !ended && Clocks.ageMillis(logWriter.lastConfirmed()) < MAX_UNCONFIRMED_MILLIS;
