--- a/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/RegistrationTracker.java
@@ -7,7 +7,7 @@
 import org.acaciaport.pool.TargetInfo;
 
 /**
- * Reports the registration and unregistration of targets to those of a term.
+ * Passes the registrations of targets, and their removals, on to {@link TargetRegistrations}.
  *
  * <p>Guarded by the lock of its consumer. A target is unregistered by a record that names no
  * target, and by a new snapshot that has no record of it.
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetLease.java
@@ -92,7 +92,7 @@
         return clockKnown;
     }
 
-    /** Records a reading of the target's clock by a report of the incarnation that the last restart began. */
+    /** Records a reading of the target's clock by a later report of the same incarnation. */
     void recordClock(long millis) {
         clockMillis = millis;
         clockNanos = System.nanoTime();
