--- a/acacia-node/src/test/java/org/acaciaport/node/RestartingFleet.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartingFleet.java
@@ -31,10 +31,7 @@
     /** Share of the starts during which the target restarts, if it may. */
     private static final double RESTART_SHARE = 0.1;
 
-    /**
-     * Shortest time between two restarts of a target, in milliseconds. Calls are on their way for less: one that
-     * outlasts a whole incarnation cannot be told from those of the next.
-     */
+    /** Shortest time between two restarts of a target, in milliseconds. */
     private static final int MIN_LIFE_MILLIS = 300;
 
     private static final int MIN_RUN_MILLIS = 100;
@@ -76,6 +73,12 @@
         final Map<TaskId, Integer> over = new HashMap<>();
         final List<TargetReport.Ended> ended = new ArrayList<>();
         long endCount;
+        /** Starts that were sent to this incarnation and have not arrived. */
+        int startsOnTheirWay;
+
+        /** Starts that were sent to the former incarnation and have not arrived. */
+        int earlierStartsOnTheirWay;
+
         long fence;
         long leaseEndMillis;
 
@@ -119,11 +122,18 @@
         register.accept(id, 1L);
     }
 
-    private synchronized void restartIfOldEnough(String id) {
+    /**
+     * Restarts a target if that is due. A start that outlasts a whole incarnation cannot be told from those of the
+     * next, so there is no restart before all of the former incarnation have arrived.
+     */
+    private synchronized void restartIfDue(String id) {
         Life former = lives.get(id);
         long ageMillis = (System.nanoTime() - former.bornNanos) / Clocks.NANOS_PER_MILLI;
-        if (faulty && ageMillis >= MIN_LIFE_MILLIS && random.nextDouble() < RESTART_SHARE) {
-            lives.put(id, new Life(former.incarnation + 1));
+        boolean mayRestart = faulty && ageMillis >= MIN_LIFE_MILLIS && former.earlierStartsOnTheirWay == 0;
+        if (mayRestart && random.nextDouble() < RESTART_SHARE) {
+            Life next = new Life(former.incarnation + 1);
+            next.earlierStartsOnTheirWay = former.startsOnTheirWay;
+            lives.put(id, next);
             register.accept(id, former.incarnation + 1);
         }
     }
@@ -149,8 +159,11 @@
         return faulty && (life.clock() < life.silentUntilMillis || random.nextDouble() < LOST_ANSWER_SHARE);
     }
 
-    private synchronized long incarnation(String id) {
-        return lives.get(id).incarnation;
+    /** Records that a start is on its way; returns the incarnation that it was sent to. */
+    private synchronized long send(String id) {
+        Life life = lives.get(id);
+        life.startsOnTheirWay++;
+        return life.incarnation;
     }
 
     private <T> T exchange(String id, Supplier<T> call, T noAnswer) {
@@ -167,13 +180,18 @@
 
     @Override
     public CommandReply start(Endpoint target, StartRequest request, long timeoutMillis) {
-        long incarnation = incarnation(target.id());
-        restartIfOldEnough(target.id());
+        long incarnation = send(target.id());
+        restartIfDue(target.id());
         return exchange(target.id(), () -> carryOut(target.id(), incarnation, request), new NoAnswer("lost"));
     }
 
     private synchronized CommandReply carryOut(String id, long incarnation, StartRequest request) {
         Life life = lives.get(id);
+        if (life.incarnation == incarnation) {
+            life.startsOnTheirWay--;
+        } else {
+            life.earlierStartsOnTheirWay--;
+        }
         life.update();
         if (request.fence() < life.fence) {
             return refused(RefusalReason.FENCE, life);
