Keep a concluded run unsettled while a restarted target runs it

Callers would see a gang start once more than it has attempts (BUDGET).

Cause: a report of another incarnation settled all runs that were sent to a former one, as if none could be reported any more. A start that was on its way as the target restarted is carried out by the next incarnation, which lists it.

Change: a restart settles nothing by itself. A complete report that lists a run nowhere settles it, whichever incarnation gives it, as before; one that lists it does not.

--- a/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/ReportHandler.java
@@ -113,8 +113,9 @@
     }
 
     /**
-     * Settles the runs that a complete report lists neither as running nor as ended: their ends were counted. A report
-     * that was requested before the end was concluded may be from before the run.
+     * Settles the runs that a complete report lists neither as running nor as ended: their ends were counted, or were
+     * lost with an earlier incarnation. A report that was requested before the end was concluded may be from before the
+     * run.
      */
     private void settleAbsent(TargetState target, TargetReport report) {
         for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
@@ -212,11 +213,6 @@
         target.lastFailedJob = "";
         target.excludedUntilNanos = now.monotonicNanos();
         target.suspectedUntilNanos = now.monotonicNanos();
-        for (UnreportedRun each : List.copyOf(target.unreportedRuns)) {
-            if (each.incarnation() != incarnation) {
-                settle(each);
-            }
-        }
         for (TaskExecution task : List.copyOf(target.tasks.values())) {
             if (task.phase == Phase.RESERVED || task.incarnation != incarnation) {
                 taskLifecycle.requeue(task, now);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LateEndTest.java
@@ -162,6 +162,23 @@
         assertThat(runsOfFirstMember()).isEqualTo(3);
     }
 
+    /**
+     * Guards against one run too many (BUDGET): the start was on its way as the target restarted, so the next
+     * incarnation runs what was concluded to have ended.
+     */
+    @Test
+    void theNextRunDoesNotStartWhileARestartedTargetRunsTheConcludedOne() {
+        concludeFirstRun();
+        failNewestRun();
+        fixture.restartTarget(first.target(), "r1");
+        fixture.running.put(first.task(), first);
+        fixture.report(first.target());
+        fixture.pass(PoolFixture.MAX_WAIT_WITH_ROOM_MILLIS);
+        assertThat(runsOfFirstMember()).isEqualTo(2);
+        reportFirstRun(EndReason.FAILED);
+        assertThat(state()).isEqualTo(JobState.FAILED);
+    }
+
     @Test
     void aFailureThatIsReportedAgainCountsOnce() {
         TaskId member = first.task();
