--- a/review/harness-3/Cluster.java
+++ b/review/harness-3/Cluster.java
@@ -242,6 +242,13 @@
         return leader;
     }
 
+    /** Waits until the workers have accepted {@code count} starts in all, for ten seconds at most. */
+    void awaitStarts(int count) throws Exception {
+        for (int i = 0; i < 100 && tasks.startCount() < count; i++) {
+            Thread.sleep(100);
+        }
+    }
+
     /** Returns whether the newest term of a node has ended by its own log, or is about to. */
     boolean hasResigned(int node) throws Exception {
         boolean resigned = false;
--- a/review/harness-3/Tasks.java
+++ b/review/harness-3/Tasks.java
@@ -160,6 +160,10 @@
         }
     }
 
+    synchronized int startCount() {
+        return starts.size();
+    }
+
     synchronized List<Start> startsOf(String task) {
         return starts.stream().filter(start -> start.task.equals(task)).toList();
     }
