--- a/review/harness-3/LastingBehindGang.java
+++ b/review/harness-3/LastingBehindGang.java
@@ -27,11 +27,12 @@
         String spread = "\"requires\":\"a\",\"anti_affinity\":1,\"est_ms\":" + WORK_MILLIS;
         submit(cluster, "lohu930", LONG, WORKERS - 1, 5, spread);
         submit(cluster, "lohu930", OTHER, 1, 5, "\"long_running\":true,\"requires\":\"b\"");
-        Thread.sleep(1_000);
+        cluster.awaitStarts(WORKERS);
         submit(cluster, "kaje155", LASTING, 1, 3, "\"long_running\":true,\"affinity\":\"r1-4\"");
-        Thread.sleep(2_000);
+        cluster.awaitStarts(WORKERS + 1);
+        Thread.sleep(1_000);
         Worker worker = workerOf(cluster, LASTING);
-        if (worker == null || cluster.tasks.starts.size() != WORKERS + 1) {
+        if (worker == null || cluster.tasks.startCount() != WORKERS + 1) {
             return Case.COULD_NOT_RUN;
         }
         submit(cluster, "lohu930", GANG, WORKERS - 1, 8, "\"gang\":true,\"est_ms\":5000");
--- a/review/harness-3/LastingLocality.java
+++ b/review/harness-3/LastingLocality.java
@@ -23,11 +23,11 @@
         cluster.start();
         Thread.sleep(4_000);
         submit(cluster, SINGLE, 1, "\"affinity\":\"r1-0\",\"est_ms\":3600000");
-        Thread.sleep(1_000);
+        cluster.awaitStarts(1);
         fill(cluster, 0, RACK_SIZE - 1);
-        Thread.sleep(1_000);
+        cluster.awaitStarts(RACK_SIZE);
         submit(cluster, GANG, 2, "\"gang\":true,\"tightly_coupled\":true");
-        Thread.sleep(1_000);
+        cluster.awaitStarts(RACK_SIZE + 2);
         String gangRack = rackOf(cluster, GANG + ".0.0.0");
         journal.line("the gang runs on rack %s", gangRack);
         if (!"r1-0".equals(rackOf(cluster, SINGLE + ".0.0.0")) || !gangRack.equals(rackOf(cluster, GANG + ".0.0.1"))) {
@@ -36,7 +36,8 @@
         for (int rack = 1; rack < RACKS; rack++) {
             fill(cluster, rack, gangRack.equals("r1-" + rack) ? RACK_SIZE - 2 : RACK_SIZE - 1);
         }
-        Thread.sleep(3_000);
+        cluster.awaitStarts(2 + RACKS * (RACK_SIZE - 1));
+        Thread.sleep(1_000);
         int running = cluster.workers.stream().mapToInt(Worker::runCount).sum();
         journal.line("%d of %d workers are in use", running, cluster.workers.size());
         if (running != 2 + RACKS * (RACK_SIZE - 1)) {
--- a/review/harness-3/Rerouted.java
+++ b/review/harness-3/Rerouted.java
@@ -30,8 +30,9 @@
         }
         cluster.call(0, "POST", "/pufi791/" + FILLING, "{\"spec\":\"plate\",\"steps\":[{\"count\":" + WORKERS
                 + ",\"cpu\":13000,\"mem_mb\":26000,\"gpu\":8,\"long_running\":true}]}");
-        Thread.sleep(4_000);
-        if (cluster.tasks.starts.size() != WORKERS || !submit(cluster, WAITING)) {
+        cluster.awaitStarts(WORKERS);
+        Thread.sleep(1_000);
+        if (cluster.tasks.startCount() != WORKERS || !submit(cluster, WAITING)) {
             return Case.COULD_NOT_RUN;
         }
         Thread.sleep(2_000);
