Unfinished jobs follow their queue to another service

Cause: JobService copies the service of the queue into the record of the job, and the pool chose targets by that copy for as long as the job lived.

QueueServices assigns the service of its queue to each unfinished job; runs stay, reservations and starts that have not been sent are given up. A job moves only by a configuration confirmed after the leader got it, and a term starts nothing before a confirmation, since nodes and earlier leaders may know a newer one. The record service/ID keeps the last service for later leaders if the queue is dropped.

Why it works: every reader of a job's service (placement, preemption, outlook, speeds) reads the one that is assigned, so none can keep the former one.

--- a/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ConfigurationView.java
@@ -27,6 +27,7 @@
     private OperatorConfiguration latest;
     private ClockReading asOf;
     private Runnable listener = () -> {};
+    private Runnable confirmer = () -> {};
 
     ConfigurationView(OperatorRecordDecoder decoder) {
         this.decoder = decoder;
@@ -60,9 +61,10 @@
         latest = published;
         listener.run();
         LOG.infof(
-                "configuration: version=%s queues=%s accounts=%s outcome=in-force",
+                "configuration: version=%s queues=%s services=%s accounts=%s outcome=in-force",
                 published.version(),
                 published.queues().size(),
+                published.services().size(),
                 published.accounts().size());
     }
 
@@ -96,6 +98,20 @@
         return latest == null ? PoolSettings.EMPTY : latest.poolSettings(activeEvacuations);
     }
 
+    /** Sets what reads the records to their end, so that {@link #asOf} advances; it must not block. */
+    synchronized void setConfirmer(Runnable confirmer) {
+        this.confirmer = confirmer;
+    }
+
+    /** Requests a read of the records to their end, without waiting for it. */
+    void requestConfirmation() {
+        Runnable requested;
+        synchronized (this) {
+            requested = confirmer;
+        }
+        requested.run();
+    }
+
     /** Replaces the listener, which is called after each change, under this object's lock; it must not block. */
     synchronized void setListener(Runnable listener) {
         this.listener = listener;
--- a/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobEntry.java
@@ -14,21 +14,22 @@
  * @param job the job as submitted; null if its record has not been read
  * @param progress latest progress, without its tasks unless {@link #withTasks} added them; null before the first
  * @param cancel the cancellation; null if there is none
+ * @param service the service that the job has followed its queue to; null if it has not
  * @param tasksEmbedded whether the record of the progress embeds that of the tasks, as earlier builds wrote it
  */
-record JobEntry(Job job, JobProgress progress, CancelRecord cancel, boolean tasksEmbedded) {
-    static final JobEntry NONE = new JobEntry(null, null, null, false);
+record JobEntry(Job job, JobProgress progress, CancelRecord cancel, ServiceRecord service, boolean tasksEmbedded) {
+    static final JobEntry NONE = new JobEntry(null, null, null, null, false);
 
     JobEntry with(Job value) {
-        return new JobEntry(value, progress, cancel, tasksEmbedded);
+        return new JobEntry(value, progress, cancel, service, tasksEmbedded);
     }
 
     JobEntry with(JobProgress value) {
-        return new JobEntry(job, value, cancel, tasksEmbedded);
+        return new JobEntry(job, value, cancel, service, tasksEmbedded);
     }
 
     JobEntry withTasksEmbedded(boolean value) {
-        return new JobEntry(job, progress, cancel, value);
+        return new JobEntry(job, progress, cancel, service, value);
     }
 
     /** Returns this entry with {@code tasks} in its progress; without progress, there are no tasks. */
@@ -37,11 +38,20 @@
     }
 
     JobEntry with(CancelRecord value) {
-        return new JobEntry(job, progress, value, tasksEmbedded);
+        return new JobEntry(job, progress, value, service, tasksEmbedded);
+    }
+
+    JobEntry with(ServiceRecord value) {
+        return new JobEntry(job, progress, cancel, value, tasksEmbedded);
+    }
+
+    /** Returns the job, with the service that it has followed its queue to; null if its record has not been read. */
+    Job movedJob() {
+        return job == null || service == null ? job : job.withService(service.service());
     }
 
     boolean isEmpty() {
-        return job == null && progress == null && cancel == null;
+        return job == null && progress == null && cancel == null && service == null;
     }
 
     /** Returns the state shown to callers. A cancellation takes effect here before the leader has processed it. */
--- a/acacia-node/src/main/java/org/acaciaport/node/JobIntake.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobIntake.java
@@ -34,6 +34,9 @@
                 continue;
             }
             skipIfRejected(entry.job(), () -> restore(entry, now));
+            if (entry.service() != null) {
+                writer.restore(entry.service());
+            }
             if (entry.cancel() != null) {
                 cancels.add(entry.cancel());
             }
@@ -44,11 +47,11 @@
     private void restore(JobEntry entry, ClockReading now) {
         JobProgress progress = entry.progress();
         if (progress == null) {
-            pool.submit(entry.job());
+            pool.submit(entry.movedJob(), now);
             return;
         }
         try {
-            pool.restore(entry.job(), progress, now);
+            pool.restore(entry.movedJob(), progress, now);
             writer.restore(entry);
         } catch (RuntimeException e) {
             // With a part of its progress, the job could run finished tasks again.
@@ -58,8 +61,8 @@
     }
 
     /** Adds a job that was just submitted. */
-    void submit(Job job) {
-        skipIfRejected(job, () -> pool.submit(job));
+    void submit(Job job, ClockReading now) {
+        skipIfRejected(job, () -> pool.submit(job, now));
     }
 
     private static void skipIfRejected(Job job, Runnable add) {
--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -38,6 +38,9 @@
     static final String OUTLOOK_KEY = "outlook";
     static final String ESTIMATES_KEY = "estimates";
     static final String DECLARED_DURATIONS_KEY = "declared-durations";
+    /** Records of the services of jobs whose queues have moved; earlier builds skip them. */
+    static final String SERVICE_PREFIX = "service/";
+
     static final String LEASE_PREFIX = "lease/";
 
     /** Largest size of encoded estimates, in bytes. */
@@ -105,7 +108,7 @@
                 || key.equals(OUTLOOK_KEY)
                 || key.equals(ESTIMATES_KEY)
                 || key.equals(DECLARED_DURATIONS_KEY)
-                || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, ENDS_PREFIX, LEASE_PREFIX)
+                || Stream.of(PROGRESS_PREFIX, TASK_PREFIX, ENDS_PREFIX, LEASE_PREFIX, SERVICE_PREFIX)
                         .anyMatch(key::startsWith);
     }
 
@@ -119,7 +122,7 @@
             boolean named = end > TASK_PREFIX.length();
             return named ? Optional.of(key.substring(TASK_PREFIX.length(), end)) : Optional.empty();
         }
-        return Stream.of(JOB_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX)
+        return Stream.of(JOB_PREFIX, PROGRESS_PREFIX, CANCEL_PREFIX, SERVICE_PREFIX)
                 .filter(key::startsWith)
                 .map(prefix -> key.substring(prefix.length()))
                 .findFirst();
@@ -150,6 +153,10 @@
         return record(DECLARED_DURATIONS_KEY, durations);
     }
 
+    static KeyedRecord encode(ServiceRecord service) {
+        return record(SERVICE_PREFIX + service.job(), service);
+    }
+
     /**
      * Decodes an outlook.
      *
@@ -226,6 +233,7 @@
         decode(encode(new LeaderRecord("n", 0, false)), LeaderRecord.class);
         decodeOutlook(encode(OutlookRecord.of(Outlook.NO_WAIT)));
         decode(encode(DeclaredDurationsRecord.NONE), DeclaredDurationsRecord.class);
+        decode(encode(new ServiceRecord("j", "s")), ServiceRecord.class);
         decode(encode(new LeaseRecord("t", 1)), LeaseRecord.class);
         decodeEstimates(encode(new Pool().estimatesSnapshot()));
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/Node.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Node.java
@@ -37,6 +37,9 @@
     /** How long to wait for an announcement or a resignation to become durable, in milliseconds. */
     private static final long DURABLE_TIMEOUT_MILLIS = 1_000;
 
+    /** How long to wait for a read that confirms the configuration, in milliseconds. */
+    private static final long CONFIRMATION_TIMEOUT_MILLIS = 1_000;
+
     private static final long ANNOUNCE_RETRY_DELAY_MILLIS = 300;
 
     private final long startedMillis = System.currentTimeMillis();
@@ -107,6 +110,9 @@
                 replica);
         TopicConsumer.PollSettings operatorPollSettings = new TopicConsumer.PollSettings(OPERATORS_WAIT_MILLIS, 0);
         operatorConsumer = new TopicConsumer(settings.topics().operators(), log, operatorPollSettings, configuration);
+        configuration.setConfirmer(() -> Thread.ofVirtual()
+                .name("confirm-configuration")
+                .start(() -> operatorConsumer.catchUp(Clocks.deadlineAfter(CONFIRMATION_TIMEOUT_MILLIS))));
         SplittableRandom random = new SplittableRandom(System.nanoTime());
         LeaderRecord self = new LeaderRecord(settings.name(), startedMillis, false);
         leaderElection = new LeaderElection(self, settings.capacity(), termDependencies, jobConsumer, random);
--- a/acacia-node/src/main/java/org/acaciaport/node/OperatorConfiguration.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/OperatorConfiguration.java
@@ -1,5 +1,6 @@
 package org.acaciaport.node;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -60,6 +61,17 @@
 
     /** Returns the settings of the pool, given the names of the evacuated data centres. */
     PoolSettings poolSettings(Set<String> evacuated) {
-        return new PoolSettings(accounts, evacuated, services);
+        return new PoolSettings(accounts, evacuated, queueServices());
+    }
+
+    /** Returns the service of each queue that has one, by the name of the queue. */
+    private Map<String, String> queueServices() {
+        Map<String, String> byQueue = new HashMap<>();
+        for (Queue queue : queues) {
+            if (!queue.service().isEmpty()) {
+                byQueue.put(queue.name(), queue.service());
+            }
+        }
+        return byQueue;
     }
 }
--- a/acacia-node/src/main/java/org/acaciaport/node/PoolEvents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/PoolEvents.java
@@ -45,7 +45,7 @@
 
     @Override
     public void submitted(Job job) {
-        events.post(() -> jobIntake.submit(job));
+        events.post(() -> jobIntake.submit(job, Clocks.now()));
     }
 
     @Override
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -113,6 +113,9 @@
         } else if (key.startsWith(JobRecords.ENDS_PREFIX)) {
             String taskKey = JobRecords.taskKeyOfEnds(key);
             contents.putEnds(JobRecords.jobOfTaskKey(taskKey), taskKey, decode(record, RunEnds.class));
+        } else if (key.startsWith(JobRecords.SERVICE_PREFIX)) {
+            String id = key.substring(JobRecords.SERVICE_PREFIX.length());
+            contents.put(id, contents.entry(id).with(decode(record, ServiceRecord.class)));
         } else if (key.startsWith(JobRecords.LEASE_PREFIX)) {
             String target = key.substring(JobRecords.LEASE_PREFIX.length());
             contents.putLease(target, decode(record, LeaseRecord.class), offset, earlier);
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -61,7 +61,6 @@
     private final long epoch;
     private final LeaderLogWriter logWriter;
     private final Replica replica;
-    private final ConfigurationView configuration;
     private final TopicConsumer registrationConsumer;
     private final Pool pool = new Pool();
     private final EventQueue events = new EventQueue();
@@ -69,6 +68,7 @@
     private final TargetSessions sessions;
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final TermWriter writer;
+    private final PoolConfigurator poolConfigurator;
     private final JobIntake jobIntake;
     private final EndedJobs endedJobs;
     private final PoolEvents poolEvents;
@@ -90,7 +90,6 @@
         this.epoch = epoch;
         this.logWriter = logWriter;
         this.replica = dependencies.replica();
-        this.configuration = dependencies.configuration();
         ClockReading now = Clocks.now();
         load = new TermLoad(epoch, dependencies.metrics(), now);
         scheduling = dependencies.scheduling();
@@ -112,6 +111,7 @@
                     return records;
                 });
         lateJobs = new LateJobs(replica, dependencies.metrics());
+        poolConfigurator = new PoolConfigurator(pool, dependencies.configuration(), writer, now);
         jobIntake = new JobIntake(pool, writer);
         endedJobs = new EndedJobs(pool, writer, now);
         log = dependencies.log();
@@ -154,8 +154,7 @@
     void run() {
         try {
             restore();
-            configuration.setListener(() -> events.post(() -> pool.configure(configuration.poolSettings())));
-            pool.configure(configuration.poolSettings());
+            poolConfigurator.start(events::post);
             registrationConsumer.start();
             probeFormerLeader();
             while (!ended) {
@@ -204,9 +203,10 @@
         }
         ClockReading now = Clocks.now();
         pool.use(scheduling.get().poolFeatures(), now);
+        poolConfigurator.review(now);
         boolean current = replicaAsOf != null && Clocks.ageMillis(replicaAsOf) < MAX_REPLICA_AGE_MILLIS;
         writer.takeDurable().forEach(batch -> releaseBatch(batch, current));
-        if (!writer.isResigning() && current) {
+        if (!writer.isResigning() && current && poolConfigurator.isConfirmed()) {
             pool.schedule(now);
             load.recordPass(now.monotonicNanos());
         }
@@ -217,6 +217,7 @@
         pool.takeStops().forEach(sessions::stop);
         endedJobs.removeOld(now);
         if (writer.isIdle()) {
+            poolConfigurator.writeMovedJobs();
             Batch batch = pool.takeBatch();
             lateJobs.record(batch.records());
             writer.append(batch, now);
@@ -285,7 +286,7 @@
         registrationConsumer.stop();
         replica.detach();
         estimateMetrics.close();
-        configuration.setListener(() -> {});
+        poolConfigurator.stop();
         sessions.close();
         executor.shutdownNow();
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TermWriter.java
@@ -1,7 +1,9 @@
 package org.acaciaport.node;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -34,6 +36,9 @@
     /** Batches whose records are durable. */
     private final List<Batch> durable = new ArrayList<>();
 
+    /** The jobs with a record of their service. */
+    private final Set<String> movedJobs = new HashSet<>();
+
     private boolean appendInFlight;
     private boolean resigning;
     private long lastHeartbeatNanos;
@@ -75,12 +80,26 @@
         progressEncoder.restore(entry.progress(), entry.tasksEmbedded());
     }
 
+    /** Adds a record of the service of a job that the log already has. */
+    void restore(ServiceRecord service) {
+        movedJobs.add(service.job());
+    }
+
+    /** Writes the service of a job with the next append. */
+    void write(ServiceRecord service) {
+        movedJobs.add(service.job());
+        pending.add(JobRecords.encode(service));
+    }
+
     /** Removes the records of an ended job with the next append. */
     void remove(String id) {
         // The job first: without its progress, a successor would run it again.
         pending.add(KeyedRecord.tombstone(JobRecords.JOB_PREFIX + id));
         pending.add(KeyedRecord.tombstone(JobRecords.CANCEL_PREFIX + id));
         pending.addAll(progressEncoder.remove(id));
+        if (movedJobs.remove(id)) {
+            pending.add(KeyedRecord.tombstone(JobRecords.SERVICE_PREFIX + id));
+        }
     }
 
     /** Writes a record with the next append; runs {@code onDurable} on the thread of the term once it is durable. */
--- a/acacia-node/src/test/java/org/acaciaport/node/CutBatchTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/CutBatchTest.java
@@ -83,10 +83,10 @@
         private void lead() {
             pool = new Pool();
             encoder = new ProgressEncoder();
-            pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of("s")));
+            pool.configure(new PoolSettings(Map.of(), Set.of(), Map.of()));
             for (JobEntry entry : replica.attach(null)) {
                 if (entry.progress() == null) {
-                    pool.submit(entry.job());
+                    pool.submit(entry.job(), now());
                 } else {
                     pool.restore(entry.job(), entry.progress(), now());
                     encoder.restore(entry.progress(), entry.tasksEmbedded());
--- a/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LeaderElectionTest.java
@@ -45,6 +45,7 @@
     private void publishConfiguration() {
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
+        configuration.setConfirmer(() -> configuration.caughtUp(Clocks.now(), 1));
     }
 
     private LeaderElection newElectionWithoutConfiguration() {
--- a/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/LogVolumeTest.java
@@ -50,6 +50,7 @@
                 new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of("service"))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
+        configuration.setConfirmer(() -> configuration.caughtUp(Clocks.now(), 1));
         Term.Dependencies dependencies = new Term.Dependencies(
                 replica,
                 configuration,
--- a/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/ReplicaTest.java
@@ -43,7 +43,7 @@
     private static Pool newPoolWithTarget() {
         Pool pool = new Pool();
         Resources capacity = new Resources(32_000, 64_000, 8);
-        pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of(SERVICE)));
+        pool.configure(new PoolSettings(Map.of(), Set.of(), Map.of()));
         pool.register(new TargetInfo("t", SERVICE, "address", "dc", "rack", Set.of(), capacity, false, 0, 1));
         ClockReading now = Clocks.now();
         pool.handleReport(new TargetReport("t", 1, now.monotonicNanos(), List.of(), List.of(), true), now);
@@ -56,7 +56,7 @@
         replica.attach(new Replica.Listener() {
             @Override
             public void submitted(Job job) {
-                pool.submit(job);
+                pool.submit(job, Clocks.now());
             }
 
             @Override
@@ -153,7 +153,7 @@
         List<JobEntry> attached = new ArrayList<>();
         loadSnapshot("job/b", () -> attached.addAll(replica.attach(NO_LISTENER)));
         assertThat(attached)
-                .containsExactly(new JobEntry(job("a"), progress, cancel, true), JobEntry.NONE.with(job("b")));
+                .containsExactly(new JobEntry(job("a"), progress, cancel, null, true), JobEntry.NONE.with(job("b")));
     }
 
     /** Guards against a copy that counts as outdated although a later read has shown that it is complete. */
--- a/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/TermTest.java
@@ -86,6 +86,7 @@
                 new OperatorConfiguration(1, List.of(), Map.of(), Map.of(), Set.of(SERVICE))));
         configuration.apply(KeyedRecord.tombstone("config"), 0);
         configuration.caughtUp(Clocks.now(), 1);
+        configuration.setConfirmer(() -> configuration.caughtUp(Clocks.now(), 1));
         LeaderLogWriter logWriter = new LeaderLogWriter(leaderLogWriterLog, TOPICS.jobs(), MemoryLog.LIMITS, 5);
         assertThat(logWriter.fenceEarlierTerms(Clocks.now())).isTrue();
         Term.Dependencies dependencies = new Term.Dependencies(
--- a/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/UnwantedRunTest.java
@@ -48,13 +48,13 @@
         Job.Terms terms = new Job.Terms(1, 3, 1.5, 250);
         Job job = new Job("a", "queue", SERVICE, "account", terms, "payload", List.of(step), Job.Schedule.NOW, 1);
         synchronized (pool) {
-            pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of(SERVICE)));
+            pool.configure(new PoolSettings(Map.of(), Set.of(), Map.of()));
             pool.register(new TargetInfo("t", SERVICE, "host:1", "dc", "rack", Set.of(), capacity, false, 0, 1));
         }
         session.setOccupied(true);
         Conditions.await(() -> events.lastIncarnation == 1);
         synchronized (pool) {
-            pool.submit(job);
+            pool.submit(job, Clocks.now());
             pool.schedule(Clocks.now());
             return pool.takeBatch();
         }
@@ -136,7 +136,7 @@
 
     private void setLimit(Resources limit) {
         synchronized (pool) {
-            pool.configure(new PoolSettings(Map.of("account", AccountTerms.ofLimit(limit)), Set.of(), Set.of(SERVICE)));
+            pool.configure(new PoolSettings(Map.of("account", AccountTerms.ofLimit(limit)), Set.of(), Map.of()));
         }
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Job.java
@@ -6,7 +6,8 @@
 /**
  * A submitted job, with the settings of its queue at the time of acceptance.
  *
- * <p>Immutable.
+ * <p>Immutable. The account and the terms stay those of the acceptance; the pool replaces the service when the
+ * operators send the queue to another one.
  *
  * @param id unique id chosen by the caller
  * @param queue name of the queue that the job was submitted to
@@ -75,6 +76,11 @@
         public static final Schedule NOW = new Schedule(0, 0, 0);
     }
 
+    /** Returns this job with {@code other} as the service whose targets run the tasks. */
+    public Job withService(String other) {
+        return new Job(id, queue, other, account, terms, payload, steps, schedule, acceptedMillis);
+    }
+
     /** Returns the number of occurrences. */
     public int occurrenceCount() {
         return Math.max(1, schedule.times());
--- a/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/JobExecution.java
@@ -17,7 +17,9 @@
     /** Largest number of tasks of the open occurrences of a recurring job; they are held in memory. */
     private static final int MAX_OPEN_TASKS = 100_000;
 
-    final Job spec;
+    /** The job, with the service that runs its tasks now; only {@link QueueServices} replaces it. */
+    Job spec;
+
     final Objective objective;
     final Set<Integer> doneOccurrences = new TreeSet<>();
     private final long tasksPerOccurrence;
@@ -32,6 +34,12 @@
 
     long endedMillis;
 
+    /** Monotonic clock reading when the pool got the job, in nanoseconds; the job was accepted before. */
+    long receivedNanos;
+
+    /** Whether nothing of the job may start, as the service of its queue is not certain. */
+    boolean awaitsService;
+
     JobExecution(Job spec, RunEstimates estimates) {
         this.spec = spec;
         objective = Objective.of(spec, number -> estimates.seconds(spec, number));
@@ -115,6 +123,13 @@
         endedMillis = nowMillis;
     }
 
+    /** Returns whether the job ended before {@code millis}, on the wall clock, and has no run any more. */
+    boolean hasEndedBefore(long millis) {
+        return state.isTerminal()
+                && endedMillis < millis
+                && tasks().stream().noneMatch(task -> task.phase.mayOccupyTarget());
+    }
+
     /** Returns all tasks of the open occurrences. */
     List<TaskExecution> tasks() {
         List<TaskExecution> all = new ArrayList<>();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Placement.java
@@ -68,7 +68,7 @@
     }
 
     /** Returns whether {@code target} has the service of {@code job} and the label that {@code step} asks for. */
-    private static boolean isOfKind(Job job, Step step, TargetState target) {
+    static boolean isOfKind(Job job, Step step, TargetState target) {
         if (target.info == null || !target.info.service().equals(job.service())) {
             return false;
         }
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -1,11 +1,9 @@
 package org.acaciaport.pool;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import org.acaciaport.admission.Outlook;
 import org.acaciaport.estimate.EstimatesSnapshot;
 import org.jboss.logging.Logger;
@@ -21,8 +19,8 @@
     private static final Logger LOG = Logger.getLogger(Pool.class);
 
     private final Map<String, JobExecution> jobs = new LinkedHashMap<>();
-    private final Map<String, TargetState> targets = new TreeMap<>();
     private final AccountUsage accountUsage = new AccountUsage();
+    private final TargetStates targets = new TargetStates(accountUsage);
     private final LimitMonitor limitMonitor = new LimitMonitor();
     private final TargetHealth targetHealth = new TargetHealth();
     private final Outbox outbox = new Outbox();
@@ -39,6 +37,7 @@
             new StartOutcomes(jobs::get, taskLifecycle, reportHandler, this::isWithinLimit);
     private final PlacementPass.Context passContext =
             new PlacementPass.Context(outbox, targetHealth, taskLifecycle, accountUsage, limitMonitor, estimates);
+    private final QueueServices queueServices = new QueueServices(taskLifecycle);
     private PoolFeatures features = PoolFeatures.ALL;
 
     /** The settings as the operators define them. */
@@ -49,14 +48,35 @@
 
     private SearchEffort lastEffort = new SearchEffort();
 
-    private TargetState newTarget(String id) {
-        return new TargetState(id, accountUsage);
-    }
-
-    /** Replaces the operator-defined settings. */
+    /**
+     * Replaces the operator-defined settings. Unfinished jobs follow their queues to other services; what runs stays
+     * where it is.
+     */
     public void configure(PoolSettings settings) {
         configured = settings;
         applySettings();
+        queueServices.configure(settings.queueServices(), jobs.values());
+    }
+
+    /**
+     * Records that the settings are at least as new as the newest ones at {@code asOf}. A job that the pool got later
+     * may have been accepted under newer settings, so it does not start while they name another service for its queue.
+     */
+    public void confirmSettings(ClockReading asOf) {
+        queueServices.confirm(asOf, jobs.values());
+    }
+
+    /** Returns whether a job waits for {@link #confirmSettings} to tell that the settings are newer than the job. */
+    public boolean awaitsSettings() {
+        return jobs.values().stream().anyMatch(job -> job.awaitsService);
+    }
+
+    /**
+     * Returns and clears the services of the jobs that have followed their queues to other services, by job. They are
+     * to be persisted no later than the next batch.
+     */
+    public Map<String, String> takeMovedJobs() {
+        return queueServices.takeMovedJobs();
     }
 
     /**
@@ -71,7 +91,7 @@
         this.features = features;
         estimates.setLearning(features.learnedRunTimes());
         estimates.setSpeedPlacement(features.speedPlacement());
-        targets.values().forEach(target -> estimates.resetSpeed(target, now));
+        targets.all().forEach(target -> estimates.resetSpeed(target, now));
         applySettings();
     }
 
@@ -93,13 +113,13 @@
      */
     public int restoreEstimates(EstimatesSnapshot snapshot, ClockReading now) {
         int dropped = estimates.restore(snapshot);
-        targets.values().forEach(target -> estimates.resetSpeed(target, now));
+        targets.all().forEach(target -> estimates.resetSpeed(target, now));
         return dropped;
     }
 
     /** Returns how good the estimates are. */
     public EstimateSummary estimateSummary() {
-        return EstimateSummary.of(estimates.accuracy(), targets.values());
+        return EstimateSummary.of(estimates.accuracy(), targets.all());
     }
 
     /**
@@ -107,26 +127,19 @@
      * incarnation.
      */
     public void register(TargetInfo info) {
-        TargetState target = targets.computeIfAbsent(info.id(), this::newTarget);
-        target.info = info;
-        target.registered = true;
+        targets.register(info);
     }
 
     /** Removes the registration of a target. The target receives no new work, but its active runs may continue. */
     public void unregister(String id) {
-        TargetState target = targets.get(id);
-        if (target == null) {
-            return;
-        }
-        target.registered = false;
-        if (target.isIdle()) {
-            targets.remove(id);
-        }
+        targets.unregister(id);
     }
 
     /** Adds a job. Has no effect if the pool already has a job with this id. */
-    public void submit(Job job) {
-        if (jobs.putIfAbsent(job.id(), new JobExecution(job, estimates)) == null) {
+    public void submit(Job job, ClockReading now) {
+        JobExecution execution = new JobExecution(job, estimates);
+        if (jobs.putIfAbsent(job.id(), execution) == null) {
+            queueServices.add(execution, now);
             LOG.infof(
                     "accept: request=%s queue=%s account=%s priority=%s steps=%s",
                     job.id(),
@@ -138,14 +151,15 @@
     }
 
     /**
-     * Adds a job with its persisted progress. Runs recorded in it count as active until a report or the expiry of the
-     * lease shows otherwise. Progress of a task that the job does not have, or of an occurrence that is done, is
-     * ignored. The progress may be that of a part of a batch.
+     * Adds a job, with the last service that it has moved to, and its persisted progress. Runs recorded in it count as
+     * active until a report or the expiry of the lease shows otherwise. Progress of a task that the job does not have,
+     * or of an occurrence that is done, is ignored. The progress may be that of a part of a batch.
      */
     public void restore(Job job, JobProgress progress, ClockReading now) {
         JobExecution execution = new JobExecution(job, estimates);
         jobs.put(job.id(), execution);
-        new JobRestorer(id -> targets.computeIfAbsent(id, this::newTarget), now).restore(execution, progress);
+        new JobRestorer(targets::findOrAdd, now).restore(execution, progress);
+        queueServices.add(execution, now);
         taskLifecycle.completeRestored(execution, now);
     }
 
@@ -166,7 +180,7 @@
      * means a restart, and the incarnation may be lower then, if the target's clock was set back.
      */
     public void handleReport(TargetReport report, ClockReading now) {
-        reportHandler.handle(targets.computeIfAbsent(report.target(), this::newTarget), report, now);
+        reportHandler.handle(targets.findOrAdd(report.target()), report, now);
     }
 
     /**
@@ -202,7 +216,7 @@
 
     /** Excludes a target from new work for {@code millis} milliseconds. Never shortens an exclusion. */
     public void exclude(String id, long millis, ClockReading now) {
-        TargetState target = targets.get(id);
+        TargetState target = targets.find(id);
         if (target != null && millis > 0) {
             TargetHealth.exclude(target, now.nanosAfter(millis));
         }
@@ -211,20 +225,18 @@
     /** Handles the expiry of a lease: the runs of the target are over. Excludes it for {@code exclusionMillis}. */
     public void handleLeaseExpiry(String id, long exclusionMillis, ClockReading now) {
         exclude(id, exclusionMillis, now);
-        TargetState target = targets.get(id);
+        TargetState target = targets.find(id);
         if (target == null) {
             return;
         }
         reportHandler.handleLeaseExpiry(target, now);
-        if (!target.registered) {
-            targets.remove(id);
-        }
+        targets.removeUnlessRegistered(target);
     }
 
     /** Runs a scheduling pass: places waiting tasks and decides which runs to stop. */
     public void schedule(ClockReading now) {
-        targets.values().forEach(target -> runMonitor.evictBeforeDeparture(target, now));
-        lastEffort = new PlacementPass(passContext, jobs.values(), targets.values(), settings, now).run();
+        targets.all().forEach(target -> runMonitor.evictBeforeDeparture(target, now));
+        lastEffort = new PlacementPass(passContext, jobs.values(), targets.all(), settings, now).run();
     }
 
     /** Returns what the newest scheduling pass cost. */
@@ -244,12 +256,12 @@
 
     /** Returns the unfinished work and the use of capacity. */
     public Backlog backlog() {
-        return Backlog.of(jobs.values(), targets.values(), limitMonitor.heldBackTasks());
+        return Backlog.of(jobs.values(), targets.all(), limitMonitor.heldBackTasks());
     }
 
     /** Returns when more work could start, as far as that can be expected from the runs and the waiting work. */
     public Outlook outlook(ClockReading now) {
-        return OutlookBuilder.build(jobs.values(), targets.values(), settings, accountUsage, estimates, now);
+        return OutlookBuilder.build(jobs.values(), targets.all(), settings, accountUsage, estimates, now);
     }
 
     /** Returns the 90th percentile of actual by declared durations of the latest steps of each queue, in percent. */
@@ -259,18 +271,12 @@
 
     /** Returns the ready steps whose tasks have been without a run for longest, and what they wait for. */
     public List<WaitingStep> longestWaitingSteps(ClockReading now) {
-        return WaitingStep.longest(jobs.values(), targets.values(), settings, now);
+        return WaitingStep.longest(jobs.values(), targets.all(), settings, now);
     }
 
     /** Returns the ids of the targets that may have active runs, stray ones included. */
     public Collection<String> occupiedTargets() {
-        List<String> ids = new ArrayList<>();
-        for (TargetState target : targets.values()) {
-            if (target.isOccupied()) {
-                ids.add(target.id);
-            }
-        }
-        return ids;
+        return targets.occupied();
     }
 
     /**
@@ -279,15 +285,10 @@
      * @param millis wall clock, in milliseconds since the Unix epoch
      */
     public List<String> jobsEndedBefore(long millis) {
-        List<String> ids = new ArrayList<>();
-        for (JobExecution job : jobs.values()) {
-            if (job.state.isTerminal()
-                    && job.endedMillis < millis
-                    && job.tasks().stream().noneMatch(task -> task.phase.mayOccupyTarget())) {
-                ids.add(job.spec.id());
-            }
-        }
-        return ids;
+        return jobs.values().stream()
+                .filter(job -> job.hasEndedBefore(millis))
+                .map(job -> job.spec.id())
+                .toList();
     }
 
     /** Removes a job that has ended. */
--- a/acacia-pool/src/main/java/org/acaciaport/pool/StartOutcomes.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/StartOutcomes.java
@@ -39,6 +39,8 @@
         TaskExecution task = currentTask(start);
         return task != null
                 && task.phase == Phase.STARTING
+                && !task.step.job.awaitsService
+                && Placement.isOfKind(task.job(), task.step.spec, task.target)
                 && isWithinLimit.test(task.job().account());
     }
 
--- a/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/WaitingUnits.java
@@ -72,7 +72,9 @@
                     step.readyNanos = now.monotonicNanos();
                     step.nextSearchNanos = now.monotonicNanos();
                 }
-                collect(step, entries);
+                if (!job.awaitsService) {
+                    collect(step, entries);
+                }
             }
         }
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/BegunJobTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/BegunJobTest.java
@@ -21,7 +21,7 @@
     void decideOnAStart() {
         fixture.addTarget("t1", "r1");
         job = fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 8));
-        fixture.pool.submit(job);
+        fixture.pool.submit(job, fixture.now());
         start = decideOnAStart(fixture.pool);
         assertThat(stateOf(fixture.pool)).isEqualTo(JobState.QUEUED);
     }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/ClaimAtLimitTest.java
@@ -82,8 +82,8 @@
         limits.setTerms("a", 16, 16);
         limits.addTargets(3);
         fixture.submit(fixture.job("own", "a", 2, PoolFixture.independentTasks(16, 1)));
-        fixture.pool.submit(fixture.job("a-large", "a", 0, PoolFixture.gang(1, 9, false)));
-        fixture.pool.submit(fixture.job("b-small", "a", 0, PoolFixture.gang(1, 4, false)));
+        fixture.pool.submit(fixture.job("a-large", "a", 0, PoolFixture.gang(1, 9, false)), fixture.now());
+        fixture.pool.submit(fixture.job("b-small", "a", 0, PoolFixture.gang(1, 4, false)), fixture.now());
         for (int i = 0; i < 5; i++) {
             fixture.advance(2 * PASS_INTERVAL_MILLIS);
         }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/CrowdedPoolTest.java
@@ -61,7 +61,8 @@
     private void fillPool() {
         for (int i = 0; i < TARGETS; i++) {
             fixture.pool.submit(
-                    fixture.job("busy" + i, "account" + i % ACCOUNTS, i % 2, PoolFixture.independentTasks(8, 1)));
+                    fixture.job("busy" + i, "account" + i % ACCOUNTS, i % 2, PoolFixture.independentTasks(8, 1)),
+                    fixture.now());
         }
         fixture.schedulePass();
         assertThat(fixture.running).hasSize(8 * TARGETS);
@@ -77,11 +78,13 @@
         for (int i = 0; i < count; i++) {
             int size = 2 + i * 7 % 12;
             int accelerators = 1 + i * 5 % 8;
-            fixture.pool.submit(fixture.job(
-                    "%s%04d".formatted(prefix, i),
-                    "account" + i % ACCOUNTS,
-                    i % 2,
-                    PoolFixture.gang(size, accelerators, i % 3 != 0)));
+            fixture.pool.submit(
+                    fixture.job(
+                            "%s%04d".formatted(prefix, i),
+                            "account" + i % ACCOUNTS,
+                            i % 2,
+                            PoolFixture.gang(size, accelerators, i % 3 != 0)),
+                    fixture.now());
         }
     }
 
@@ -112,16 +115,18 @@
         for (int i = 0; i < WAITING; i++) {
             Job.Terms terms = new Job.Terms(i % 2, 2, 1.5, 250);
             Step gang = PoolFixture.gang(2 + i * 7 % 12, 1 + i * 5 % 8, i % 3 != 0);
-            fixture.pool.submit(new Job(
-                    "gang%04d".formatted(i),
-                    "queue",
-                    PoolFixture.SERVICE,
-                    "account" + i % ACCOUNTS,
-                    terms,
-                    "payload",
-                    List.of(gang),
-                    Job.Schedule.NOW,
-                    fixture.now().wallClockMillis()));
+            fixture.pool.submit(
+                    new Job(
+                            "gang%04d".formatted(i),
+                            "queue",
+                            PoolFixture.SERVICE,
+                            "account" + i % ACCOUNTS,
+                            terms,
+                            "payload",
+                            List.of(gang),
+                            Job.Schedule.NOW,
+                            fixture.now().wallClockMillis()),
+                    fixture.now());
         }
         for (int pass = 0; pass < PASSES; pass++) {
             fixture.advance(20);
@@ -215,12 +220,12 @@
         fixture.submit(fixture.job("running", "limited", 0, PoolFixture.independentTasks(3, 8)));
         for (int i = 0; i < 20; i++) {
             String id = "gang%02d".formatted(i);
-            fixture.pool.submit(fixture.job(id, "limited", 0, PoolFixture.gang(40 - i, 1, false)));
+            fixture.pool.submit(fixture.job(id, "limited", 0, PoolFixture.gang(40 - i, 1, false)), fixture.now());
         }
         fixture.advance(50);
         Map<String, AccountTerms> accounts =
                 Map.of("limited", AccountTerms.ofLimit(new Resources(0, 0, 40)), "owner", AccountTerms.ofGuarantee(8));
-        fixture.pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
+        fixture.pool.configure(new PoolSettings(accounts, Set.of(), Map.of()));
         fixture.advance(50);
         assertThat(fixture.stops).isEmpty();
         fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
@@ -234,16 +239,18 @@
         fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(19, 8)));
         fixture.submit(fixture.job("victim", "x", 2, PoolFixture.independentTasks(1, 8)));
         for (int i = 0; i < 12; i++) {
-            fixture.pool.submit(fixture.job("patient%02d".formatted(i), "x", 1, PoolFixture.gang(2, 8, false)));
+            fixture.pool.submit(
+                    fixture.job("patient%02d".formatted(i), "x", 1, PoolFixture.gang(2, 8, false)), fixture.now());
         }
         fixture.pass(2_950);
-        fixture.pool.submit(fixture.job("first", "x", 0, PoolFixture.gang(15, 8, false)));
+        fixture.pool.submit(fixture.job("first", "x", 0, PoolFixture.gang(15, 8, false)), fixture.now());
         for (int i = 0; i < 12; i++) {
-            fixture.pool.submit(fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(14 - i, 8, false)));
+            fixture.pool.submit(
+                    fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(14 - i, 8, false)), fixture.now());
         }
         fixture.pass(1_000);
         assertThat(fixture.stops).isEmpty();
-        fixture.pool.submit(fixture.job("last", "x", 0, PoolFixture.gang(1, 8, false)));
+        fixture.pool.submit(fixture.job("last", "x", 0, PoolFixture.gang(1, 8, false)), fixture.now());
         fixture.pass(250);
         assertThat(fixture.stops).hasSize(1);
     }
@@ -255,7 +262,8 @@
         fixture.setGuarantee("owner", 8);
         fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(20, 8)));
         for (int i = 0; i < 20; i++) {
-            fixture.pool.submit(fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(20 - i, 4, false)));
+            fixture.pool.submit(
+                    fixture.job("urgent%02d".formatted(i), "x", 0, PoolFixture.gang(20 - i, 4, false)), fixture.now());
         }
         fixture.advance(50);
         fixture.submit(fixture.job("claim", "owner", 0, PoolFixture.gang(1, 8, false)));
@@ -267,8 +275,8 @@
     void aLargeGangDoesNotRuleOutASmallOne() {
         fixture.addTarget("t1", "r1");
         fixture.submit(fixture.job("busy", "x", 0, PoolFixture.independentTasks(1, 4)));
-        fixture.pool.submit(fixture.job("a-large", "x", 1, PoolFixture.gang(3, 2, false)));
-        fixture.pool.submit(fixture.job("b-small", "x", 1, PoolFixture.gang(2, 2, false)));
+        fixture.pool.submit(fixture.job("a-large", "x", 1, PoolFixture.gang(3, 2, false)), fixture.now());
+        fixture.pool.submit(fixture.job("b-small", "x", 1, PoolFixture.gang(2, 2, false)), fixture.now());
         fixture.advance(10);
         assertThat(fixture.startsOf("a-large")).isEmpty();
         assertThat(fixture.startsOf("b-small")).hasSize(2);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitChangeTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitChangeTest.java
@@ -37,7 +37,7 @@
     void startsThatWereNotSentBeforeTheLimitWasLoweredAreNotWanted() {
         limits.setTerms("a", 0, 8);
         limits.addTargets(2);
-        fixture.pool.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(6, 1)));
+        fixture.pool.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(6, 1)), fixture.now());
         fixture.pool.schedule(fixture.now());
         List<TargetCommand.Start> unsent = fixture.pool.takeBatch().starts();
         limits.setTerms("a", 0, 4);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitFailureTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitFailureTest.java
@@ -34,7 +34,7 @@
     void anUnacknowledgedStartCountsUntilItIsKnownNotToRun() {
         limits.setTerms("a", 0, 1);
         limits.addTargets(2);
-        fixture.pool.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(2, 1)));
+        fixture.pool.submit(fixture.job("j", "a", 2, PoolFixture.independentTasks(2, 1)), fixture.now());
         fixture.pool.schedule(fixture.now());
         List<TargetCommand.Start> unanswered = fixture.pool.takeBatch().starts();
         assertThat(unanswered).hasSize(1);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitFixture.java
@@ -23,7 +23,7 @@
     }
 
     PoolSettings settings() {
-        return new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE));
+        return new PoolSettings(accounts, Set.of(), Map.of());
     }
 
     void addTargets(int count) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/LimitSimulationTest.java
@@ -130,7 +130,7 @@
     }
 
     private void configure() {
-        pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
+        pool.configure(new PoolSettings(accounts, Set.of(), Map.of()));
     }
 
     /** Replaces the pool by that of a new leader, which knows only what is persisted and what targets report. */
@@ -141,7 +141,7 @@
         jobs.values().forEach(job -> {
             JobProgress progress = persisted.get(job.id());
             if (progress == null) {
-                pool.submit(job);
+                pool.submit(job, now());
             } else {
                 pool.restore(job, progress, now());
             }
@@ -173,7 +173,7 @@
         Job.Schedule schedule = recurring ? new Job.Schedule(3, millis, 300) : Job.Schedule.NOW;
         Job job = new Job(id, "queue", PoolFixture.SERVICE, account, terms, "", List.of(step), schedule, millis);
         jobs.put(id, job);
-        pool.submit(job);
+        pool.submit(job, now());
     }
 
     private void cancel() {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/OutlookBuilderTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/OutlookBuilderTest.java
@@ -114,7 +114,7 @@
             fixture.addTarget("t" + i, "r" + i / 8);
         }
         for (int i = 0; i < 100; i++) {
-            fixture.pool.submit(fixture.job("j" + i, "x", i % 3, PoolFixture.independentTasks(100, 1)));
+            fixture.pool.submit(fixture.job("j" + i, "x", i % 3, PoolFixture.independentTasks(100, 1)), fixture.now());
         }
         fixture.schedulePass();
         long shortestNanos = Long.MAX_VALUE;
@@ -141,7 +141,7 @@
 
     private void limit(String account, long accelerators) {
         AccountTerms terms = AccountTerms.ofLimit(new Resources(0, 0, accelerators));
-        fixture.pool.configure(new PoolSettings(Map.of(account, terms), Set.of(), Set.of(PoolFixture.SERVICE)));
+        fixture.pool.configure(new PoolSettings(Map.of(account, terms), Set.of(), Map.of()));
     }
 
     private void addTargets(int count) {
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolFixture.java
@@ -42,9 +42,25 @@
 
     /** Registers a target that has not reported yet. */
     void registerTarget(String id, String rack) {
+        registerTarget(id, rack, SERVICE);
+    }
+
+    private void registerTarget(String id, String rack, String service) {
         incarnations.put(id, 1L);
         pool.register(
-                new TargetInfo(id, SERVICE, "address", "dc", rack, Set.of("a", rack), TARGET_CAPACITY, false, 0, 1));
+                new TargetInfo(id, service, "address", "dc", rack, Set.of("a", rack), TARGET_CAPACITY, false, 0, 1));
+    }
+
+    /** Registers a target of {@code service} and handles its first report. */
+    void addTargetOf(String service, String id) {
+        registerTarget(id, "r1", service);
+        report(id);
+    }
+
+    /** Sends the queue of the jobs to {@code service}, as the newest settings. */
+    void sendQueueTo(String service) {
+        pool.configure(new PoolSettings(Map.of(), Set.of(), Map.of("queue", service)));
+        pool.confirmSettings(now());
     }
 
     /** Adds targets t0, t1 and so on, and runs a task of eight accelerators on each; returns the tasks. */
@@ -63,8 +79,7 @@
     }
 
     void setGuarantee(String account, long accelerators) {
-        pool.configure(
-                new PoolSettings(Map.of(account, AccountTerms.ofGuarantee(accelerators)), Set.of(), Set.of(SERVICE)));
+        pool.configure(new PoolSettings(Map.of(account, AccountTerms.ofGuarantee(accelerators)), Set.of(), Map.of()));
     }
 
     static Step step(int count, long accelerators, Step.Mode mode, boolean tight) {
@@ -86,7 +101,7 @@
     }
 
     void submit(Job job) {
-        pool.submit(job);
+        pool.submit(job, now());
         schedulePass();
     }
 
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolSimulation.java
@@ -247,7 +247,7 @@
             long share = (long) (totalAccelerators * deployment.guaranteedFraction / deployment.accounts);
             accounts.put("account" + i, new AccountTerms(share, 0, limit));
         }
-        pool.configure(new PoolSettings(accounts, Set.of(), Set.of(PoolFixture.SERVICE)));
+        pool.configure(new PoolSettings(accounts, Set.of(), Map.of()));
         for (int i = 0; i < deployment.targets; i++) {
             String id = "t%03d".formatted(i);
             String rack = "r" + i / deployment.rackSize;
@@ -296,7 +296,7 @@
                 millis);
         long retryAfterMillis = gate.retryAfterMillis(pool, job, now());
         if (retryAfterMillis == 0) {
-            pool.submit(job);
+            pool.submit(job, now());
         } else if (number < MAX_ATTEMPTS) {
             schedule(millis + retryAfterMillis, () -> attempt(first, number + 1));
         }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/PoolTest.java
@@ -18,7 +18,7 @@
     @Test
     void aStartIsReleasedOnlyWithItsRecord() {
         fixture.addTarget("t1", "r1");
-        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 1)));
+        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(1, 1)), fixture.now());
         fixture.pool.schedule(fixture.now());
         Batch batch = fixture.pool.takeBatch();
         assertThat(batch.starts()).hasSize(1);
@@ -221,7 +221,7 @@
     @Test
     void aStartIsNotWantedAfterItsJobWasCancelledOrItsTaskRequeued() {
         fixture.addTarget("t1", "r1");
-        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(2, 4)));
+        fixture.pool.submit(fixture.job("a", "x", 1, PoolFixture.independentTasks(2, 4)), fixture.now());
         fixture.pool.schedule(fixture.now());
         List<TargetCommand.Start> starts = fixture.pool.takeBatch().starts();
         assertThat(starts).hasSize(2);
--- a/acacia-pool/src/test/java/org/acaciaport/pool/RunEndSimulationTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/RunEndSimulationTest.java
@@ -229,7 +229,7 @@
         for (Job job : jobs.values()) {
             JobProgress progress = durable.get(job.id());
             if (progress == null) {
-                pool.submit(job);
+                pool.submit(job, now());
             } else {
                 pool.restore(job, progress, now());
             }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/StartContentTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/StartContentTest.java
@@ -105,7 +105,7 @@
 
     /** Registers all targets with the pool, which then gets a report of each. */
     private void prepare() {
-        pool.configure(new PoolSettings(Map.of(), Set.of(), Set.of(PoolFixture.SERVICE)));
+        pool.configure(new PoolSettings(Map.of(), Set.of(), Map.of()));
         targets.forEach(this::register);
         targets.forEach(this::report);
     }
@@ -140,7 +140,7 @@
         Job job = new Job(
                 id, "queue", PoolFixture.SERVICE, "account", terms, "payload of " + id, steps, schedule, millis);
         submitted.put(id, job);
-        pool.submit(job);
+        pool.submit(job, now());
     }
 
     private void cancel() {
@@ -169,7 +169,7 @@
         for (Job job : submitted.values()) {
             JobProgress progress = persisted.get(job.id());
             if (progress == null) {
-                pool.submit(job);
+                pool.submit(job, now());
             } else {
                 pool.restore(job, progress, now());
             }
--- a/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
+++ b/acacia-pool/src/test/java/org/acaciaport/pool/UnevenTargetsTest.java
@@ -158,7 +158,7 @@
         fixture.submit(fixture.job("own", "x", 2, PoolFixture.independentTasks(1, 8)));
         assertThat(targetsOf("own")).containsExactly(slow.target());
         AccountTerms terms = new AccountTerms(8, 0, new Resources(0, 0, 8));
-        fixture.pool.configure(new PoolSettings(Map.of("x", terms), Set.of(), Set.of(PoolFixture.SERVICE)));
+        fixture.pool.configure(new PoolSettings(Map.of("x", terms), Set.of(), Map.of()));
         fixture.submit(urgent("claim", PoolFixture.gang(1, 8, false)));
         for (int elapsed = 0; elapsed < LimitFixture.MAX_CLAIM_MILLIS; elapsed += 100) {
             fixture.stops.forEach(stop -> assertThat(stop.task().job()).isEqualTo("own"));
