JobService: appends and lookups in classes of their own

JobAppender appends the records of requests, JobFinder finds the job of a call; no behaviour changes (JobServiceTest, OverLimitSubmissionTest and AdmissionTest pass as they were).

--- a/acacia-node/src/main/java/org/acaciaport/node/JobService.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobService.java
@@ -4,10 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
-import org.acaciaport.log.Append;
-import org.acaciaport.log.AppendLimits;
-import org.acaciaport.log.AppendOutcome;
-import org.acaciaport.log.KeyedRecord;
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobState;
@@ -29,9 +25,6 @@
     /** Staleness of the replica from which this node is not ready, so that callers use another one, in milliseconds. */
     private static final long MAX_READY_STALENESS_MILLIS = 1_500;
 
-    /** Delay before an append of unknown outcome is retried, in milliseconds. */
-    private static final long RETRY_DELAY_MILLIS = 80;
-
     /** Retry-After for callers while no node reaches the log, in seconds. */
     private static final int OUTAGE_RETRY_AFTER_SECONDS = 1;
 
@@ -39,30 +32,28 @@
     private static final int OVER_LIMIT_RETRY_AFTER_SECONDS = 30;
 
     /** Part of a caller's deadline that is reserved for delivering the answer, in milliseconds. */
-    private static final long ANSWER_RESERVE_MILLIS = 40;
+    static final long ANSWER_RESERVE_MILLIS = 40;
 
-    private final Topics topics;
-    private final AppendLimits limits;
     private final FailoverLog log;
     private final Replica replica;
-    private final TopicConsumer jobConsumer;
     private final ConfigurationView configurationView;
     private final long maxConfigurationAgeMillis;
     private final MetricRegistry metrics;
     private final Supplier<SchedulingSettings> scheduling;
     private final AdmissionControl admission;
+    private final JobAppender appender;
+    private final JobFinder finder;
 
     JobService(Term.Dependencies dependencies, TopicConsumer jobConsumer, long maxConfigurationAgeMillis) {
-        this.topics = dependencies.topics();
-        this.limits = dependencies.limits();
         this.log = dependencies.log();
         this.replica = dependencies.replica();
         this.configurationView = dependencies.configuration();
-        this.jobConsumer = jobConsumer;
         this.maxConfigurationAgeMillis = maxConfigurationAgeMillis;
         this.metrics = dependencies.metrics();
         scheduling = dependencies.scheduling();
         admission = new AdmissionControl(dependencies);
+        appender = new JobAppender(dependencies);
+        finder = new JobFinder(dependencies.replica(), jobConsumer);
     }
 
     /** The result of authorizing a call. */
@@ -196,8 +187,7 @@
      */
     public Answer submit(
             Access.Granted access, String id, String payload, List<Step> steps, Job.Schedule schedule, long deadline) {
-        JobEntry existing = replica.find(id);
-        if (existing != null) {
+        if (replica.find(id) != null) {
             return new Answer.Accepted();
         }
         String excess = scheduling.get().accountLimits()
@@ -218,10 +208,10 @@
                 schedule,
                 System.currentTimeMillis());
         Optional<AdmissionControl.Refusal> refusal = admission.findRefusal(job);
-        if (refusal.isPresent() && catchUp(deadline)) {
+        if (refusal.isPresent() && finder.catchUp(deadline)) {
             return replica.find(id) == null ? admission.refuse(refusal.get()) : new Answer.Accepted();
         }
-        Answer answer = makeDurable(JobRecords.encode(job), deadline);
+        Answer answer = appender.append(JobRecords.encode(job), deadline);
         LOG.infof("submit: request=%s queue=%s account=%s outcome=%s", id, queue.name(), access.account(), answer);
         return answer;
     }
@@ -232,8 +222,8 @@
      */
     private Answer refuseOverLimit(Access.Granted access, String id, String excess, long deadline) {
         Answer answer;
-        if (!jobConsumer.catchUp(deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI)) {
-            answer = new StaleReplicaException().answer();
+        if (!finder.catchUp(deadline)) {
+            answer = new JobFinder.StaleReplicaException().answer();
         } else if (replica.find(id) != null) {
             answer = new Answer.Accepted();
         } else {
@@ -246,77 +236,12 @@
         return answer;
     }
 
-    /**
-     * Makes a record durable, retrying while the outcome is unknown. Stops early if the log becomes unreachable, so
-     * that the caller has time left to try another node.
-     */
-    private Answer makeDurable(KeyedRecord record, long deadline) {
-        if (!limits.fits(record)) {
-            return new Answer.TooLarge("the job takes " + record.sizeBytes() + " bytes in the log, which has room for "
-                    + limits.recordBytes() + "; use fewer steps");
-        }
-        long appendDeadline = deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI;
-        if (!log.isReachable()) {
-            return new Answer.Refused("the log cannot be reached now");
-        }
-        Append append = new Append(topics.jobs(), List.of(record), new Append.Always());
-        AppendOutcome outcome = metrics.timer("append").timeSupplier(() -> log.append(append, appendDeadline));
-        while (outcome instanceof AppendOutcome.Unknown
-                && log.isReachable()
-                && Clocks.millisUntil(appendDeadline) > RETRY_DELAY_MILLIS
-                && Clocks.sleep(RETRY_DELAY_MILLIS)) {
-            AppendOutcome retried = log.append(append, appendDeadline);
-            // A refused retry leaves the outcome of the earlier attempt unknown.
-            outcome = retried instanceof AppendOutcome.Refused ? outcome : retried;
-        }
-        return switch (outcome) {
-            case AppendOutcome.Appended appended -> new Answer.Accepted();
-            case AppendOutcome.Refused refused -> new Answer.Refused(refused.reason());
-            case AppendOutcome.Rejected rejected -> new Answer.TooLarge(rejected.reason());
-            case AppendOutcome.Unknown unknown -> new Answer.Undetermined(unknown.reason());
-            case AppendOutcome.NotAtEnd other -> new Answer.Undetermined("unexpected condition");
-            case AppendOutcome.OutOfSequence other -> new Answer.Undetermined("unexpected sequence");
-            case AppendOutcome.Deposed deposed -> new Answer.Undetermined("unexpected epoch");
-        };
-    }
-
-    /**
-     * Returns the account's job, or null if there is certainly none. A replica that has not been complete yet may lack
-     * the job, or the latest of its state.
-     *
-     * @throws StaleReplicaException if the replica lacks the job and cannot be brought up to date in time
-     */
-    private JobEntry find(Access.Granted access, String id, long deadline) throws StaleReplicaException {
-        JobEntry entry = replica.asOf() == null ? null : replica.find(id);
-        if (entry == null) {
-            if (!catchUp(deadline)) {
-                throw new StaleReplicaException();
-            }
-            entry = replica.find(id);
-        }
-        return entry == null || !entry.job().account().equals(access.account()) ? null : entry;
-    }
-
-    /** Brings the replica up to date; returns false if that takes longer than the caller waits. */
-    private boolean catchUp(long deadline) {
-        return jobConsumer.catchUp(deadline - ANSWER_RESERVE_MILLIS * Clocks.NANOS_PER_MILLI);
-    }
-
-    /** Thrown when a stale replica cannot show whether a job exists. */
-    private static final class StaleReplicaException extends Exception {
-        private static final long serialVersionUID = 1L;
-
-        Answer answer() {
-            return new Answer.Refused("this node's copy of the jobs is not current");
-        }
-    }
-
     /** Returns the state of a job. */
     public Answer queryState(Access.Granted access, String id, long deadline) {
         try {
-            JobEntry entry = find(access, id, deadline);
+            JobEntry entry = finder.find(access, id, deadline);
             return entry == null ? new Answer.NoJob() : new Answer.State(entry.state());
-        } catch (StaleReplicaException e) {
+        } catch (JobFinder.StaleReplicaException e) {
             return e.answer();
         }
     }
@@ -324,17 +249,17 @@
     /** Cancels a job. */
     public Answer cancel(Access.Granted access, String id, long deadline) {
         try {
-            JobEntry entry = find(access, id, deadline);
+            JobEntry entry = finder.find(access, id, deadline);
             if (entry == null) {
                 return new Answer.NoJob();
             }
             if (entry.state().isTerminal()) {
                 return new Answer.Accepted();
             }
-        } catch (StaleReplicaException e) {
+        } catch (JobFinder.StaleReplicaException e) {
             return e.answer();
         }
-        Answer answer = makeDurable(JobRecords.encode(new CancelRecord(id, System.currentTimeMillis())), deadline);
+        Answer answer = appender.append(JobRecords.encode(new CancelRecord(id, System.currentTimeMillis())), deadline);
         LOG.infof("cancel: request=%s account=%s outcome=%s", id, access.account(), answer);
         return answer;
     }
