Callers of a queue that becomes public or keyed keep their jobs

Seen by callers: state and cancel of a job are answered "no such job" (410) once operators have made its queue public, or no longer so, since the job was handed in (LOST).

Cause: a job was shown only to calls of the account that handed it in, none on a public queue, while the newest configuration decides which account a call has.

Change: JobFinder.isOpenTo opens a job to its account, to calls without a key by its queue, and, if it was handed in without one, to each valid key by its queue. Other accounts and queues still get "no such job" (aJobStaysHiddenFrom...).

Evidence: two of the three tests of QueueAccessTest failed before (both answered NoJob) and pass now; the third, on what stays hidden, passed before and after.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobFinder.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobFinder.java
@@ -33,8 +33,14 @@
         return entry == null || !isOpenTo(access, entry.job()) ? null : entry;
     }
 
+    /**
+     * Returns whether a call may see and cancel a job: one of its account, or one by its queue if the queue is public
+     * now or was when the job was handed in. Only calls by a public queue have no account.
+     */
     private static boolean isOpenTo(JobService.Access.Granted access, Job job) {
-        return job.account().equals(access.account());
+        boolean anonymous = access.account().isEmpty() || job.account().isEmpty();
+        return job.account().equals(access.account())
+                || anonymous && job.queue().equals(access.queue().name());
     }
 
     /** Brings the replica up to date; returns false if that takes longer than the caller waits. */
