Replica: records that only change contents are decoded elsewhere

ReplicaDecoder applies the records that change nothing but the contents; Replica keeps those with listeners, the leader and the outlook.

--- a/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/JobRecords.java
@@ -157,6 +157,16 @@
         return record(SERVICE_PREFIX + service.job(), service);
     }
 
+    /** Returns the decoded value, or null for a tombstone. */
+    static <T> T decodeValue(KeyedRecord record, Class<T> type) throws IOException {
+        return isTombstone(record) ? null : decode(record, type);
+    }
+
+    /** Returns whether a record deletes its key. */
+    static boolean isTombstone(KeyedRecord record) {
+        return record.value().length == 0;
+    }
+
     /**
      * Decodes an outlook.
      *
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -14,7 +14,6 @@
 import org.acaciaport.pool.ClockReading;
 import org.acaciaport.pool.Job;
 import org.acaciaport.pool.JobState;
-import org.acaciaport.pool.RunEnds;
 import org.jboss.logging.Logger;
 
 /**
@@ -103,35 +102,16 @@
     private void applyRecord(KeyedRecord record, long offset) throws IOException {
         String key = record.key();
         if (key.startsWith(JobRecords.JOB_PREFIX)) {
-            applyJob(key.substring(JobRecords.JOB_PREFIX.length()), decode(record, Job.class));
-        } else if (key.startsWith(JobRecords.PROGRESS_PREFIX)) {
-            String id = key.substring(JobRecords.PROGRESS_PREFIX.length());
-            contents.putProgress(id, isTombstone(record) ? null : JobRecords.decodeProgress(record));
-        } else if (key.startsWith(JobRecords.TASK_PREFIX)) {
-            TaskRecord task = decode(record, TaskRecord.class);
-            contents.putTask(JobRecords.jobOfTaskKey(key), key, task == null ? null : task.toTask());
-        } else if (key.startsWith(JobRecords.ENDS_PREFIX)) {
-            String taskKey = JobRecords.taskKeyOfEnds(key);
-            contents.putEnds(JobRecords.jobOfTaskKey(taskKey), taskKey, decode(record, RunEnds.class));
-        } else if (key.startsWith(JobRecords.SERVICE_PREFIX)) {
-            String id = key.substring(JobRecords.SERVICE_PREFIX.length());
-            contents.put(id, contents.entry(id).with(decode(record, ServiceRecord.class)));
-        } else if (key.startsWith(JobRecords.LEASE_PREFIX)) {
-            String target = key.substring(JobRecords.LEASE_PREFIX.length());
-            contents.putLease(target, decode(record, LeaseRecord.class), offset, earlier);
+            applyJob(key.substring(JobRecords.JOB_PREFIX.length()), JobRecords.decodeValue(record, Job.class));
         } else if (key.startsWith(JobRecords.CANCEL_PREFIX)) {
-            applyCancel(key.substring(JobRecords.CANCEL_PREFIX.length()), decode(record, CancelRecord.class));
-        } else if (key.startsWith(JobRecords.NODE_PREFIX) && !isTombstone(record)) {
-            NodeRecord node = JobRecords.decode(record, NodeRecord.class);
-            contents.nodes.put(node.name(), node);
-        } else if (key.equals(JobRecords.LEADER_KEY) && !isTombstone(record)) {
+            String id = key.substring(JobRecords.CANCEL_PREFIX.length());
+            applyCancel(id, JobRecords.decodeValue(record, CancelRecord.class));
+        } else if (key.equals(JobRecords.LEADER_KEY) && !JobRecords.isTombstone(record)) {
             applyLeader(JobRecords.decode(record, LeaderRecord.class));
-        } else if (key.equals(JobRecords.OUTLOOK_KEY) && !isTombstone(record)) {
+        } else if (key.equals(JobRecords.OUTLOOK_KEY) && !JobRecords.isTombstone(record)) {
             applyOutlook(JobRecords.decodeOutlook(record));
-        } else if (key.equals(JobRecords.ESTIMATES_KEY)) {
-            applyEstimates(record);
-        } else if (key.equals(JobRecords.DECLARED_DURATIONS_KEY) && !isTombstone(record)) {
-            contents.declaredDurations = JobRecords.decode(record, DeclaredDurationsRecord.class);
+        } else {
+            ReplicaDecoder.apply(record, offset, contents, earlier);
         }
     }
 
@@ -159,14 +139,6 @@
         }
     }
 
-    /** Keeps the newest estimates as they are; only a leader decodes them. */
-    private void applyEstimates(KeyedRecord record) throws IOException {
-        if (record.value().length > JobRecords.MAX_ESTIMATES_BYTES) {
-            throw new IOException("the estimates have " + record.value().length + " bytes");
-        }
-        contents.estimates = isTombstone(record) ? null : record;
-    }
-
     /** Returns the newest record of what a leader has learned, if there is one. */
     synchronized Optional<KeyedRecord> estimates() {
         return Optional.ofNullable(shown().estimates);
@@ -228,16 +200,6 @@
         return shown().leaseEndNanos();
     }
 
-    /** Returns the decoded value, or null for a tombstone. */
-    private static <T> T decode(KeyedRecord record, Class<T> type) throws IOException {
-        return isTombstone(record) ? null : JobRecords.decode(record, type);
-    }
-
-    /** Returns whether a record deletes its key. */
-    private static boolean isTombstone(KeyedRecord record) {
-        return record.value().length == 0;
-    }
-
     /** Returns a job with its progress and cancellation, or null if the replica has no such job. */
     synchronized JobEntry find(String id) {
         JobEntry entry = shown().entry(id);
