A term takes only evidence about the process that its claim followed

Cause: the log shows leaders by process, so the replica's former leader stays while one process has several terms. The probe showed that the process of that former leader is over, and the term took the leases of its own first term for over.

Change: a term asks only about the leader whose record its claim followed, if that is another process and nobody but this process has written since the claim (EarlierLeases.grantor). Otherwise leases count from the last record of any leader.

ReturningLeaderTest's first test failed on the code before (the former node was asked; expected no question); its second passed on both. All tests of all modules passed.

Why it works: leases that last were granted by the followed leader or, up to 5 s after its first record, by those before it; the answer of that node is about exactly this process.

--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderElection.java
@@ -142,6 +142,8 @@
     /** Claims leadership and, if the claim succeeds, runs the term until it ends. */
     private void claimAndLead() {
         long end = dependencies.replica().nextOffset();
+        // The claim fails if there is a record after that offset, so it follows this leader.
+        Replica.Leader followed = dependencies.replica().leader();
         Append claim =
                 new Append(dependencies.topics().jobs(), List.of(JobRecords.encode(self)), new Append.AtEnd(end));
         ClockReading claimed = Clocks.now();
@@ -156,7 +158,8 @@
         if (!logWriter.fenceEarlierTerms(claimed) || !jobConsumer.catchUp(Clocks.deadlineAfter(CLAIM_TIMEOUT_MILLIS))) {
             return;
         }
-        EarlierLeases earlierLeases = EarlierLeases.of(dependencies.replica(), epoch);
+        EarlierLeases earlierLeases =
+                EarlierLeases.of(dependencies.replica(), epoch, self, followed == null ? null : followed.record());
         Term next = new Term(self, epoch, logWriter, earlierLeases, dependencies);
         term = next;
         jobConsumer.setPollContinuously(true);
--- a/acacia-node/src/main/java/org/acaciaport/node/LeaderRecord.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/LeaderRecord.java
@@ -17,6 +17,11 @@
         Objects.requireNonNull(node, "node");
     }
 
+    /** Returns whether {@code other} was written by the same process, in whichever term. */
+    boolean isOfProcessOf(LeaderRecord other) {
+        return node.equals(other.node) && startedMillis == other.startedMillis;
+    }
+
     /** Returns whether {@code other} was written by another process of the same node, so before a restart. */
     boolean replaces(LeaderRecord other) {
         return node.equals(other.node) && startedMillis != other.startedMillis;
--- a/acacia-node/src/main/java/org/acaciaport/node/Replica.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Replica.java
@@ -117,9 +117,7 @@
 
     /** Sets the leader; the outlook of another one is not valid any more. A snapshot has its records in no order. */
     private void applyLeader(LeaderRecord leader) {
-        boolean another = contents.leader != null
-                && (!contents.leader.record().node().equals(leader.node())
-                        || contents.leader.record().startedMillis() != leader.startedMillis());
+        boolean another = contents.leader != null && !contents.leader.record().isOfProcessOf(leader);
         if (!isReadingSnapshot() && (another || leader.resigned())) {
             contents.outlook = null;
         }
@@ -219,7 +217,10 @@
         return shown().leader;
     }
 
-    /** Returns the leader before the latest one; empty if the records read so far do not show it. */
+    /**
+     * Returns the leader of another process before the latest one; empty if the records read so far do not show it.
+     * Between the two, the process of the latest one may have had several terms.
+     */
     synchronized Optional<FormerLeader> formerLeader() {
         return Optional.ofNullable(shown().formerLeader);
     }
--- a/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/ReplicaContents.java
@@ -38,7 +38,7 @@
     /** When the first record of that leader was received at the latest, on the monotonic clock, in nanoseconds. */
     private long leaderSinceNanos;
 
-    /** The leader before it; null if no record of it has been read. */
+    /** The leader of another process before it, whatever its terms; null if no record of it has been read. */
     Replica.FormerLeader formerLeader;
 
     /** The latest outlook of that leader; null if there is none. */
@@ -90,10 +90,7 @@
     /** Sets the latest leader record. */
     void setLeader(LeaderRecord record) {
         long now = System.nanoTime();
-        boolean same = leader != null
-                && leader.record().node().equals(record.node())
-                && leader.record().startedMillis() == record.startedMillis();
-        if (!same) {
+        if (leader == null || !leader.record().isOfProcessOf(record)) {
             formerLeader = leader == null ? null : new Replica.FormerLeader(leader.record(), leaderSinceNanos);
             leaderSinceNanos = now;
         }
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -156,7 +156,7 @@
             restore();
             poolConfigurator.start(events::post);
             registrationConsumer.start();
-            probeFormerLeader();
+            probeGrantor();
             while (!ended) {
                 runIteration();
             }
@@ -170,9 +170,9 @@
         }
     }
 
-    /** Finds out in the background whether the former leader's process is over. */
-    private void probeFormerLeader() {
-        replica.formerLeader().ifPresent(former -> {
+    /** Finds out in the background whether the process that has granted the earlier leases is over. */
+    private void probeGrantor() {
+        earlierLeases.grantor().ifPresent(former -> {
             FormerLeaderProbe probe = new FormerLeaderProbe(
                     former, replica, log::ask, endNanos -> events.post(() -> sessions.limitEarlierLeases(endNanos)));
             executor.execute(() -> probe.run(earlierLeases.endNanos()));
