A leader that awaits a confirmation configures its pool once per read

Found by reading the change: while the configuration was not confirmed, each iteration of a term assigned all jobs anew, and each iteration searched all jobs for one that waits, of which there are hundreds a second. QueueServices keeps the jobs that wait, and PoolConfigurator configures only after a read. QueueServicesTest, MovedQueueTest, MovedQueueSimulationTest, TermTest, LeaderElectionTest and RestartSimulationTest pass as they were.

--- a/acacia-node/src/main/java/org/acaciaport/node/PoolConfigurator.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/PoolConfigurator.java
@@ -20,6 +20,9 @@
     private final long startNanos;
     private long nextRequestNanos;
 
+    /** Since when the configuration that the pool has was known to be the latest; null if it was not. */
+    private ClockReading configuredAsOf;
+
     /** Whether the configuration was known to be the latest at a moment of this term. */
     private boolean confirmed;
 
@@ -41,6 +44,7 @@
     private void configure() {
         // Settings that are read after the moment are at least as new.
         ClockReading asOf = configuration.asOf();
+        configuredAsOf = asOf;
         pool.configure(configuration.poolSettings());
         if (asOf != null) {
             pool.confirmSettings(asOf);
@@ -61,7 +65,9 @@
         if (confirmed && !pool.awaitsSettings()) {
             return;
         }
-        configure();
+        if (configuration.asOf() != configuredAsOf) {
+            configure();
+        }
         if (now.monotonicNanos() - nextRequestNanos >= 0) {
             nextRequestNanos = now.nanosAfter(REQUEST_INTERVAL_MILLIS);
             configuration.requestConfirmation();
--- a/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/Pool.java
@@ -63,12 +63,12 @@
      * may have been accepted under newer settings, so it does not start while they name another service for its queue.
      */
     public void confirmSettings(ClockReading asOf) {
-        queueServices.confirm(asOf, jobs.values());
+        queueServices.confirm(asOf);
     }
 
     /** Returns whether a job waits for {@link #confirmSettings} to tell that the settings are newer than the job. */
     public boolean awaitsSettings() {
-        return jobs.values().stream().anyMatch(job -> job.awaitsService);
+        return queueServices.awaitsConfirmation();
     }
 
     /**
--- a/acacia-pool/src/main/java/org/acaciaport/pool/QueueServices.java
+++ b/acacia-pool/src/main/java/org/acaciaport/pool/QueueServices.java
@@ -3,7 +3,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jboss.logging.Logger;
 
 /**
@@ -26,6 +29,9 @@
     /** Moment as of which these services are known to be the newest; null if that is not known. */
     private ClockReading confirmed;
 
+    /** The unfinished jobs that await a confirmation. */
+    private final Set<JobExecution> awaiting = new LinkedHashSet<>();
+
     /** The services of the jobs that have moved and are not persisted, by job. */
     private final Map<String, String> movedJobs = new LinkedHashMap<>();
 
@@ -40,14 +46,17 @@
     }
 
     /** Records that the services are at least as new as the newest ones at {@code asOf}. */
-    void confirm(ClockReading asOf, Collection<JobExecution> jobs) {
+    void confirm(ClockReading asOf) {
         if (confirmed != null && asOf.monotonicNanos() - confirmed.monotonicNanos() <= 0) {
             return;
         }
         confirmed = asOf;
-        if (jobs.stream().anyMatch(job -> job.awaitsService)) {
-            review(jobs);
-        }
+        review(List.copyOf(awaiting));
+    }
+
+    /** Returns whether a job awaits a confirmation. */
+    boolean awaitsConfirmation() {
+        return !awaiting.isEmpty();
     }
 
     /** Adds a job that the pool got at {@code now}. */
@@ -81,12 +90,12 @@
     /** Gives a job the service of its queue, or holds it back while that service is not certain. */
     private void assign(JobExecution job) {
         if (job.state.isTerminal()) {
-            job.awaitsService = false;
+            setAwaits(job, false);
             return;
         }
         String service = services.getOrDefault(job.spec.queue(), job.spec.service());
         boolean moves = !service.equals(job.spec.service());
-        job.awaitsService = moves && !isConfirmedFor(job);
+        setAwaits(job, moves && !isConfirmedFor(job));
         if (!moves) {
             return;
         }
@@ -97,6 +106,15 @@
         }
     }
 
+    private void setAwaits(JobExecution job, boolean awaits) {
+        job.awaitsService = awaits;
+        if (awaits) {
+            awaiting.add(job);
+        } else {
+            awaiting.remove(job);
+        }
+    }
+
     private boolean isConfirmedFor(JobExecution job) {
         return confirmed != null && confirmed.monotonicNanos() - job.receivedNanos >= 0;
     }
