--- a/acacia-node/src/test/java/org/acaciaport/node/MovedQueueTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/MovedQueueTest.java
@@ -37,8 +37,14 @@
     private ConfigurationView configuration;
     private Thread thread;
 
-    /** Begins the term of a process that has just started: it knows what the log and the newest configuration have. */
+    /** Begins a term, and reads the newest configuration in it. */
     private void lead(long epoch) {
+        beginTerm(epoch);
+        readConfiguration();
+    }
+
+    /** Begins the term of a process that has just started and has read the log, and the configuration before. */
+    private void beginTerm(long epoch) {
         replica = new Replica();
         jobConsumer = new TopicConsumer(TOPICS.jobs(), log, new TopicConsumer.PollSettings(0, 5), replica);
         jobConsumer.start();
@@ -64,7 +70,6 @@
                 EarlierLeases.of(replica, epoch),
                 dependencies);
         thread = Thread.ofVirtual().start(term::run);
-        readConfiguration();
     }
 
     @AfterEach
@@ -151,6 +156,22 @@
         assertThat(targets.former.started).hasSize(1);
     }
 
+    /** Guards against starts on the former service (CONFIG) by a new leader that reads the configuration late. */
+    @Test
+    void aTermStartsNothingBeforeItsConfigurationIsConfirmed() {
+        publish(7, queueOf(FORMER));
+        register(FORMER);
+        register(LATTER);
+        append(JobRecords.encode(jobOfFormer(WAITING.job())));
+        beginTerm(1);
+        Clocks.sleep(SETTLED_MILLIS);
+        assertThat(targets.former.started).isEmpty();
+        publish(12, queueOf(LATTER));
+        readConfiguration();
+        Conditions.await(() -> targets.latter.isRunning(WAITING));
+        assertThat(targets.former.started).isEmpty();
+    }
+
     /** A target of each service, whose id is the name of the service. */
     private static final class Services implements TargetCalls {
         final MemoryTarget former = new MemoryTarget();
