A start goes only to an incarnation that has just answered (ROUTE)

A target that is down for 1 s and comes back as another kind got a task that requires the former kind.

Rule, in DESIGN.md: a start is sent only if its incarnation has answered a request sent no longer than 50 ms before the record was durable and 350 ms before the start is sent. The request goes out beside the append of the record and is shared by the starts to one target.

Weighed: naming the incarnation in the call (targets keep their id), polling idle targets (calls all the time), asking after the append.

Tests: RestartedTargetTest, six more.

--- a/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/StartCommands.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.acaciaport.pool.TargetCommand;
 import org.acaciaport.pool.TargetReport;
 import org.jboss.logging.Logger;
@@ -22,20 +23,31 @@
     private final SessionEvents events;
     private final StopCommands stops;
     private final Runnable needsReport;
+    private final Consumer<String> noAnswer;
+    private final IncarnationCheck incarnationCheck;
     private final UnansweredStarts unanswered = new UnansweredStarts();
 
     /**
      * Creates an empty set of commands.
      *
      * @param stops the stop commands of the session
-     * @param needsReport called when a report is needed to determine an outcome
+     * @param needsReport called when a report is needed to determine an outcome or to confirm an incarnation
+     * @param noAnswer called with the reason when the target did not tell its incarnation
      */
-    StartCommands(TargetLink link, TargetCalls calls, SessionEvents events, StopCommands stops, Runnable needsReport) {
+    StartCommands(
+            TargetLink link,
+            TargetCalls calls,
+            SessionEvents events,
+            StopCommands stops,
+            Runnable needsReport,
+            Consumer<String> noAnswer) {
         this.link = link;
         this.calls = calls;
         this.events = events;
         this.stops = stops;
         this.needsReport = needsReport;
+        this.noAnswer = noAnswer;
+        incarnationCheck = new IncarnationCheck(link, calls);
     }
 
     boolean areAnswered() {
@@ -51,6 +63,11 @@
         }
     }
 
+    /** Prepares for a start command whose record is not durable yet, so that it can be sent as soon as that is. */
+    void prepare() {
+        incarnationCheck.prepare();
+    }
+
     /** Sends a start command; its record must be durable. */
     void start(TargetCommand.Start start) {
         long firstNanos = System.nanoTime();
@@ -125,7 +142,35 @@
         return System.nanoTime() - firstNanos < RESEND_LIMIT_MILLIS * Clocks.NANOS_PER_MILLI;
     }
 
+    /** Sends a start if the incarnation that it was decided for answers. */
     private void send(TargetCommand.Start start, long firstNanos) {
+        IncarnationCheck.Answer answer = incarnationCheck.ask();
+        switch (answer.reply()) {
+            case TargetCalls.Reported reported -> {
+                announce(reported.report().incarnation(), start);
+                sendNow(start, answer, firstNanos);
+            }
+            case TargetCalls.Refused refused -> handleRefusal(start, answer.fence(), refused, firstNanos);
+            case TargetCalls.NoAnswer none -> {
+                events.notStarted(start, "incarnation not known", TargetSession.EXCLUSION_MILLIS);
+                noAnswer.accept(none.reason());
+                needsReport.run();
+            }
+        }
+    }
+
+    /** Handles the incarnation that has answered; another one than that of {@code start} needs a report. */
+    private void announce(long incarnation, TargetCommand.Start start) {
+        synchronized (link) {
+            if (incarnation == start.incarnation() || link.incarnation() != start.incarnation()) {
+                return;
+            }
+            link.announceIncarnation(incarnation);
+        }
+        needsReport.run();
+    }
+
+    private void sendNow(TargetCommand.Start start, IncarnationCheck.Answer answer, long firstNanos) {
         TargetCalls.StartRequest request;
         TargetCalls.Endpoint target;
         synchronized (link) {
@@ -137,6 +182,10 @@
                 events.notStarted(start, "another incarnation", 0);
                 return;
             }
+            if (!answer.isRecent()) {
+                events.notStarted(start, "incarnation not known", 0);
+                return;
+            }
             OptionalLong leaseEnd = link.nextLeaseEndMillis();
             if (leaseEnd.isEmpty() || link.isClosed() || !events.isLeading()) {
                 events.notStarted(start, "session not ready", TargetSession.PAUSE_MILLIS);
@@ -148,7 +197,7 @@
         }
         switch (calls.start(target, request, TargetSession.COMMAND_TIMEOUT_MILLIS)) {
             case TargetCalls.Done done -> events.started(start);
-            case TargetCalls.Refused refused -> handleRefusal(start, request, refused, firstNanos);
+            case TargetCalls.Refused refused -> handleRefusal(start, request.fence(), refused, firstNanos);
             case TargetCalls.NoAnswer none -> recordUnanswered(start, request.fence(), firstNanos, none.reason());
         }
     }
@@ -165,22 +214,21 @@
         needsReport.run();
     }
 
-    private void handleRefusal(
-            TargetCommand.Start start, TargetCalls.StartRequest request, TargetCalls.Refused refused, long firstNanos) {
+    private void handleRefusal(TargetCommand.Start start, long fence, TargetCalls.Refused refused, long firstNanos) {
         switch (refused.reason()) {
             case FENCE -> {
-                if (request.fence() < link.fence() && isWithinResendLimit(firstNanos)) {
+                if (fence < link.fence() && isWithinResendLimit(firstNanos)) {
                     resendIfWanted(start, firstNanos);
                     return;
                 }
                 events.notStarted(start, "fence", 0);
-                if (request.fence() == link.fence()) {
+                if (fence == link.fence()) {
                     events.deposed(link.id());
                 }
             }
             case LATE ->
                 // The clock is not the one expected: a report tells whether the target has restarted.
-                recordUnanswered(start, request.fence(), firstNanos, "late by its clock " + refused.clockMillis());
+                recordUnanswered(start, fence, firstNanos, "late by its clock " + refused.clockMillis());
             case OLD_RUN ->
                 // Stopped before it started: a report has shown that no earlier copy of the command started it.
                 events.notStarted(start, "old run", 0);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSession.java
@@ -16,7 +16,7 @@
  *   <li>A start command is not sent while a stop of that run, or of a later one of its task, is unconfirmed. Once a
  *       stop is confirmed, the target rejects the start.
  *   <li>A start command is sent only to the incarnation of the target that it was decided for, since the pool requeues
- *       the tasks of earlier ones.
+ *       the tasks of earlier ones, and only if that incarnation has just answered.
  *   <li>The pool hears of an incarnation only by a report that was requested with a higher fencing token than each
  *       command sent before, so that the incarnation rejects those that arrive later.
  *   <li>The clock of an incarnation is read from its reports only, since no other answer tells which one gave it. No
@@ -24,8 +24,7 @@
  *   <li>A target that does not answer gets no acknowledgement: it may have restarted, and would number its ends anew.
  *   <li>The lease counts as expired only after the latest lease that may have been granted has ended on the target's
  *       own clock.
- *   <li>The lease of a target that does not answer is not renewed, so that it expires eventually. No lease is granted
- *       while leases are suspended.
+ *   <li>The lease of a target that does not answer is not renewed, and none is granted while leases are suspended.
  *   <li>A call that throws counts as unanswered, and so does a report that cannot be handled. No exception ends the
  *       session, and while a report is needed, a thread polls the target.
  * </ul>
@@ -63,11 +62,11 @@
     private final StartCommands starts;
     private final EndedRuns ends;
 
+    private final TargetSilence silence;
+    private final PollThread pollThread;
     private boolean occupied;
     private boolean registered = true;
     private boolean reportRequired;
-    private final TargetSilence silence;
-    private final PollThread pollThread;
 
     TargetSession(
             TargetCalls.Endpoint endpoint, TargetCalls calls, SessionEvents events, long baseFence, TargetLease lease) {
@@ -77,7 +76,7 @@
         link = new TargetLink(endpoint, baseFence, lease);
         stops = new StopCommands(link, this.calls, events);
         ends = new EndedRuns(link);
-        starts = new StartCommands(link, this.calls, events, stops, this::pollIfNeeded);
+        starts = new StartCommands(link, this.calls, events, stops, this::pollIfNeeded, this::handleNoAnswer);
         silence = new TargetSilence(link);
         pollThread = new PollThread(id, link, this::needsReport, this::poll, this::handleFailedPoll);
     }
@@ -110,10 +109,7 @@
         link.setEndpoint(changed);
     }
 
-    /**
-     * Sets whether the target may have runs, and starts polling it for reports if needed. A target whose incarnation is
-     * not confirmed is polled at least once.
-     */
+    /** Sets whether the target may have runs, and polls it if needed; at least once if its incarnation is unknown. */
     void setOccupied(boolean occupied) {
         synchronized (link) {
             this.occupied = occupied;
@@ -126,9 +122,8 @@
     }
 
     /**
-     * Returns whether a report is needed: for runs, the incarnation, a registration that came back, unacknowledged
-     * ended runs, or commands without an answer. A registered target that does not answer is asked until it does, since
-     * it gets no work meanwhile.
+     * Returns whether a report is needed. A registered target that does not answer is asked until it does, since it
+     * gets no work meanwhile.
      */
     private boolean needsReport() {
         return occupied
@@ -287,6 +282,11 @@
         }
     }
 
+    /** Prepares for a start command whose record is not durable yet. */
+    void prepareStart() {
+        starts.prepare();
+    }
+
     /** Sends a start command; its record must be durable. */
     void start(TargetCommand.Start start) {
         starts.start(start);
--- a/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/TargetSessions.java
@@ -88,6 +88,14 @@
         }
     }
 
+    /** Prepares for a start command whose record is not durable yet. */
+    void prepare(TargetCommand.Start start) {
+        TargetSession session = getOrCreate(start.target());
+        if (session != null) {
+            session.prepareStart();
+        }
+    }
+
     /** Sends a start command, whose record must be durable; returns false if the address of the target is unknown. */
     boolean start(TargetCommand.Start start) {
         TargetSession session = getOrCreate(start.target());
--- a/acacia-node/src/main/java/org/acaciaport/node/Term.java
+++ b/acacia-node/src/main/java/org/acaciaport/node/Term.java
@@ -221,6 +221,7 @@
             Batch batch = pool.takeBatch();
             lateJobs.record(batch.records());
             writer.append(batch, now);
+            batch.starts().forEach(sessions::prepare);
         }
         Set<String> occupied = new HashSet<>(pool.occupiedTargets());
         sessions.poll(occupied, now).forEach(id -> pool.handleLeaseExpiry(id, TargetSession.EXCLUSION_MILLIS, now));
--- a/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
@@ -2,10 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.acaciaport.pool.TargetCommand;
-import org.acaciaport.pool.TargetReport;
 import org.acaciaport.pool.TaskId;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,13 +19,16 @@
     /** Time after which a lease that counts as expired too soon is noticed, in milliseconds. */
     private static final long EARLY_EXPIRY_MILLIS = 2_000;
 
+    /** Time without a request for a report after which the target is not polled, in milliseconds. */
+    private static final long QUIET_MILLIS = 100;
+
     /** How far the clocks of two incarnations are apart, in milliseconds. */
     private static final long CLOCK_DIFFERENCE_MILLIS = 3_600_000;
 
     private final TaskId task = new TaskId("a", 0, 0, 0);
     private final TargetCommand.Start start = new TargetCommand.Start("t", 1, task, 1, "payload", "");
     private final RestartingTarget target = new RestartingTarget();
-    private final Recorder events = new Recorder();
+    private final SessionRecorder events = new SessionRecorder();
     private TargetSession session;
 
     @BeforeEach
@@ -44,10 +48,25 @@
         session.close();
     }
 
+    /** Lets the session take the target for one without runs, and waits until the poll in progress has ended. */
+    private void stopPolling() {
+        session.setOccupied(false);
+        Conditions.await(() -> {
+            int before = target.reports.get();
+            return Clocks.sleep(QUIET_MILLIS) && target.reports.get() == before;
+        });
+    }
+
+    /** Returns how many requests there may have been for starts: one, and one for each time that it was too old. */
+    private static int requestsSince(long startNanos) {
+        long millis = (System.nanoTime() - startNanos) / Clocks.NANOS_PER_MILLI;
+        return 1 + (int) (millis / IncarnationCheck.MAX_REQUEST_AGE_MILLIS);
+    }
+
     private Thread startInBackground() {
-        int sentBefore = target.startsSent;
+        int sentBefore = target.startsSent.get();
         Thread thread = Thread.ofVirtual().start(() -> session.start(start));
-        Conditions.await(() -> target.startsSent > sentBefore);
+        Conditions.await(() -> target.startsSent.get() > sentBefore);
         return thread;
     }
 
@@ -149,53 +168,89 @@
         target.reportsOnTheirWay.countDown();
         Conditions.await(() -> events.incarnation == 2);
         assertThat(target.isRunning(task)).isFalse();
-        assertThat(target.startsSent).isEqualTo(1);
-    }
-
-    /** Records the events of the session. */
-    private static final class Recorder implements SessionEvents {
-        final CountDownLatch leaseExpired = new CountDownLatch(1);
-        volatile long incarnation;
-        volatile long lastEnd;
-        volatile boolean unresponsive;
-        volatile TargetReport firstOfIncarnation;
-
-        @Override
-        public void reported(TargetReport report) {
-            report.ended().forEach(end -> lastEnd = end.number());
-            if (incarnation != report.incarnation()) {
-                firstOfIncarnation = report;
-                incarnation = report.incarnation();
-            }
-        }
-
-        @Override
-        public void started(TargetCommand.Start start) {}
+        assertThat(target.startsSent.get()).isEqualTo(1);
+    }
 
-        @Override
-        public void notStarted(TargetCommand.Start start, String reason, long exclusionMillis) {}
+    /** Guards against a task on a target of another kind (ROUTE): one without runs restarts unseen before a start. */
+    @Test
+    void aStartIsNotSentToAnIncarnationThatItWasNotDecidedFor() {
+        stopPolling();
+        target.restart(0);
+        session.start(start);
+        assertThat(target.startsSent.get()).isEqualTo(0);
+        assertThat(events.notStarted).containsExactly(start);
+        Conditions.await(() -> events.incarnation == 2);
+    }
 
-        @Override
-        public void startAbsent(TargetCommand.Start start, Runnable resend) {
-            resend.run();
-        }
+    /** Guards against the same if the record of the start took so long that what was asked before is not recent. */
+    @Test
+    void whatATargetAnsweredLongBeforeAStartDoesNotCount() {
+        stopPolling();
+        session.prepareStart();
+        Clocks.sleep(QUIET_MILLIS);
+        target.restart(0);
+        session.start(start);
+        assertThat(target.startsSent.get()).isEqualTo(0);
+        assertThat(events.notStarted).containsExactly(start);
+    }
 
-        @Override
-        public void unresponsive(String target, long exclusionMillis) {
-            unresponsive = true;
-        }
+    /** Guards against the same if the leader stood still between the answer and the start. */
+    @Test
+    void anAnswerThatIsReadLateDoesNotCount() throws Exception {
+        stopPolling();
+        target.reportsOnTheirWay = new CountDownLatch(1);
+        Thread starting = Thread.ofVirtual().start(() -> session.start(start));
+        Clocks.sleep(IncarnationCheck.MAX_ANSWER_AGE_MILLIS + 1);
+        target.reportsOnTheirWay.countDown();
+        starting.join();
+        assertThat(target.startsSent.get()).isEqualTo(0);
+        assertThat(events.notStarted).containsExactly(start);
+    }
 
-        @Override
-        public void leaseExpired(String target) {
-            leaseExpired.countDown();
-        }
+    /** Guards against a start that waits for its target twice: it is asked while the record is written. */
+    @Test
+    void aPreparedStartAsksNothingMore() {
+        stopPolling();
+        int before = target.reports.get();
+        long startNanos = System.nanoTime();
+        session.prepareStart();
+        session.start(start);
+        assertThat(target.isRunning(task)).isTrue();
+        assertThat(target.reports.get() - before).isAtMost(requestsSince(startNanos));
+    }
 
-        @Override
-        public void deposed(String target) {}
+    /** Guards against the same if the target restarts while it answers nothing: what is not known is not relied on. */
+    @Test
+    void aStartIsNotSentToATargetThatDoesNotTellItsIncarnation() {
+        stopPolling();
+        target.silent = true;
+        session.start(start);
+        assertThat(events.notStarted).containsExactly(start);
+        assertThat(events.unresponsive).isTrue();
+        target.restart(0);
+        target.silent = false;
+        Conditions.await(() -> events.incarnation == 2);
+        assertThat(target.startsSent.get()).isEqualTo(0);
+    }
 
-        @Override
-        public boolean isLeading() {
-            return true;
+    /** Guards against a request more for each start: those that are sent at the same time share one. */
+    @Test
+    void startsThatAreSentAtTheSameTimeShareARequest() throws Exception {
+        stopPolling();
+        int before = target.reports.get();
+        long startNanos = System.nanoTime();
+        target.reportsOnTheirWay = new CountDownLatch(1);
+        List<Thread> starting = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            TargetCommand.Start each = new TargetCommand.Start("t", 1, new TaskId("a", 0, 0, i), 1, "payload", "");
+            starting.add(Thread.ofVirtual().start(() -> session.start(each)));
+        }
+        Conditions.await(() -> starting.stream().allMatch(each -> each.getState() == Thread.State.TIMED_WAITING));
+        target.reportsOnTheirWay.countDown();
+        for (Thread each : starting) {
+            each.join();
         }
+        assertThat(target.startsSent.get()).isEqualTo(100);
+        assertThat(target.reports.get() - before).isAtMost(requestsSince(startNanos));
     }
 }
--- a/acacia-node/src/test/java/org/acaciaport/node/RestartingTarget.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartingTarget.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.acaciaport.pool.TargetReport;
 import org.acaciaport.pool.TaskId;
 
@@ -33,7 +34,10 @@
     volatile CountDownLatch reportsOnTheirWay;
 
     /** How many start commands have been sent. */
-    volatile int startsSent;
+    final AtomicInteger startsSent = new AtomicInteger();
+
+    /** How many requests for reports have been sent. */
+    final AtomicInteger reports = new AtomicInteger();
 
     /** How many requests for reports are held back. */
     volatile int reportsHeldBack;
@@ -85,7 +89,7 @@
 
     @Override
     public CommandReply start(Endpoint address, StartRequest request, long timeoutMillis) {
-        startsSent++;
+        startsSent.incrementAndGet();
         await(startsOnTheirWay);
         CommandReply reply = carryOut(request);
         await(answersOnTheirWay);
@@ -112,6 +116,7 @@
     @Override
     public ReportReply report(Endpoint address, ReportRequest request, long timeoutMillis) {
         long requestNanos = System.nanoTime();
+        reports.incrementAndGet();
         Clocks.sleep(5);
         if (silent) {
             return new NoAnswer("silent");
