--- a/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
+++ b/acacia-node/src/test/java/org/acaciaport/node/RestartedTargetTest.java
@@ -182,7 +182,7 @@
         Conditions.await(() -> events.incarnation == 2);
     }
 
-    /** Guards against the same if the record of the start took so long that what was asked before is not recent. */
+    /** Guards against a task on a target of another kind (ROUTE), as the target answered long before the start. */
     @Test
     void whatATargetAnsweredLongBeforeAStartDoesNotCount() {
         stopPolling();
@@ -194,7 +194,7 @@
         assertThat(events.notStarted).containsExactly(start);
     }
 
-    /** Guards against the same if the leader stood still between the answer and the start. */
+    /** Guards against a task on a target of another kind (ROUTE), as the leader stood still after the answer. */
     @Test
     void anAnswerThatIsReadLateDoesNotCount() throws Exception {
         stopPolling();
@@ -219,7 +219,7 @@
         assertThat(target.reports.get() - before).isAtMost(requestsSince(startNanos));
     }
 
-    /** Guards against the same if the target restarts while it answers nothing: what is not known is not relied on. */
+    /** Guards against a task on a target of another kind (ROUTE), as it restarts while it answers nothing. */
     @Test
     void aStartIsNotSentToATargetThatDoesNotTellItsIncarnation() {
         stopPolling();
